--- /dev/null
+++ b/honeyhitch/__init__.py
@@ -0,0 +1,6 @@
+"""honeyhitch: the decisions of a dispatcher of notifications to outside receivers."""
+
+from honeyhitch.brain import Brain
+from honeyhitch.interface import Settings
+
+__all__ = ["Brain", "Settings"]
--- a/herontrail/brain.py
+++ b/honeyhitch/brain.py
@@ -1,4 +1,4 @@
-"""Every decision of herontrail. Its interface (settings, events, actions) is herontrail/interface.py."""
+"""Every decision of honeyhitch. Its interface (settings, events, actions) is honeyhitch/interface.py."""
 
 from __future__ import annotations
 
@@ -8,8 +8,8 @@
 from math import exp, inf
 from random import Random
 
-from herontrail import interface as api
-from herontrail.interface import Effect, Outcome
+from honeyhitch import interface as api
+from honeyhitch.interface import Effect, Outcome
 
 MS, SECOND, NEVER = 10**6, 10**9, 1 << 62  # ns
 LADDER = (250 * MS, SECOND, 4 * SECOND, 16 * SECOND)  # ns; the design's pauses between tries
--- a/herontrail/wirehost.py
+++ b/honeyhitch/wirehost.py
@@ -10,8 +10,8 @@
 from collections.abc import Callable
 from typing import TextIO, TypeVar
 
-from herontrail import interface as api
-from herontrail.brain import Brain
+from honeyhitch import interface as api
+from honeyhitch.brain import Brain
 
 OUTCOMES = {
     "pass": api.Outcome.DELIVERED,
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from herontrail import interface as api
-from herontrail.interface import Outcome
+from honeyhitch import interface as api
+from honeyhitch.interface import Outcome
 from tests.world import MS, SECOND, World, settings
 
 FALL = 2 * SECOND
@@ -280,7 +280,7 @@
 def test_line_limits_of_the_module() -> None:
     from pathlib import Path
 
-    lines = Path(__file__).parent.parent.joinpath("herontrail", "brain.py").read_text().splitlines()
+    lines = Path(__file__).parent.parent.joinpath("honeyhitch", "brain.py").read_text().splitlines()
     assert sum(bool(line.strip()) for line in lines) <= 400
     assert max(len(line) for line in lines) <= 110
-    assert "herontrail/interface.py" in lines[0]
+    assert "honeyhitch/interface.py" in lines[0]
--- a/tests/test_property.py
+++ b/tests/test_property.py
@@ -8,7 +8,7 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
-from herontrail import interface as api
+from honeyhitch import interface as api
 from tests.world import CLASSES, MS, SECOND, World, settings
 
 OUTCOMES = [o for o in api.Outcome if o is not api.Outcome.CANCELLED]
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from herontrail import interface as api
-from herontrail.brain import Brain
-from herontrail.interface import Outcome
+from honeyhitch import interface as api
+from honeyhitch.brain import Brain
+from honeyhitch.interface import Outcome
 from tests.world import MS, SECOND, World, settings
 
 ONE = (api.Entry("a", 0, scale=20.0),)
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from herontrail.wirehost import Host, WireError
+from honeyhitch.wirehost import Host, WireError
 
 ROOT = Path(__file__).parent.parent
 SETTINGS = (
@@ -34,7 +34,7 @@
 def run(lines: list[str]) -> subprocess.CompletedProcess[str]:
     """Feed lines to the adapter, started by the deploy file's module."""
     text = "".join(line + "\n" for line in lines)
-    command = [sys.executable, "-m", "herontrail.wirehost"]
+    command = [sys.executable, "-m", "honeyhitch.wirehost"]
     return subprocess.run(command, input=text, capture_output=True, text=True, cwd=ROOT, check=False)
 
 
@@ -114,4 +114,4 @@
 
 def test_deploy_file_names_the_module_and_the_adapter() -> None:
     deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
-    assert deploy["policy"] == ["herontrail/brain.py"] and "herontrail.wirehost" in deploy["sim"]
+    assert deploy["policy"] == ["honeyhitch/brain.py"] and "honeyhitch.wirehost" in deploy["sim"]
--- a/tests/world.py
+++ b/tests/world.py
@@ -6,8 +6,8 @@
 import dataclasses
 from typing import Any
 
-from herontrail import interface as api
-from herontrail.brain import Brain
+from honeyhitch import interface as api
+from honeyhitch.brain import Brain
 
 MS = 1_000_000
 SECOND = 1000 * MS
