--- a/honeyhitch/brain.py
+++ b/honeyhitch/brain.py
@@ -63,7 +63,10 @@
         self.aim = self.deadline - cls.deadline + self.span
         self.call: Call | None = None  # never two at once
         self.ran: list[tuple[int, int]] = []  # when and in which zone it may have run, oldest first
-        self.attempts, self.failures, self.ended, self.queued, self.last = 0, 0, False, False, ""
+        self.attempts = self.failures = event.attempts  # more than none after a restart of the process
+        self.ended, self.queued, self.last = False, False, ""
+        if event.ran_at is not None:
+            self.ran.append((event.ran_at, event.ran_zone))
 
     def until(self) -> int:
         return min(self.deadline, self.ran[0][0] + self.cls.window if self.keyed and self.ran else NEVER)
@@ -174,7 +177,6 @@
         fresh = call.sent >= self.bad_at  # one burst counts once
         self.run += fresh
         self.bad_sent, self.bad_at = max(self.bad_sent, call.sent), now
-        self.wait_until = max(self.wait_until, now + wait)
         if refused and fresh:
             self.cut(now)
         shut = wait >= LONG_WAIT or (self.run >= BAD_RUN and now - self.ok_sent > QUIET)
@@ -266,7 +268,9 @@
         message.worth *= self._share(event.tenant) if self.s.tenant_rates else 1.0
         self.messages[message.id] = message
         self._wake(message.deadline - self.margin, self._woken, message)
-        if message.key is not None:
+        if (message.attempts or message.ran) and not message.may_try(self.now, self.most):
+            self._finish(message)  # a restart came between: its tries, its window or its time are used up
+        elif message.key is not None:
             self.lines.setdefault(message.key, (deque(), [0]))[0].append(message)
             self._advance(message.key)
         else:
@@ -352,6 +356,7 @@
         if not endpoint.calls and lane.tight.share(self.now) > TIGHT and self.s.instances > TABLE:
             self.actions.append(api.Close(endpoint.name))  # idle ones fill a table that all instances share
         lane.limit = event.limit or lane.limit
+        lane.wait_until = max(lane.wait_until, self.now + event.wait)  # a batch may pass and still tell one
         if lane.limit and event.allowance < LOW_ALLOWANCE and lane.rate == inf:
             lane.cut(self.now)
         if event.outcome is not Outcome.REFUSED:
--- /dev/null
+++ b/honeyhitch/core.py
@@ -0,0 +1,287 @@
+"""The core: it feeds events to the module and carries out its actions through ports.
+
+It deals in transactions, attempts and outcomes and knows no wire. Clock and timers are passed in, so that
+tests run it in virtual time. Times are Unix times in nanoseconds.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from honeyhitch import interface as api
+from honeyhitch.brain import Brain
+from honeyhitch.memory.journal import Journal, JournalFull
+from honeyhitch.memory.pool import Pool, PoolMember
+from honeyhitch.memory.transactions import Ending, Transaction
+
+MS = 1_000_000  # ns
+NEVER_RAN = (api.Outcome.REFUSED, api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT)
+BUSY = 500 * MS  # ns; told to clients that are turned away before the module
+
+
+@dataclass(frozen=True, slots=True)
+class Offered:
+    """What the dispatcher says of a transaction that was handed in."""
+
+    taken: bool
+    come_back: int = 0  # nanoseconds; with a reject
+
+
+@dataclass(slots=True)
+class Result:
+    """How a call ended: an outcome for each of its transactions, and what the member told besides."""
+
+    outcomes: list[tuple[api.Outcome, bool]]  # and whether nothing more is owed
+    wait: int = 0
+    told: dict[str, float] = field(default_factory=dict)
+
+    @classmethod
+    def same(cls, outcome: api.Outcome, count: int, over: bool = False) -> Result:
+        """All of the call's transactions fared alike."""
+        return cls([(outcome, over)] * count)
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """One call out: it has one slot and one fate, and carries one transaction or several."""
+
+    member: PoolMember
+    parts: list[Transaction]
+    numbers: list[int]  # of the attempts
+    timeouts: list[int]  # for each part, from `sent`
+    sent: int
+    open: list[bool]  # parts that have no outcome yet
+
+    @property
+    def timeout(self) -> int:
+        """How long the call may be out."""
+        return max(self.timeouts)
+
+
+class Scheduler(Protocol):
+    """Clock and timers."""
+
+    def now(self) -> int:
+        """The time."""
+
+    def at(self, when: int, what: Callable[[], None]) -> None:
+        """Do something then."""
+
+
+class Carrier(Protocol):
+    """Carries calls to pool members; each call started is reported once to `Dispatcher.ended`."""
+
+    def start(self, call: Call) -> None:
+        """Make the call."""
+
+    def give_up(self, call: Call) -> None:
+        """Stop waiting for it; that is reported as its end, too."""
+
+    def close_idle(self, member: PoolMember) -> None:
+        """Close idle connections to a member."""
+
+
+class Front(Protocol):
+    """Gives final answers to those who handed in."""
+
+    def answer(self, transaction: Transaction) -> None:
+        """Send it; `Dispatcher.answered` is called once it has been sent."""
+
+
+class Dispatcher:
+    """One Brain, the transactions held, and the ports; all fronts share it."""
+
+    def __init__(
+        self, settings: api.Settings, seed: int, pool: Pool, journal: Journal, scheduler: Scheduler
+    ) -> None:
+        self.s, self.pool, self.journal, self.scheduler = settings, pool, journal, scheduler
+        self.brain, self.held = Brain(settings, seed), journal.held
+        self.carriers: dict[str, Carrier] = {}
+        self.fronts: dict[str, Front] = {}
+        self.events: list[api.Event] = []
+        self.out: dict[str, Call] = {}  # calls out, by the id of each transaction in them
+        self.ticking, self.last_tick = False, 0
+        self.taking, self.sending = True, True
+
+    # What comes in.
+
+    def resume(self) -> None:
+        """After a start: give the module each owed transaction with its attempts so far."""
+        for transaction in list(self.held.by_id.values()):
+            if transaction.ending is not None:  # decided already; only its answer may not have been sent
+                self._answer(transaction)
+            else:
+                self._enter(transaction)
+
+    def offer(self, transaction: Transaction) -> Offered:
+        """Take a transaction on, or reject it at once; one that is held already is not taken twice."""
+        if transaction.id in self.held.by_id or transaction.id in self.held.ended:
+            return Offered(True)
+        if not self.taking or len(self.held) >= self.s.max_open:
+            return Offered(False, BUSY)
+        try:
+            self.journal.taken(transaction)
+        except JournalFull as error:
+            print(f"journal: {error}", file=sys.stderr)
+            return Offered(False, BUSY)
+        self._enter(transaction)
+        return Offered(True)
+
+    def _enter(self, transaction: Transaction) -> None:
+        first = transaction.first_ran()
+        if first is None and transaction.key in self.held.keys:  # the key was delivered a moment ago
+            first = self.held.keys[transaction.key][:2]
+        now = self.scheduler.now()
+        event = api.NewMessage(
+            message=transaction.id,
+            cls=transaction.cls,
+            destination=transaction.destination,
+            time_left=transaction.deadline - now,
+            tenant=transaction.tenant,
+            came_again=transaction.came_again,
+            attempts=transaction.attempts,
+            ran_at=first[0] if first else None,
+            ran_zone=first[1] if first else 0,
+        )
+        self._add(event)
+
+    def news(self, news: api.ListNews) -> None:
+        """The pool changed."""
+        self._add(news)
+
+    def ended(self, call: Call, result: Result) -> None:
+        """A call ended; its slot is free."""
+        for i, (outcome, over) in enumerate(result.outcomes):
+            if call.open[i]:
+                self._outcome(call, i, outcome, over, result)
+
+    def expired(self, call: Call, i: int) -> None:
+        """One part of a call that is still out is out of time."""
+        if call.open[i]:
+            self._outcome(call, i, api.Outcome.TIMEOUT, False, Result([]))
+
+    def _outcome(self, call: Call, i: int, outcome: api.Outcome, over: bool, result: Result) -> None:
+        transaction, number = call.parts[i], call.numbers[i]
+        call.open[i] = False
+        self.out.pop(transaction.id, None)
+        if outcome in NEVER_RAN:
+            self.journal.never_ran(transaction, number)
+        over = over or transaction.id not in self.held.by_id or transaction.ending is not None
+        if over and transaction.id in self.held.by_id and transaction.ending is None:
+            if outcome is api.Outcome.DELIVERED:
+                self._conclude(transaction, Ending.DELIVERED, 0)
+            else:
+                self._conclude(transaction, Ending.OVER, 0)
+        self._add(
+            api.AttemptEnded(
+                message=transaction.id,
+                attempt=number,
+                endpoint=call.member.id,
+                outcome=outcome,
+                took=self.scheduler.now() - call.sent,
+                settled=over,
+                wait=result.wait,
+                allowance=result.told.get("x0", 1.0),
+                limit=result.told.get("x1", 0.0),
+            )
+        )
+
+    # Rounds: events that come within one resolution are handled together, as in the simulator.
+
+    def _add(self, event: api.Event) -> None:
+        self.events.append(event)
+        if not self.ticking:
+            self.ticking = True
+            self.scheduler.at(max(self.scheduler.now(), self.last_tick + self.s.resolution), self._tick)
+
+    def _tick(self) -> None:
+        self.ticking, self.last_tick = False, self.scheduler.now()
+        events, self.events = self.events, []
+        if not self.sending:  # the process is about to end: what is owed is the next one's, by the journal
+            return
+        sends: list[api.Send] = []
+        for action in self.brain.handle(self.last_tick, events):
+            match action:
+                case api.Send():
+                    sends.append(action)
+                case api.Refuse(name, come_back):
+                    self._final(name, Ending.REJECTED, come_back)
+                case api.Fail(name):
+                    self._final(name, Ending.FAILED, 0)
+                case api.SetTimer(at):
+                    self.scheduler.at(at, lambda: self._add(api.TimerFired()))
+                case api.Cancel(name, _):
+                    if (call := self.out.get(name)) is not None:
+                        self.carriers[call.member.carrier].give_up(call)
+                case api.Close(name):
+                    member = self.pool.members[name]
+                    self.carriers[member.carrier].close_idle(member)
+                case api.Subscribe():
+                    pass  # the watch is always on
+        self._send_all(sends)
+
+    def _send_all(self, sends: list[api.Send]) -> None:
+        """Sends of one round to one member travel together, as far as its kind allows."""
+        groups: dict[str, list[api.Send]] = {}
+        for send in sends:
+            groups.setdefault(send.endpoint, []).append(send)
+        for name, group in groups.items():
+            member = self.pool.members[name]
+            most = self.s.kinds[min(member.kind, len(self.s.kinds) - 1)].per_call
+            for at in range(0, len(group), most):
+                self._send(member, group[at : at + most])
+
+    def _send(self, member: PoolMember, sends: list[api.Send]) -> None:
+        now = self.scheduler.now()
+        call = Call(member, [], [], [], now, [])
+        for send in sends:
+            transaction = self.held.by_id[send.message]
+            number = transaction.attempts
+            try:
+                self.journal.attempt(transaction, now, member.zone)
+            except JournalFull as error:  # what cannot be written down must not be sent
+                print(f"journal: {error}", file=sys.stderr)
+                transaction.attempts += 1
+                self._not_sent(member, transaction, number)
+                continue
+            call.parts.append(transaction)
+            call.numbers.append(number)
+            call.timeouts.append(send.timeout)
+            call.open.append(True)
+            self.out[transaction.id] = call
+        if not call.parts:
+            return
+        for i, timeout in enumerate(call.timeouts):
+            if timeout < call.timeout:  # cut to its own deadline: the others may wait longer
+                self.scheduler.at(now + timeout, lambda i=i: self.expired(call, i))  # type: ignore[misc]
+        self.carriers[member.carrier].start(call)
+
+    def _not_sent(self, member: PoolMember, transaction: Transaction, number: int) -> None:
+        call = Call(member, [transaction], [number], [0], self.scheduler.now(), [True])
+        self.out[transaction.id] = call
+        self.ended(call, Result.same(api.Outcome.NOT_SENT, 1))
+
+    # Final answers.
+
+    def _final(self, name: str, ending: Ending, come_back: int) -> None:
+        transaction = self.held.by_id.get(name)
+        if transaction is not None and transaction.ending is None:
+            self._conclude(transaction, ending, come_back)
+
+    def _conclude(self, transaction: Transaction, ending: Ending, come_back: int) -> None:
+        if ending is Ending.OVER or (ending is Ending.DELIVERED and transaction.front == "resp"):
+            self.journal.end(transaction, ending)
+            return
+        self.journal.decided(transaction, ending, come_back)
+        self._answer(transaction)
+
+    def _answer(self, transaction: Transaction) -> None:
+        self.fronts[transaction.front].answer(transaction)
+
+    def answered(self, transaction: Transaction) -> None:
+        """The final answer was sent."""
+        if transaction.ending is not None:
+            self.journal.end(transaction, transaction.ending)
--- a/honeyhitch/interface.py
+++ b/honeyhitch/interface.py
@@ -87,6 +87,7 @@
     window: int = 0
     in_order: bool = False
     aim_stretch: float = 0.0
+    name: str = ""
 
     def __post_init__(self) -> None:
         _need(self.deadline > 0, "classes.deadline", "must be above 0")
@@ -104,6 +105,7 @@
 
     own_limits: bool = False  # each endpoint has its own limit, pace and outages
     per_call: int = 1  # messages in one call at most
+    name: str = ""
 
     def __post_init__(self) -> None:
         _need(self.per_call >= 1, "kinds.per_call", "must be at least 1")
@@ -134,17 +136,22 @@
     price_cross_zone: float = 0.0
     tenant_rates: tuple[float, ...] = ()
     over_share_worth: float = 1.0
+    tenant_names: tuple[str, ...] = ()
+    zone_names: tuple[str, ...] = ()
+    report_fields: tuple[str, ...] = ()
+    max_open: int = 1 << 30  # transactions held at most
+    conn_idle: int = 0  # a member closes an idle connection after this; 0 if never
 
     def __post_init__(self) -> None:
         _need(len(self.classes) > 0, "classes", "at least one is needed")
         _need(len(self.kinds) > 0, "kinds", "at least one is needed")
-        for name in ("slots", "instances", "max_attempts", "cold"):
+        for name in ("slots", "instances", "max_attempts", "cold", "max_open"):
             _need(getattr(self, name) >= 1, name, "must be at least 1")
         _need(self.fall_multiple > 0, "fall_multiple", "must be above 0")
         _need(0 < self.cold_share <= 1, "cold_share", "must be above 0 and at most 1")
         for name in ("order_pause", "zone"):
             _need(getattr(self, name) >= 0, name, "must not be negative")
-        for name in ("max_retry_after", "connect_timeout", "resolution"):
+        for name in ("max_retry_after", "connect_timeout", "resolution", "conn_idle"):
             _need(getattr(self, name) >= 0, name, "must not be negative")
         _need(0 <= self.over_share_worth <= 1, "over_share_worth", "must lie in 0 to 1")
         _need(all(rate >= 0 for rate in self.tenant_rates), "tenant_rates", "must not be negative")
@@ -182,6 +189,9 @@
     tenant: int = 0
     work: int = 0  # guess of the call's time, 0 if none
     came_again: bool = False
+    attempts: int = 0  # made before a restart of the process
+    ran_at: int | None = None  # when an earlier attempt may first have run, if one may have
+    ran_zone: int = 0  # and in which zone
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/honeyhitch/lifecycle/__init__.py
@@ -0,0 +1,1 @@
+"""Start and stop: configuration, signals, serving and the command line."""
--- /dev/null
+++ b/honeyhitch/lifecycle/config.py
@@ -0,0 +1,264 @@
+"""The one place where configuration is read, checked and given its defaults."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, TypeVar
+
+from honeyhitch import interface as api
+
+EFFECTS = {"pure": api.Effect.SAFE, "token": api.Effect.KEYED, "side_effect": api.Effect.UNSAFE}
+T = TypeVar("T")
+
+
+class ConfigError(Exception):
+    """A value that cannot be used; the message names its key."""
+
+
+def whole(text: str, name: str) -> int:
+    if not text.removeprefix("-").isascii() or not text.removeprefix("-").isdigit():
+        raise ConfigError(f"{name}: expected a whole number, got {text!r}")
+    return int(text)
+
+
+def decimal(text: str, name: str) -> float:
+    try:
+        value = float(text)
+    except ValueError:
+        value = float("nan")
+    if value - value != 0:
+        raise ConfigError(f"{name}: expected a number, got {text!r}")
+    return value
+
+
+def pick(table: dict[str, T], text: str, name: str) -> T:
+    if text not in table:
+        raise ConfigError(f"{name}: expected one of {', '.join(table)}, got {text!r}")
+    return table[text]
+
+
+def _flatten(value: object, path: str, into: dict[str, str]) -> None:
+    if isinstance(value, dict):
+        for name, inner in value.items():
+            _flatten(inner, f"{path}.{name}" if path else str(name), into)
+    elif isinstance(value, list) and any(isinstance(inner, dict) for inner in value):
+        into[f"{path}.count"] = str(len(value))
+        for i, inner in enumerate(value):
+            _flatten(inner, f"{path}.{i}", into)
+    elif isinstance(value, list):
+        into[path] = ",".join(_plain(inner) for inner in value)
+    elif value is not None:
+        into[path] = _plain(value)
+
+
+def _plain(value: object) -> str:
+    return str(value).lower() if isinstance(value, bool) else str(value)
+
+
+class Pairs:
+    """The path=value pairs of an instance's settings; unknown paths are never looked at."""
+
+    def __init__(self, values: dict[str, str]) -> None:
+        self.values = values
+
+    @classmethod
+    def of_words(cls, words: list[str]) -> Pairs:
+        """From the words of a line, each path=value."""
+        return cls(dict(word.partition("=")[::2] for word in words))
+
+    @classmethod
+    def of_nested(cls, value: object) -> Pairs:
+        """From nested JSON: paths are joined by dots, plain lists by commas, lists of objects get a count."""
+        values: dict[str, str] = {}
+        _flatten(value, "", values)
+        return cls(values)
+
+    def text(self, path: str, default: str | None = None) -> str:
+        """The value of a path; one without a default must be there."""
+        value = self.values.get(path, default)
+        if value is None:
+            raise ConfigError(f"{path}: this setting is missing")
+        return value
+
+    def whole(self, path: str, default: str | None = None) -> int:
+        """The value as a whole number."""
+        return whole(self.text(path, default), path)
+
+    def number(self, path: str, default: str | None = None) -> float:
+        """The value as a number."""
+        return decimal(self.text(path, default), path)
+
+    def flag(self, path: str, default: str | None = None) -> bool:
+        """The value as true or false."""
+        return pick({"true": True, "false": False, "1": True, "0": False}, self.text(path, default), path)
+
+    def items(self, path: str) -> list[str]:
+        """The value as a list of plain values."""
+        text = self.text(path, "")
+        return text.split(",") if text else []
+
+    def message_class(self, i: int) -> api.MessageClass:
+        """Class number i."""
+        at = f"classes.{i}."
+        return api.MessageClass(
+            effect=pick(EFFECTS, self.text(at + "semantics"), at + "semantics"),
+            aim=self.whole(at + "aim"),
+            deadline=self.whole(at + "deadline"),
+            worth=self.number(at + "worth", "1"),
+            late_share=self.number(at + "late-share", "0"),
+            group=api.Group.ALL if self.text(at + "group", "all") == "all" else api.Group.ZONE,
+            window=self.whole(at + "window", "0"),
+            in_order=self.flag(at + "by-arrival", "false"),
+            aim_stretch=self.number(at + "aim-stretch", "0"),
+            name=self.text(at + "name", ""),
+        )
+
+    def kinds(self) -> tuple[api.Kind, ...]:
+        """The kinds of destination."""
+        apart = [word in ("true", "1") for word in self.items("family-info.own-limits")]
+        sizes = [whole(word, "family-info.per-call") for word in self.items("family-info.per-call")]
+        names = self.items("shapes")
+        count = max(len(names), len(apart), len(sizes), 1)
+        names += [""] * (count - len(names))
+        apart += [False] * (count - len(apart))
+        sizes += [1] * (count - len(sizes))
+        return tuple(api.Kind(*row) for row in zip(apart, sizes, names, strict=True))
+
+    def settings(self) -> api.Settings:
+        """All of it, in the module's terms."""
+        scales = {s.value: s for s in api.Scale} | {"live": api.Scale.ROUGH}
+        tenants = range(self.whole("tenants.count", "0"))
+        return api.Settings(
+            classes=tuple(self.message_class(i) for i in range(self.whole("classes.count"))),
+            kinds=self.kinds(),
+            slots=self.whole("family-info.call-slots"),
+            fall_multiple=self.number("invariants.fall-multiple"),
+            cold_share=self.number("invariants.cold-share"),
+            cold=self.whole("invariants.cold"),
+            order_pause=self.whole("invariants.order-pause", "0"),
+            instances=self.whole("replicas-of-me", "1"),
+            zone=self.whole("zone", "0"),
+            max_attempts=self.whole("caps.most-tries", "5"),
+            cancel=self.flag("caps.cancel", "false"),
+            retry_after=self.flag("caps.retry-after", "true"),
+            max_retry_after=self.whole("caps.max-retry-after", "0"),
+            connect_timeout=self.whole("caps.connect-timeout", "0"),
+            must_ask=self.text("discovery", "automatic") == "subscribe",
+            resolution=self.whole("resolution", "0"),
+            decay=pick({d.value: d for d in api.Decay}, self.text("family-info.decay", "line"), "decay"),
+            scale=pick(scales, self.text("weights", "off"), "weights"),
+            price_cross_zone=self.number("prices.cross-zone", "0"),
+            tenant_rates=tuple(self.number(f"tenants.{i}.quota-rps") for i in tenants),
+            over_share_worth=self.number("over-share-worth", "1"),
+            tenant_names=tuple(self.text(f"tenants.{i}.name", "") for i in tenants),
+            zone_names=tuple(self.items("zones")),
+            report_fields=tuple(self.items("report.fields")),
+            max_open=self.whole("caps.max-open", str(1 << 30)),
+            conn_idle=self.whole("caps.conn-idle", "0"),
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """Where something listens."""
+
+    host: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: object, name: str) -> Address:
+        """From HOST:PORT."""
+        host, _, port = str(text).rpartition(":")
+        if not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+            raise ConfigError(f"{name}: expected HOST:PORT, got {text!r}")
+        return cls(host, int(port))
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """What the machine grants; going over it is a crash."""
+
+    sockets: int = 1024
+    disk: int = 3_000_000  # bytes in the lasting folder
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """What one dispatcher is told at its start; what the module needs of it is in `settings`."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    state: Path
+    seed: int
+    limits: Limits
+    known: dict[str, Any]
+    settings: api.Settings
+
+
+def _seed(value: object) -> int:
+    try:
+        return int(value, 16) if isinstance(value, str) else int(value)  # type: ignore[call-overload]
+    except (TypeError, ValueError):
+        raise ConfigError(f"seed: expected a number or hexadecimal digits, got {value!r}") from None
+
+
+def _json(path: str) -> dict[str, Any]:
+    try:
+        value = json.loads(Path(path).read_bytes())
+    except OSError as error:
+        raise ConfigError(f"ROUTER_CONFIG: cannot read {path}: {error.strerror}") from error
+    except ValueError as error:
+        raise ConfigError(f"ROUTER_CONFIG: {path} is not JSON: {error}") from error
+    if not isinstance(value, dict):
+        raise ConfigError(f"ROUTER_CONFIG: expected an object in {path}")
+    return value
+
+
+def _limits(told: object) -> Limits:
+    told = told if isinstance(told, dict) else {}
+    numbers = {name: told.get(name, default) for name, default in (("sockets", 1024), ("disk_mb", 3))}
+    for name, value in numbers.items():
+        if isinstance(value, bool) or not isinstance(value, (int, float)) or not value > 0:
+            raise ConfigError(f"limits.{name}: expected a number above 0, got {value!r}")
+    return Limits(sockets=int(numbers["sockets"]), disk=int(numbers["disk_mb"] * 1_000_000))
+
+
+def read(environ: Mapping[str, str], path: str | None = None) -> Config:
+    """The configuration: the file named in ROUTER_CONFIG, and the other variables before its own words."""
+    path = path or environ.get("ROUTER_CONFIG", "")
+    if not path:
+        raise ConfigError("ROUTER_CONFIG: this variable is missing; it names the configuration's JSON file")
+    told = _json(path)
+    values = {
+        key: environ.get(f"ROUTER_{key.upper()}") or told.get(key)
+        for key in ("name", "listen", "discovery", "state")
+    }
+    for key, value in values.items():
+        if not value:
+            raise ConfigError(f"{key}: missing; give it in the file or as ROUTER_{key.upper()}")
+    if not isinstance(told.get("settings"), dict):
+        raise ConfigError("settings: expected an object")
+    try:
+        settings = Pairs.of_nested(told["settings"]).settings()
+    except (ConfigError, ValueError) as error:
+        raise ConfigError(f"settings.{error}") from error
+    known = told.get("known") or {"revision": 0, "complete": True, "members": []}
+    if not isinstance(known, dict):
+        raise ConfigError("known: expected an object in discovery's form")
+    return Config(
+        name=str(values["name"]),
+        listen=Address.parse(values["listen"], "listen"),
+        discovery=Address.parse(values["discovery"], "discovery"),
+        state=Path(str(values["state"])),
+        seed=_seed(told.get("seed", 0)),
+        limits=_limits(told.get("limits")),
+        known=known,
+        settings=settings,
+    )
--- /dev/null
+++ b/honeyhitch/memory/__init__.py
@@ -0,0 +1,1 @@
+"""What is kept in memory and in the journal."""
--- /dev/null
+++ b/honeyhitch/memory/buffer.py
@@ -0,0 +1,69 @@
+"""The one buffer of a connection: it grows as it needs and is compacted in place."""
+
+from __future__ import annotations
+
+FIRST = 4096  # bytes a fresh buffer has
+ROOM = 2048  # bytes a read is offered at least
+
+
+class Overflow(Exception):
+    """More bytes were kept unread than the connection may hold."""
+
+
+class Buffer:
+    """Bytes read and not yet consumed lie from `start` to `end` in `data`."""
+
+    __slots__ = ("data", "end", "limit", "start")
+
+    def __init__(self, limit: int = 1 << 20) -> None:
+        self.data, self.start, self.end, self.limit = bytearray(FIRST), 0, 0, limit
+
+    def __len__(self) -> int:
+        return self.end - self.start
+
+    def room(self) -> memoryview:
+        """Free space to read into; release it before anything else is done with the buffer."""
+        if len(self.data) - self.end < ROOM and self.start:
+            held = self.end - self.start
+            self.data[:held] = self.data[self.start : self.end]
+            self.start, self.end = 0, held
+        if len(self.data) - self.end < ROOM:
+            if len(self.data) >= self.limit:
+                raise Overflow(f"over {self.limit} bytes are unread")
+            self.data.extend(bytes(min(len(self.data), self.limit - len(self.data))))
+        return memoryview(self.data)[self.end :]
+
+    def filled(self, count: int) -> None:
+        """So many bytes were read into the room."""
+        self.end += count
+
+    def feed(self, data: bytes) -> None:
+        """Put bytes in as a read would; for tests and for machines that stand behind another."""
+        while data:
+            with self.room() as room:
+                count = min(len(room), len(data))
+                room[:count] = data[:count]
+            self.filled(count)
+            data = data[count:]
+
+    def find(self, what: bytes, offset: int = 0, within: int | None = None) -> int:
+        """Where `what` stands, counted from the start, or -1; only `within` bytes are searched."""
+        end = self.end if within is None else min(self.end, self.start + offset + within)
+        at = self.data.find(what, self.start + offset, end)
+        return at - self.start if at >= 0 else -1
+
+    def peek(self, offset: int, count: int) -> bytes:
+        """Bytes that stay in the buffer."""
+        return bytes(self.data[self.start + offset : min(self.end, self.start + offset + count)])
+
+    def consume(self, count: int) -> None:
+        """Forget so many bytes from the start."""
+        self.start += count
+        if self.start >= self.end:
+            self.start = self.end = 0
+
+    def take(self) -> bytes:
+        """All bytes, which are consumed."""
+        data = self.peek(0, len(self))
+        self.consume(len(self))
+        return data
--- /dev/null
+++ b/honeyhitch/memory/pool.py
@@ -0,0 +1,89 @@
+"""The pool: the members that discovery has named, and where each is reached."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from honeyhitch import interface as api
+
+PHASES = {"Ready": api.Status.READY, "Terminating": api.Status.DRAINING, "Gone": api.Status.GONE}
+
+
+@dataclass(slots=True)
+class PoolMember:
+    """One member; `carrier` names what carries calls to it."""
+
+    id: str
+    address: str
+    destination: int
+    kind: int = 0
+    zone: int = 0
+    scale: float = 1.0
+    status: api.Status = api.Status.READY
+    carrier: str = "http"
+
+    def entry(self) -> api.Entry:
+        """The member as the module sees it."""
+        return api.Entry(self.id, self.destination, self.kind, self.zone, self.scale, self.status)
+
+
+class PoolError(ValueError):
+    """A list from discovery that cannot be read."""
+
+
+def _index(names: tuple[str, ...], value: object, default: int = 0) -> int:
+    return names.index(value) if isinstance(value, str) and value in names else default
+
+
+class Pool:
+    """Members by id. Those that are gone stay known, so that calls still out can be told of."""
+
+    def __init__(self, settings: api.Settings) -> None:
+        self.kinds = tuple(kind.name for kind in settings.kinds)
+        self.zones = settings.zone_names
+        self.members: dict[str, PoolMember] = {}
+        self.fixed: dict[str, PoolMember] = {}  # set up by the operator, never in discovery's list
+        self.revision = 0
+
+    def fix(self, member: PoolMember) -> None:
+        """Add a member that the operator set up; a whole list from discovery leaves it in place."""
+        self.fixed[member.id] = self.members[member.id] = member
+
+    def update(self, told: dict[str, Any], cached: bool = False) -> api.ListNews:
+        """Enter one list or one change, in discovery's form, and say what is new."""
+        try:
+            rows, revision = told["members"], int(told["revision"])
+            news = tuple(self._member(row).entry() for row in rows)
+        except (KeyError, TypeError, ValueError) as error:
+            raise PoolError(f"members: {type(error).__name__}: {error}") from error
+        self.revision = revision
+        if not told.get("complete", False):
+            return api.ListNews(api.ListMode.CHANGES, news)
+        news += tuple(member.entry() for member in self.fixed.values())
+        return api.ListNews(api.ListMode.CACHED if cached else api.ListMode.FULL, news)
+
+    def _member(self, row: dict[str, Any]) -> PoolMember:
+        name = str(row["id"])
+        old = self.members.get(name)
+        status = PHASES.get(str(row.get("phase", "Ready")), api.Status.READY)
+        if status is api.Status.GONE and old is not None:
+            old.status = status
+            return old
+        cell = row.get("cell")
+        destination = int(cell) if cell is not None else old.destination if old else -1
+        address = str(row.get("host_port") or (old.address if old else ""))
+        host, _, port = address.rpartition(":")
+        if status is not api.Status.GONE and not (host and port.isdigit()):
+            raise PoolError(f"host_port: expected HOST:PORT, got {address!r}")
+        member = PoolMember(
+            id=name,
+            address=address,
+            destination=destination,
+            kind=_index(self.kinds, row.get("flavor")),
+            zone=_index(self.zones, row.get("locality")),
+            scale=float(row.get("size", 1.0)),
+            status=status,
+        )
+        self.members[name] = member
+        return member
--- /dev/null
+++ b/honeyhitch/wire/calls.py
@@ -0,0 +1,82 @@
+"""Calls to pool members over HTTP: one message or a batch as bytes, and answers as outcomes."""
+
+from __future__ import annotations
+
+import re
+
+from honeyhitch import interface as api
+from honeyhitch.core import Result
+from honeyhitch.memory.transactions import Transaction
+from honeyhitch.wire import http1
+
+MS = 1_000_000  # ns
+SECOND = 1000 * MS
+MOST_WAIT = 3600 * SECOND  # a longer told wait is cut to this
+SIMPLE = {
+    200: api.Outcome.DELIVERED,
+    429: api.Outcome.REFUSED,
+    503: api.Outcome.REFUSED,
+    504: api.Outcome.NOT_SENT,
+    410: api.Outcome.NOT_SENT,
+}
+BATCH = {
+    "accepted": (api.Outcome.DELIVERED, True),
+    "fault": (api.Outcome.ERROR, False),
+    "deferred": (api.Outcome.REFUSED, False),
+    "expired": (api.Outcome.NOT_SENT, True),
+    "no_more": (api.Outcome.NOT_SENT, False),
+}
+NUMBER = re.compile(r"\d{1,12}(\.\d{0,12})?|\.\d{1,12}")
+
+
+def encode(parts: list[Transaction], timeout: int, host: str) -> bytes:
+    """The request for one call."""
+    headers = {"X-Remaining": f"{max(1, timeout // MS)}m"}
+    if len(parts) == 1:
+        headers = {"X-Txn": parts[0].id, **headers}
+        if parts[0].key:
+            headers["Idempotency-Key"] = parts[0].key
+        return http1.request("POST", "/v1/messages", host, headers, parts[0].body)
+    body = b"".join(
+        f"{part.id} {part.key or '-'} {len(part.body)}\r\n".encode() + part.body + b"\r\n" for part in parts
+    )
+    return http1.request("POST", "/v1/messages:batch", host, headers, body)
+
+
+def _wait(headers: dict[str, str]) -> int:
+    text = headers.get("retry-after", "").strip()
+    return min(MOST_WAIT, int(float(text) * SECOND)) if NUMBER.fullmatch(text) else 0
+
+
+def report(text: str) -> dict[str, float]:
+    """The fields of a load report; what cannot be read is skipped."""
+    pairs = (part.strip().partition("=") for part in text.split(","))
+    return {name: float(value) for name, _, value in pairs if NUMBER.fullmatch(value)}
+
+
+def read(answer: http1.Answer, parts: list[Transaction]) -> Result:
+    """What an answer says of each of the call's transactions."""
+    status, count = answer.status, len(parts)
+    outcome = SIMPLE.get(status, api.Outcome.ERROR)
+    over = status in (200, 410)
+    if status == 503 and answer.headers.get("x-no-slot", "").strip() == "1":
+        outcome = api.Outcome.NOT_SENT
+    result = Result.same(outcome, count, over)
+    if status == 200 and count > 1:
+        told = dict(line.split()[:2] for line in _lines(answer.body) if len(line.split()) >= 2)
+        # A message that the answer passes over may have run: nobody said that it did not.
+        result.outcomes = [BATCH.get(told.get(part.id, ""), (api.Outcome.ERROR, False)) for part in parts]
+    result.wait = _wait(answer.headers)
+    result.told = report(answer.headers.get("x-pressure", ""))
+    return result
+
+
+def _lines(body: bytes) -> list[str]:
+    return body.decode("latin-1").splitlines()
+
+
+def broken(status: int, parts: list[Transaction]) -> Result:
+    """The connection broke when no more than the first line had come; a lone 200 has delivered."""
+    if len(parts) > 1 or status not in SIMPLE:
+        return Result.same(api.Outcome.RESET, len(parts))
+    return Result.same(SIMPLE[status], 1, status in (200, 410))
--- /dev/null
+++ b/honeyhitch/wire/drivers/__init__.py
@@ -0,0 +1,1 @@
+"""Thin drivers: they read and write sockets for the machines beside them."""
--- /dev/null
+++ b/honeyhitch/wire/drivers/members.py
@@ -0,0 +1,156 @@
+"""Calls to pool members over HTTP: connections kept, capped and reused, one call at a time on each."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from dataclasses import dataclass
+
+from honeyhitch import interface as api
+from honeyhitch.core import Call, Dispatcher, Result
+from honeyhitch.memory.buffer import Buffer
+from honeyhitch.memory.pool import PoolMember
+from honeyhitch.wire import calls, http1
+from honeyhitch.wire.drivers import sockets
+from honeyhitch.wire.drivers.tasks import LoopScheduler, Tasks
+
+NS = 1_000_000_000
+IDLE_SHARE = 0.8  # of the time after which a member closes an idle connection
+SWEEP = 1.0  # seconds between looks at idle connections
+
+
+@dataclass(slots=True, eq=False)
+class Connection:
+    """One connection to a member, with its one buffer."""
+
+    sock: socket.socket
+    address: str
+    buffer: Buffer
+    machine: http1.AnswerMachine
+    idle_since: int = 0
+
+
+class Progress:
+    """How far a call has come, which says what a break or a time-out means."""
+
+    def __init__(self) -> None:
+        self.written = False  # its last byte was handed to the connection
+        self.connection: Connection | None = None
+        self.status = 0
+
+
+class HttpCarrier:
+    """The carrier for members that discovery lists."""
+
+    def __init__(self, dispatcher: Dispatcher, scheduler: LoopScheduler, tasks: Tasks) -> None:
+        self.dispatcher, self.scheduler, self.tasks = dispatcher, scheduler, tasks
+        self.loop, self.settings = scheduler.loop, dispatcher.s
+        self.idle: dict[str, list[Connection]] = {}  # by member, the latest used last
+        self.running: dict[Call, asyncio.Task[None]] = {}
+
+    def start(self, call: Call) -> None:
+        """Make the call; its end is reported in any case."""
+        self.running[call] = self.tasks.start(self._run(call))
+
+    def give_up(self, call: Call) -> None:
+        """Close the call's connection."""
+        if call in self.running:
+            self.running[call].cancel()
+
+    def close_idle(self, member: PoolMember) -> None:
+        """Close the idle connections to a member."""
+        for connection in self.idle.pop(member.id, []):
+            connection.sock.close()
+
+    async def sweep(self) -> None:
+        """Close what has been idle for long, is dead, or is no longer in the pool."""
+        while True:
+            await asyncio.sleep(SWEEP)
+            for name in list(self.idle):
+                member = self.dispatcher.pool.members[name]
+                if member.status is api.Status.GONE:
+                    self.close_idle(member)
+                else:
+                    self.idle[name] = [kept for kept in self.idle[name] if self._usable(kept, member)]
+
+    def _usable(self, connection: Connection, member: PoolMember) -> bool:
+        most = self.settings.conn_idle * IDLE_SHARE
+        stale = most and self.scheduler.now() - connection.idle_since > most
+        if not stale and connection.address == member.address and sockets.quiet(connection.sock):
+            return True
+        connection.sock.close()
+        return False
+
+    async def _run(self, call: Call) -> None:
+        progress, result = Progress(), None
+        try:
+            async with asyncio.timeout(call.timeout / NS):
+                result = await self._exchange(call, progress)
+        except TimeoutError:
+            result = self._cut(call, progress, api.Outcome.TIMEOUT)
+        except asyncio.CancelledError:
+            if call not in self.running:  # the process ends; what is owed stays in the journal
+                raise
+            result = self._cut(call, progress, api.Outcome.CANCELLED)
+        except (OSError, http1.HttpError):
+            result = self._cut(call, progress, api.Outcome.RESET)
+        finally:
+            # Only once the connection is closed or free is the slot free, whatever happened.
+            if result is None or not (progress.connection and progress.connection.machine.reusable):
+                self._close(progress)
+            else:
+                self._keep(call.member, progress.connection)
+            self.running.pop(call, None)
+            if result is None:
+                result = self._cut(call, progress, api.Outcome.RESET)
+        self.dispatcher.ended(call, result)
+
+    @staticmethod
+    def _cut(call: Call, progress: Progress, outcome: api.Outcome) -> Result:
+        """No whole answer came. Before the last byte was written the call cannot have run."""
+        if not progress.written:
+            return Result.same(api.Outcome.CONNECT_FAILED, len(call.parts))
+        status = progress.connection.machine.answer.status if progress.connection else 0
+        if status:
+            return calls.broken(status, call.parts)
+        return Result.same(outcome, len(call.parts))
+
+    async def _exchange(self, call: Call, progress: Progress) -> Result:
+        connection = progress.connection = await self._connection(call.member)
+        left = call.timeout - (self.scheduler.now() - call.sent)
+        await self.loop.sock_sendall(connection.sock, calls.encode(call.parts, left, connection.address))
+        progress.written = True
+        connection.machine.fresh()
+        while True:
+            count = await sockets.read(self.loop, connection.sock, connection.buffer)
+            if count:
+                answer = connection.machine.feed(connection.buffer.take())
+            else:
+                answer = connection.machine.ended()
+            if answer is not None:
+                return calls.read(answer, call.parts)
+            if not count:
+                raise ConnectionResetError("the connection ended before the answer")
+
+    async def _connection(self, member: PoolMember) -> Connection:
+        kept = self.idle.get(member.id, [])
+        while kept:
+            connection = kept.pop()
+            if self._usable(connection, member):
+                return connection
+        wait = self.settings.connect_timeout or NS
+        try:
+            async with asyncio.timeout(wait / NS):
+                sock = await sockets.connect(self.loop, member.address)
+        except TimeoutError:
+            raise ConnectionRefusedError("the connection never came up") from None
+        return Connection(sock, member.address, Buffer(), http1.AnswerMachine())
+
+    def _keep(self, member: PoolMember, connection: Connection) -> None:
+        connection.idle_since = self.scheduler.now()
+        self.idle.setdefault(member.id, []).append(connection)
+
+    @staticmethod
+    def _close(progress: Progress) -> None:
+        if progress.connection is not None:
+            progress.connection.sock.close()
--- /dev/null
+++ b/honeyhitch/wire/drivers/tasks.py
@@ -0,0 +1,78 @@
+"""Tasks that do not die silently, and the loop as the core's scheduler."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import time
+import traceback
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
+
+NS = 1_000_000_000
+FIRST_PAUSE, MOST_PAUSE = 0.05, 2.0  # seconds between tries to reach something again
+
+
+class LoopScheduler:
+    """Unix time that only moves forward, and timers of the running loop."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
+        self.offset = time.time_ns() - time.monotonic_ns()
+
+    def now(self) -> int:
+        """Unix time in nanoseconds; a step of the system's clock after the start is not followed."""
+        return time.monotonic_ns() + self.offset
+
+    def at(self, when: int, what: Callable[[], None]) -> None:
+        """Call it then, or as soon as may be."""
+        left = when - self.now()
+        if left <= 0:
+            self.loop.call_soon(what)
+        else:
+            self.loop.call_later(left / NS, what)
+
+
+class Tasks:
+    """Every task of the process. One that fails is reported; if it was to run for ever, it starts again."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop, self.running = loop, set[asyncio.Task[None]]()
+
+    def start(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        """Run something that ends by itself."""
+        task = self.loop.create_task(work)
+        self.running.add(task)
+        task.add_done_callback(self._done)
+        return task
+
+    def keep(self, work: Callable[[], Awaitable[None]]) -> asyncio.Task[None]:
+        """Run something that should not end; when it does, it starts again after a growing pause."""
+        return self.start(self._kept(work))
+
+    async def _kept(self, work: Callable[[], Awaitable[None]]) -> None:
+        pause = FIRST_PAUSE
+        while True:
+            began = self.loop.time()
+            try:
+                await work()
+            except Exception as error:
+                print(
+                    f"{getattr(work, '__qualname__', work)}: {type(error).__name__}: {error}", file=sys.stderr
+                )
+            if self.loop.time() - began > MOST_PAUSE:
+                pause = FIRST_PAUSE
+            await asyncio.sleep(pause)
+            pause = min(2 * pause, MOST_PAUSE)
+
+    def _done(self, task: asyncio.Task[None]) -> None:
+        self.running.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            traceback.print_exception(error, file=sys.stderr)
+
+    async def stop(self) -> None:
+        """Cancel all that still run, and wait till they have let go of what they hold."""
+        running = list(self.running)
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
--- /dev/null
+++ b/honeyhitch/wire/notices.py
@@ -0,0 +1,27 @@
+"""Notices to the platform: how a transaction ended that was taken on and not delivered."""
+
+from __future__ import annotations
+
+import json
+
+from honeyhitch.memory.transactions import Ending, Transaction
+from honeyhitch.wire import http1
+
+MS = 1_000_000  # ns
+
+
+def line(transaction: Transaction) -> str:
+    """One notice."""
+    if transaction.ending is Ending.REJECTED:
+        fields: dict[str, object] = {"id": transaction.id, "status": "deferred"}
+        if transaction.come_back:
+            fields["again_ms"] = max(1, transaction.come_back // MS)
+    else:
+        fields = {"id": transaction.id, "status": "undeliverable"}
+    return json.dumps(fields, separators=(",", ":"))
+
+
+def encode(transactions: list[Transaction], host: str) -> bytes:
+    """One request that carries several notices."""
+    body = "".join(line(transaction) + "\n" for transaction in transactions).encode()
+    return http1.request("POST", "/reports", host, {"Content-Type": "application/json"}, body)
--- a/honeyhitch/wirehost.py
+++ b/honeyhitch/wirehost.py
@@ -8,10 +8,11 @@
 import sys
 import traceback
 from collections.abc import Callable
-from typing import TextIO, TypeVar
+from typing import TextIO
 
 from honeyhitch import interface as api
 from honeyhitch.brain import Brain
+from honeyhitch.lifecycle.config import ConfigError, Pairs, decimal, pick, whole
 
 OUTCOMES = {
     "pass": api.Outcome.DELIVERED,
@@ -30,131 +31,24 @@
     "failed": api.ListMode.FAILED,
 }
 STATUSES = {s.value: s for s in api.Status}
-EFFECTS = {"pure": api.Effect.SAFE, "token": api.Effect.KEYED, "side_effect": api.Effect.UNSAFE}
 CAME_AGAIN = 2 | 16  # bits of `marks`
 WORK_VALID = 1
 PAGES = 16
 NS_PER_MS = 1_000_000
-T = TypeVar("T")
 
 
-class WireError(Exception):
+class WireError(ConfigError):
     """A line that the wire does not allow."""
 
 
-def _int(text: str, name: str) -> int:
-    if not text.removeprefix("-").isascii() or not text.removeprefix("-").isdigit():
-        raise WireError(f"{name}: expected a whole number, got {text!r}")
-    return int(text)
-
-
 def _opt(text: str, name: str) -> int:
-    return 0 if text == "-" else _int(text, name)
-
-
-def _float(text: str, name: str) -> float:
-    try:
-        value = float(text)
-    except ValueError:
-        value = float("nan")
-    if value - value != 0:
-        raise WireError(f"{name}: expected a number, got {text!r}")
-    return value
-
-
-def _pick(table: dict[str, T], text: str, name: str) -> T:
-    if text not in table:
-        raise WireError(f"{name}: expected one of {', '.join(table)}, got {text!r}")
-    return table[text]
-
-
-class Pairs:
-    """The path=value pairs of an instance's settings; unknown paths are never looked at."""
-
-    def __init__(self, words: list[str]) -> None:
-        self.values = dict(word.partition("=")[::2] for word in words)
-
-    def text(self, path: str, default: str | None = None) -> str:
-        """The value of a path; one without a default must be there."""
-        value = self.values.get(path, default)
-        if value is None:
-            raise WireError(f"{path}: this setting is missing")
-        return value
-
-    def whole(self, path: str, default: str | None = None) -> int:
-        """The value as a whole number."""
-        return _int(self.text(path, default), path)
-
-    def number(self, path: str, default: str | None = None) -> float:
-        """The value as a number."""
-        return _float(self.text(path, default), path)
-
-    def flag(self, path: str, default: str | None = None) -> bool:
-        """The value as true or false."""
-        return _pick({"true": True, "false": False, "1": True, "0": False}, self.text(path, default), path)
-
-    def items(self, path: str) -> list[str]:
-        """The value as a list of plain values."""
-        text = self.text(path, "")
-        return text.split(",") if text else []
-
-    def message_class(self, i: int) -> api.MessageClass:
-        """Class number i."""
-        at = f"classes.{i}."
-        return api.MessageClass(
-            effect=_pick(EFFECTS, self.text(at + "semantics"), at + "semantics"),
-            aim=self.whole(at + "aim"),
-            deadline=self.whole(at + "deadline"),
-            worth=self.number(at + "worth", "1"),
-            late_share=self.number(at + "late-share", "0"),
-            group=api.Group.ALL if self.text(at + "group", "all") == "all" else api.Group.ZONE,
-            window=self.whole(at + "window", "0"),
-            in_order=self.flag(at + "by-arrival", "false"),
-            aim_stretch=self.number(at + "aim-stretch", "0"),
-        )
-
-    def kinds(self) -> tuple[api.Kind, ...]:
-        """The kinds of destination."""
-        apart = [word in ("true", "1") for word in self.items("family-info.own-limits")]
-        sizes = [_int(word, "family-info.per-call") for word in self.items("family-info.per-call")]
-        count = max(len(self.items("shapes")), len(apart), len(sizes), 1)
-        apart += [False] * (count - len(apart))
-        sizes += [1] * (count - len(sizes))
-        return tuple(api.Kind(own, size) for own, size in zip(apart, sizes, strict=True))
-
-    def settings(self) -> api.Settings:
-        """All of it, in the module's terms."""
-        scales = {s.value: s for s in api.Scale} | {"live": api.Scale.ROUGH}
-        tenants = range(self.whole("tenants.count", "0"))
-        return api.Settings(
-            classes=tuple(self.message_class(i) for i in range(self.whole("classes.count"))),
-            kinds=self.kinds(),
-            slots=self.whole("family-info.call-slots"),
-            fall_multiple=self.number("invariants.fall-multiple"),
-            cold_share=self.number("invariants.cold-share"),
-            cold=self.whole("invariants.cold"),
-            order_pause=self.whole("invariants.order-pause", "0"),
-            instances=self.whole("replicas-of-me", "1"),
-            zone=self.whole("zone", "0"),
-            max_attempts=self.whole("caps.most-tries", "5"),
-            cancel=self.flag("caps.cancel", "false"),
-            retry_after=self.flag("caps.retry-after", "true"),
-            max_retry_after=self.whole("caps.max-retry-after", "0"),
-            connect_timeout=self.whole("caps.connect-timeout", "0"),
-            must_ask=self.text("discovery", "automatic") == "subscribe",
-            resolution=self.whole("resolution", "0"),
-            decay=_pick({d.value: d for d in api.Decay}, self.text("family-info.decay", "line"), "decay"),
-            scale=_pick(scales, self.text("weights", "off"), "weights"),
-            price_cross_zone=self.number("prices.cross-zone", "0"),
-            tenant_rates=tuple(self.number(f"tenants.{i}.quota-rps") for i in tenants),
-            over_share_worth=self.number("over-share-worth", "1"),
-        )
+    return 0 if text == "-" else whole(text, name)
 
 
 class Instance:
     """One hosted decision module and what the adapter must remember for it."""
 
-    def __init__(self, brain: Brain, report_fields: list[str]) -> None:
+    def __init__(self, brain: Brain, report_fields: tuple[str, ...]) -> None:
         self.brain = brain
         self.report_fields = report_fields
         self.events: list[api.Event] = []
@@ -194,8 +88,8 @@
                 return
             if head != "tick" or len(parts) != 2:
                 raise WireError(f"expected 'tick CLOCK NUMBER', got {line[:80]!r}")
-            now = _int(parts[0], "clock")
-            _int(parts[1], "batch number")
+            now = whole(parts[0], "clock")
+            whole(parts[1], "batch number")
             if now < self.clock:
                 raise WireError("clock: expected a time not before the last batch's")
             self.clock, self.tick = now, (now, parts[1])
@@ -229,13 +123,12 @@
     def _power_on(self, parts: list[str]) -> None:
         if len(parts) < 2:
             raise WireError("power_on: expected an instance, a seed and settings")
-        pairs = Pairs(parts[2:])
         try:
-            settings = pairs.settings()
+            settings = Pairs.of_words(parts[2:]).settings()
         except ValueError as error:
             raise WireError(f"power_on: {error}") from error
-        brain = Brain(settings, _int(parts[1], "seed"))
-        self.instances[parts[0]] = Instance(brain, pairs.items("report.fields"))
+        brain = Brain(settings, whole(parts[1], "seed"))
+        self.instances[parts[0]] = Instance(brain, settings.report_fields)
         self.touched[parts[0]] = None
 
     def _down(self, parts: list[str]) -> None:
@@ -244,7 +137,7 @@
         self.touched.pop(parts[0], None)
 
     def _ledger(self, parts: list[str]) -> None:
-        page, count = _int(parts[0], "page"), _int(parts[1], "hosts")
+        page, count = whole(parts[0], "page"), whole(parts[1], "hosts")
         if not 0 <= page < PAGES or count < 0:
             raise WireError(f"ledger: expected a page from 0 to {PAGES - 1} and a count, got {page} {count}")
         self.pages[page] = ()
@@ -257,9 +150,9 @@
         entries.append(
             api.Entry(
                 endpoint=parts[0],
-                scale=_float(parts[1], "scale"),
+                scale=decimal(parts[1], "scale"),
                 zone=_opt(parts[2], "az"),
-                status=_pick(STATUSES, parts[3], "status"),
+                status=pick(STATUSES, parts[3], "status"),
                 destination=_opt(parts[5], "belongs-to"),
                 kind=_opt(parts[6], "machine"),
             )
@@ -269,11 +162,11 @@
             self.pages[page] = tuple(entries)
 
     def _membership(self, parts: list[str]) -> None:
-        mode = _pick(MODES, parts[1], "mode")
+        mode = pick(MODES, parts[1], "mode")
         if mode is api.ListMode.FAILED:
             self._add(parts[0], api.ListNews(mode))
             return
-        page = _int(parts[2], "page")
+        page = whole(parts[2], "page")
         if page not in self.pages:
             raise WireError(f"membership: expected the page of an earlier ledger, got {page}")
         self._add(parts[0], api.ListNews(mode, self.pages[page]))
@@ -283,26 +176,26 @@
         event = api.NewMessage(
             message=parts[1],
             tenant=_opt(parts[2], "team"),
-            key=None if parts[3] == "-" else _int(parts[3], "target-key"),
-            time_left=_int(parts[4], "time-budget"),
-            cls=_int(parts[5], "class"),
+            key=None if parts[3] == "-" else whole(parts[3], "target-key"),
+            time_left=whole(parts[4], "time-budget"),
+            cls=whole(parts[5], "class"),
             work=_opt(parts[6], "work") if marks & WORK_VALID else 0,
-            destination=_int(parts[7], "terminates-at"),
+            destination=whole(parts[7], "terminates-at"),
             came_again=bool(marks & CAME_AGAIN),
         )
         self._add(parts[0], event)
 
     def _returned(self, parts: list[str]) -> None:
-        outcome = _pick(OUTCOMES, parts[4], "outcome")
+        outcome = pick(OUTCOMES, parts[4], "outcome")
         wait = _opt(parts[7], "wait-ms") * NS_PER_MS if outcome is api.Outcome.REFUSED else 0
         told = dict(zip(self._known(parts[0]).report_fields, self._row(parts[8]), strict=False))
         event = api.AttemptEnded(
             message=parts[1],
-            attempt=_int(parts[2], "shot"),
+            attempt=whole(parts[2], "shot"),
             endpoint=parts[3],
             outcome=outcome,
-            took=_int(parts[5], "rtt"),
-            settled=_pick({"1": True, "0": False}, parts[6], "settled"),
+            took=whole(parts[5], "rtt"),
+            settled=pick({"1": True, "0": False}, parts[6], "settled"),
             wait=wait,
             allowance=told.get("x0", 1.0),
             limit=told.get("x1", 0.0),
@@ -311,12 +204,12 @@
 
     @staticmethod
     def _row(text: str) -> tuple[float, ...]:
-        return () if text == "-" else tuple(_float(word, "pressure") for word in text.split(","))
+        return () if text == "-" else tuple(decimal(word, "pressure") for word in text.split(","))
 
     def _health_result(self, parts: list[str]) -> None:
         self._known(parts[0])
-        _pick(OUTCOMES, parts[2], "outcome")
-        _int(parts[3], "rtt")
+        pick(OUTCOMES, parts[2], "outcome")
+        whole(parts[3], "rtt")
 
     def _commit(self) -> None:
         assert self.tick is not None
@@ -366,7 +259,7 @@
             host.line(line.rstrip("\n"))
         if host.tick is not None:
             raise WireError("the input ended inside a batch, expected 'commit'")
-    except (WireError, UnicodeDecodeError) as error:
+    except (ConfigError, UnicodeDecodeError) as error:
         print(f"line {number}: {error}", file=sys.stderr)
         return 1
     return 0
