--- /dev/null
+++ b/tests/rig.py
@@ -0,0 +1,114 @@
+"""Virtual time and stand-in ports for tests of the core; nothing here opens a socket."""
+
+from __future__ import annotations
+
+import dataclasses
+import heapq
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from honeyhitch import interface as api
+from honeyhitch.core import Call, Dispatcher, Result
+from honeyhitch.memory.journal import Journal
+from honeyhitch.memory.pool import Pool, PoolMember
+from honeyhitch.memory.transactions import Transaction
+
+from .world import SECOND, settings
+
+START = 1_700_000_000 * SECOND
+NAMED = dataclasses.replace(
+    settings().classes[1], name="standard", deadline=20 * SECOND, window=5 * SECOND
+)  # keyed, a repeat is dropped inside the window
+SETTINGS: dict[str, Any] = {
+    "classes": (NAMED,),
+    "kinds": (api.Kind(per_call=3, name="large"), api.Kind(name="small")),
+    "tenant_names": ("studio",),
+    "zone_names": ("hq",),
+    "report_fields": ("x0", "x1"),
+    "max_open": 8,
+    "conn_idle": 15 * SECOND,
+}
+
+
+class VirtualTime:
+    """The core's scheduler in virtual time."""
+
+    def __init__(self, now: int = START) -> None:
+        self.time, self.seq = now, 0
+        self.heap: list[tuple[int, int, Callable[[], None]]] = []
+
+    def now(self) -> int:
+        return self.time
+
+    def at(self, when: int, what: Callable[[], None]) -> None:
+        self.seq += 1
+        heapq.heappush(self.heap, (when, self.seq, what))
+
+    def run(self, seconds: float) -> None:
+        """Let that much time pass."""
+        until = self.time + int(seconds * SECOND)
+        while self.heap and self.heap[0][0] <= until:
+            when, _, what = heapq.heappop(self.heap)
+            self.time = max(self.time, when)
+            what()
+        self.time = until
+
+
+class Stand:
+    """One dispatcher between a stand-in carrier and a stand-in front."""
+
+    def __init__(
+        self, folder: Path, time: VirtualTime | None = None, disk: int = 3_000_000, **more: Any
+    ) -> None:
+        self.s = settings(**{**SETTINGS, **more})
+        self.time = time or VirtualTime()
+        self.journal = Journal(folder, disk, self.time.now, 20 * SECOND)
+        self.calls: list[Call] = []
+        self.answers: list[Transaction] = []
+        self.confirm = True
+        self.core = Dispatcher(self.s, 7, Pool(self.s), self.journal, self.time)
+        for name in ("http", "mqtt"):
+            self.core.carriers[name] = self
+        for name in ("resp", "mqtt"):
+            self.core.fronts[name] = self
+        self.core.news(self.core.pool.update(LIST, cached=True))
+        self.core.resume()
+
+    def start(self, call: Call) -> None:
+        self.calls.append(call)
+
+    def give_up(self, call: Call) -> None:
+        self.end(call, api.Outcome.CANCELLED)
+
+    def close_idle(self, member: PoolMember) -> None:
+        pass
+
+    def answer(self, transaction: Transaction) -> None:
+        self.answers.append(transaction)
+        if self.confirm:
+            self.core.answered(transaction)
+
+    def hand_in(self, name: str, dest: int = 1, left: int = 20 * SECOND, **more: Any) -> bool:
+        transaction = Transaction(name, 0, dest, self.time.time + left, b"body", key=f"k-{name}", **more)
+        return self.core.offer(transaction).taken
+
+    def end(self, call: Call, outcome: api.Outcome, **more: Any) -> None:
+        result = Result.same(outcome, len(call.parts), outcome is api.Outcome.DELIVERED)
+        for name, value in more.items():
+            setattr(result, name, value)
+        self.core.ended(call, result)
+
+    def run(self, seconds: float) -> list[Call]:
+        """Let time pass; the calls made meanwhile."""
+        before = len(self.calls)
+        self.time.run(seconds)
+        return self.calls[before:]
+
+
+def row(name: str, cell: int, flavor: str = "small", phase: str = "Ready") -> dict[str, Any]:
+    address = {"host_port": "127.0.0.1:9", "locality": "hq", "size": 10.0, "up_since_ms": 0}
+    return {"id": name, "flavor": flavor, "cell": cell, "phase": phase, **address}
+
+
+LIST = {"revision": 1, "complete": True, "members": [row("s-1", 1), row("s-2", 2, "large")]}
--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,162 @@
+"""The core between stand-in ports, in virtual time."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from honeyhitch import interface as api
+from honeyhitch.memory.pool import PoolMember
+from honeyhitch.memory.transactions import Ending
+
+from .rig import LIST, Stand, row
+from .world import MS, SECOND
+
+Outcome = api.Outcome
+
+
+def test_a_message_is_sent_at_once_and_its_delivery_ends_it(tmp_path: Path) -> None:
+    stand = Stand(tmp_path)
+    assert stand.hand_in("a")
+    (call,) = stand.run(0.1)
+    assert call.member.id == "s-1" and [part.id for part in call.parts] == ["a"]
+    stand.end(call, Outcome.DELIVERED)
+    assert not stand.core.held.by_id and not stand.answers
+
+
+def test_sends_of_one_round_share_a_call_up_to_what_the_kind_allows(tmp_path: Path) -> None:
+    stand = Stand(tmp_path)
+    for name in "abcde":
+        stand.hand_in(name, dest=2)
+    calls = stand.run(0.006)
+    assert sorted(len(call.parts) for call in calls) == [2, 3]
+    assert all(call.member.id == "s-2" for call in calls)
+
+
+def test_more_than_max_open_is_turned_away_with_a_time_to_come_back(tmp_path: Path) -> None:
+    stand = Stand(tmp_path)
+    assert all(stand.hand_in(f"m{i}") for i in range(8))
+    assert not stand.hand_in("m8")
+    assert stand.hand_in("m3"), "one that is held is not turned away, nor taken twice"
+    assert len(stand.core.held) == 8
+
+
+def test_a_told_wait_holds_for_the_whole_destination_on_every_carrier(tmp_path: Path) -> None:
+    # One partner over two wires: what it tells on the one binds on the other.
+    stand = Stand(tmp_path)
+    stand.core.pool.fix(PoolMember("topic", "partner/1", 1, carrier="mqtt"))
+    stand.core.news(stand.core.pool.update(LIST))
+    stand.hand_in("a")
+    (call,) = stand.run(0.1)
+    stand.end(call, Outcome.REFUSED, wait=2 * SECOND)
+    told = stand.time.time
+    stand.hand_in("b")
+    assert not stand.run(1.9)
+    later = stand.run(3)
+    assert later and all(call.sent >= told + 2 * SECOND for call in later)
+
+
+def test_a_batch_that_is_delivered_and_tells_a_wait_binds_too(tmp_path: Path) -> None:
+    stand = Stand(tmp_path)
+    stand.hand_in("a", dest=2)
+    (call,) = stand.run(0.1)
+    stand.end(call, Outcome.DELIVERED, wait=2 * SECOND)
+    stand.hand_in("b", dest=2)
+    assert not stand.run(1.9)
+    assert stand.run(1)
+
+
+@pytest.mark.parametrize("outcome", [Outcome.ERROR, Outcome.RESET, Outcome.TIMEOUT])
+def test_a_keyed_message_is_not_sent_again_outside_its_window(tmp_path: Path, outcome: api.Outcome) -> None:
+    stand = Stand(tmp_path)
+    stand.hand_in("a")
+    (first,) = stand.run(0.1)
+    stand.end(first, outcome)
+    while not stand.answers:
+        for call in stand.run(0.5):
+            assert call.sent <= first.sent + 5 * SECOND
+            stand.end(call, outcome)
+    assert stand.answers[0].ending is Ending.REJECTED
+    assert not stand.run(30)
+
+
+def test_one_part_out_of_time_ends_while_its_call_goes_on(tmp_path: Path) -> None:
+    stand = Stand(tmp_path)
+    stand.hand_in("short", dest=2, left=200 * MS)
+    stand.hand_in("long", dest=2)
+    (call,) = stand.run(0.1)
+    stand.run(0.2)
+    assert [answer.id for answer in stand.answers] == ["short"]
+    stand.end(call, Outcome.DELIVERED)
+    assert not stand.core.held.by_id and len(stand.answers) == 1
+
+
+def test_a_restart_resumes_inside_the_window_only(tmp_path: Path) -> None:
+    stand = Stand(tmp_path)
+    stand.hand_in("a")
+    assert len(stand.run(0.1)) == 1
+    late = Stand(tmp_path, stand.time)
+    (again,) = late.run(0.1)
+    assert again.parts[0].attempts == 2 and again.numbers == [1] and again.parts[0].body == b"body"
+    stand.time.run(6)
+    gone = Stand(tmp_path, stand.time)
+    assert not gone.run(1)
+    assert [answer.ending for answer in gone.answers] == [Ending.REJECTED]
+
+
+def test_a_restart_repeats_an_unconfirmed_answer_and_nothing_else(tmp_path: Path) -> None:
+    stand = Stand(tmp_path)
+    stand.confirm = False
+    stand.hand_in("a", dest=9, left=SECOND)  # no member serves it
+    stand.run(2)
+    assert len(stand.answers) == 1
+    again = Stand(tmp_path, stand.time)
+    assert [answer.id for answer in again.answers] == ["a"] and not again.run(30)
+    assert not Stand(tmp_path, stand.time).answers
+
+
+def test_a_restart_past_the_deadline_answers_at_once(tmp_path: Path) -> None:
+    stand = Stand(tmp_path)
+    stand.hand_in("a")
+    stand.time.run(0)
+    stand.time.time += 60 * SECOND
+    again = Stand(tmp_path, stand.time)
+    again.run(0.01)
+    assert [answer.id for answer in again.answers] == ["a"]
+
+
+def test_a_key_delivered_a_moment_ago_bounds_a_copy_handed_in_again(tmp_path: Path) -> None:
+    stand = Stand(tmp_path)
+    stand.hand_in("a")
+    (call,) = stand.run(0.1)
+    stand.end(call, Outcome.DELIVERED)
+    stand.run(6)
+    again = Stand(tmp_path, stand.time)  # the key is remembered over a restart
+    again.core.held.keys["k-b"] = again.core.held.keys["k-a"]
+    again.hand_in("b", came_again=True)
+    assert not again.run(1), "outside the window a copy would run twice"
+    assert [answer.id for answer in again.answers] == ["b"]
+
+
+def test_a_full_journal_turns_away_and_never_crashes(tmp_path: Path) -> None:
+    stand = Stand(tmp_path, disk=60_000, max_open=10_000)
+    taken = [stand.hand_in(f"m{i}") for i in range(300)]
+    assert taken[0] and not taken[-1]
+    stand.run(40)
+    used = sum(-(-file.stat().st_size // 512) * 512 for file in tmp_path.iterdir())
+    assert used <= 60_000
+    for call in stand.calls:
+        stand.end(call, Outcome.TIMEOUT)
+    stand.run(30)
+    assert not stand.core.held.by_id, "all that was taken got its end"
+    assert stand.hand_in("later")
+
+
+def test_a_member_that_drains_gets_nothing_new(tmp_path: Path) -> None:
+    stand = Stand(tmp_path)
+    stand.run(0.1)
+    changes = {"revision": 2, "complete": False, "members": [row("s-1", 1, phase="Terminating")]}
+    stand.core.news(stand.core.pool.update(changes))
+    stand.hand_in("a")
+    assert not stand.run(1)
--- /dev/null
+++ b/tests/test_journal.py
@@ -0,0 +1,106 @@
+"""The journal survives a kill at any byte."""
+
+from __future__ import annotations
+
+import dataclasses
+from pathlib import Path
+
+import pytest
+
+from honeyhitch.memory.journal import Journal, JournalFull, unpack
+from honeyhitch.memory.transactions import Ending, Transaction
+
+NOW = 1_000
+
+
+def opened(folder: Path, disk: int = 1_000_000) -> Journal:
+    return Journal(folder, disk, lambda: NOW, 500)
+
+
+def transaction(name: str, body: bytes = b"\r\n\x00\xff body") -> Transaction:
+    return Transaction(name, 0, 3, 9_999, body, key=f"k-{name}", came_again=True, reply='{"to":"x"}')
+
+
+def state(journal: Journal) -> dict[str, object]:
+    rows = {name: dataclasses.asdict(known) for name, known in journal.held.by_id.items()}
+    return {"held": rows, "ended": dict(journal.held.ended), "keys": dict(journal.held.keys)}
+
+
+def story(journal: Journal) -> list[tuple[int, dict[str, object]]]:
+    """Writes some records; the state after each, with the size of the file."""
+    a, b, c = (transaction(name) for name in "abc")
+    found = [(journal.size, state(journal))]
+    for step in (
+        lambda: journal.taken(a),
+        lambda: journal.taken(b),
+        lambda: journal.attempt(a, 5, 1),
+        lambda: journal.never_ran(a, 0),
+        lambda: journal.attempt(a, 6, 1),
+        lambda: journal.attempt(b, 7, 0),
+        lambda: journal.end(a, Ending.DELIVERED),
+        lambda: journal.taken(c),
+        lambda: journal.decided(b, Ending.REJECTED, 250),
+        lambda: journal.end(b, Ending.REJECTED),
+    ):
+        step()
+        found.append((journal.size, state(journal)))
+    return found
+
+
+def test_cut_at_every_offset_the_last_whole_record_counts(tmp_path: Path) -> None:
+    (tmp_path / "full").mkdir()
+    journal = opened(tmp_path / "full")
+    told = story(journal)
+    data = journal.path.read_bytes()
+    assert len(data) == journal.size == told[-1][0]
+    cut = tmp_path / "cut"
+    cut.mkdir()
+    for length in range(len(data) + 1):
+        (cut / "journal").write_bytes(data[:length])
+        (cut / "journal.new").write_bytes(data[: length // 2])  # a compaction that was cut short
+        again = opened(cut)
+        assert state(again) == [then for size, then in told if size <= length][-1]
+        again.taken(transaction("z"))  # and it goes on behind the cut
+        again.close()
+        last = opened(cut)
+        assert "z" in last.held.by_id and not last.spare.exists()
+        last.close()
+
+
+def test_a_flipped_byte_ends_the_replay_there(tmp_path: Path) -> None:
+    journal = opened(tmp_path)
+    told = story(journal)
+    data = bytearray(journal.path.read_bytes())
+    data[told[3][0] + 20] ^= 1
+    journal.path.write_bytes(data)
+    assert state(opened(tmp_path)) == told[3][1]
+
+
+def test_compaction_keeps_what_is_owed_and_remembered(tmp_path: Path) -> None:
+    journal = opened(tmp_path)
+    story(journal)
+    before = state(journal)
+    size = journal.size
+    journal.compact()
+    assert journal.size < size and state(opened(tmp_path)) == before
+
+
+def test_it_stays_under_its_disk_with_old_and_new_file(tmp_path: Path) -> None:
+    disk, journal = 40_000, opened(tmp_path, 40_000)
+    full = 0
+    for i in range(2_000):
+        fresh = transaction(f"n{i}", bytes(200 + i % 700))
+        try:
+            journal.taken(fresh)
+        except JournalFull:
+            full += 1
+            for old in list(journal.held.by_id.values())[:20]:
+                journal.end(old, Ending.OVER)
+            journal.held.ended.clear()
+        assert journal.size + journal.live <= disk
+    assert full and len(journal.held) > 3
+
+
+@pytest.mark.parametrize("data", [b"", b"\x00" * 64, b"\xff" * 64, b"\x04\x00\x00\x00" + b"\x00" * 60])
+def test_what_is_no_record_is_not_read(data: bytes) -> None:
+    assert not list(unpack(data))
