--- a/honeyhitch/lifecycle/cli.py
+++ b/honeyhitch/lifecycle/cli.py
@@ -18,18 +18,20 @@
 
 @main.command()
 @click.option("--config", "path", type=click.Path(), help="The JSON file; ROUTER_CONFIG names it otherwise.")
-def serve(path: str | None) -> None:
+@click.option("--operator", type=click.Path(), help="An operator's TOML file; or ROUTER_OPERATOR names it.")
+def serve(path: str | None, operator: str | None) -> None:
     """Run one dispatcher in the foreground till SIGTERM."""
     from honeyhitch.lifecycle.serve import serve as run
 
-    run(_read(path))
+    run(_read(path, operator))
 
 
 @main.command()
 @click.option("--config", "path", type=click.Path(), help="The JSON file; ROUTER_CONFIG names it otherwise.")
-def check(path: str | None) -> None:
+@click.option("--operator", type=click.Path(), help="An operator's TOML file; or ROUTER_OPERATOR names it.")
+def check(path: str | None, operator: str | None) -> None:
     """Read the configuration and say what is wrong with it, or how it was understood."""
-    config = _read(path)
+    config = _read(path, operator)
     click.echo(f"name {config.name}, listens on {config.listen}, discovery at {config.discovery}")
     click.echo(
         f"journal in {config.state}, at most {config.limits.disk} bytes; {config.limits.sockets} sockets"
@@ -46,9 +48,9 @@
         click.echo("not installed as a package")
 
 
-def _read(path: str | None) -> configuration.Config:
+def _read(path: str | None, operator: str | None) -> configuration.Config:
     try:
-        return configuration.read(os.environ, path)
+        return configuration.read(os.environ, path, operator)
     except configuration.ConfigError as error:
         click.echo(f"configuration: {error}", err=True)
         sys.exit(2)
--- a/honeyhitch/lifecycle/config.py
+++ b/honeyhitch/lifecycle/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -188,6 +189,41 @@
     disk: int = 3_000_000  # bytes in the lasting folder
 
 
+@dataclass(frozen=True, slots=True)
+class MqttMember:
+    """A pool member behind the broker."""
+
+    id: str
+    topic: str
+    destination: int
+    kind: str = ""
+    zone: str = ""
+    rate: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class MqttSetup:
+    """The MQTT front, as the operator's file sets it up."""
+
+    broker: str
+    intake: str
+    client_id: str
+    keep_alive: int = 20  # seconds
+    session_expiry: int = 3600  # seconds
+    username: str | None = None
+    password: bytes | None = None
+    members: tuple[MqttMember, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Operator:
+    """What an operator's file adds; nothing of it is on by itself."""
+
+    mqtt: MqttSetup | None = None
+    agent_check: Address | None = None
+    health: Address | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """What one dispatcher is told at its start; what the module needs of it is in `settings`."""
@@ -200,6 +236,7 @@
     limits: Limits
     known: dict[str, Any]
     settings: api.Settings
+    operator: Operator
 
 
 def _seed(value: object) -> int:
@@ -230,8 +267,102 @@
     return Limits(sockets=int(numbers["sockets"]), disk=int(numbers["disk_mb"] * 1_000_000))
 
 
-def read(environ: Mapping[str, str], path: str | None = None) -> Config:
-    """The configuration: the file named in ROUTER_CONFIG, and the other variables before its own words."""
+class _Table:
+    """One table of the operator's file. What is not asked for is a mistake, and is named."""
+
+    def __init__(self, told: object, at: str) -> None:
+        if not isinstance(told, dict):
+            raise ConfigError(f"{at}: expected a table")
+        self.left, self.at = dict(told), at
+
+    def get(self, name: str, form: type[T], default: T | None = None) -> T:
+        """A value of this type; one without a default must be there."""
+        value = self.left.pop(name, default)
+        if form is float and isinstance(value, int):
+            value = float(value)
+        if isinstance(value, form) and not (form is not bool and isinstance(value, bool)):
+            return value
+        raise ConfigError(
+            f"{self.at}.{name}: " + ("missing" if value is None else f"expected {form.__name__}")
+        )
+
+    def maybe(self, name: str, form: type[T]) -> T | None:
+        """A value of this type, or None."""
+        return self.get(name, form) if name in self.left else None
+
+    def done(self) -> None:
+        """Everything was asked for."""
+        for name in self.left:
+            raise ConfigError(f"{self.at}.{name}: no such key")
+
+
+def _topic(text: str, name: str, wild: bool) -> str:
+    if not text or "\0" in text or (not wild and ("+" in text or "#" in text)):
+        raise ConfigError(f"{name}: expected {'a topic filter' if wild else 'one topic name'}, got {text!r}")
+    return text
+
+
+def _mqtt(told: object, name: str, settings: api.Settings) -> MqttSetup:
+    table = _Table(told, "mqtt")
+    members = []
+    for i, row in enumerate(table.get("member", list, [])):
+        inner = _Table(row, f"mqtt.member.{i}")
+        member = MqttMember(
+            id=inner.get("id", str),
+            topic=_topic(inner.get("topic", str), f"{inner.at}.topic", False),
+            destination=inner.get("dest", int),
+            kind=inner.get("kind", str, settings.kinds[0].name),
+            zone=inner.get("zone", str, ""),
+            rate=inner.get("rate", float, 1.0),
+        )
+        if member.kind not in [kind.name for kind in settings.kinds]:
+            raise ConfigError(f"{inner.at}.kind: not a kind in the settings: {member.kind!r}")
+        inner.done()
+        members.append(member)
+    password = table.maybe("password", str)
+    setup = MqttSetup(
+        broker=str(Address.parse(table.get("broker", str), "mqtt.broker")),
+        intake=_topic(table.get("intake", str, "honeyhitch/intake"), "mqtt.intake", True),
+        client_id=table.get("client-id", str, name),
+        keep_alive=table.get("keep-alive", int, 20),
+        session_expiry=table.get("session-expiry", int, 3600),
+        username=table.maybe("username", str),
+        password=None if password is None else password.encode(),
+        members=tuple(members),
+    )
+    for key, value, least in (
+        ("keep-alive", setup.keep_alive, 1),
+        ("session-expiry", setup.session_expiry, 1),
+    ):
+        if value < least:
+            raise ConfigError(f"mqtt.{key}: expected at least {least}, got {value}")
+    table.done()
+    return setup
+
+
+def _operator(path: str, name: str, settings: api.Settings) -> Operator:
+    if not path:
+        return Operator()
+    try:
+        told = tomllib.loads(Path(path).read_text())
+    except OSError as error:
+        raise ConfigError(f"ROUTER_OPERATOR: cannot read {path}: {error.strerror}") from error
+    except ValueError as error:
+        raise ConfigError(f"ROUTER_OPERATOR: {path} is not TOML: {error}") from error
+    table = _Table(told, path)
+    beside = _Table(table.get("beside", dict, {}), "beside")
+    addresses = {key: beside.maybe(key, str) for key in ("agent-check", "health")}
+    beside.done()
+    mqtt = table.maybe("mqtt", dict)
+    table.done()
+    parsed = {key: Address.parse(text, f"beside.{key}") if text else None for key, text in addresses.items()}
+    setup = _mqtt(mqtt, name, settings) if mqtt is not None else None
+    return Operator(setup, parsed["agent-check"], parsed["health"])
+
+
+def read(environ: Mapping[str, str], path: str | None = None, operator: str | None = None) -> Config:
+    """The configuration: the file named in ROUTER_CONFIG, the other variables before its own words, and
+    the operator's file where ROUTER_OPERATOR or the command line names one."""
     path = path or environ.get("ROUTER_CONFIG", "")
     if not path:
         raise ConfigError("ROUTER_CONFIG: this variable is missing; it names the configuration's JSON file")
@@ -261,4 +392,5 @@
         limits=_limits(told.get("limits")),
         known=known,
         settings=settings,
+        operator=_operator(operator or environ.get("ROUTER_OPERATOR", ""), str(values["name"]), settings),
     )
--- a/honeyhitch/lifecycle/serve.py
+++ b/honeyhitch/lifecycle/serve.py
@@ -5,15 +5,17 @@
 import asyncio
 import signal
 import sys
+from collections.abc import Awaitable, Callable
 
 import uvloop
 
 from honeyhitch.core import Dispatcher
-from honeyhitch.lifecycle.config import Config
+from honeyhitch.lifecycle.config import Config, MqttSetup
 from honeyhitch.lifecycle.signals import Stop
 from honeyhitch.memory.journal import Journal
-from honeyhitch.memory.pool import Pool, PoolError
+from honeyhitch.memory.pool import Pool, PoolError, PoolMember
 from honeyhitch.wire import resp
+from honeyhitch.wire.drivers.broker import MqttCarrier, MqttFront
 from honeyhitch.wire.drivers.discovery import Discovery
 from honeyhitch.wire.drivers.members import HttpCarrier
 from honeyhitch.wire.drivers.tasks import LoopScheduler, Tasks
@@ -35,6 +37,9 @@
     carrier = HttpCarrier(dispatcher, scheduler, tasks)
     discovery = Discovery(str(config.discovery), dispatcher, tasks)
     dispatcher.carriers["http"], dispatcher.fronts["resp"] = carrier, discovery
+    works: list[Callable[[], Awaitable[None]]] = [discovery.watch, discovery.notify, carrier.sweep]
+    if config.operator.mqtt is not None:
+        works += _mqtt(config.operator.mqtt, dispatcher, scheduler, tasks)
     try:
         dispatcher.news(dispatcher.pool.update(config.known, cached=True))
     except PoolError as error:
@@ -47,7 +52,7 @@
         max(16, config.limits.sockets - SPARE_SOCKETS),
         tasks,
     )
-    for work in (clients.accept, discovery.watch, discovery.notify, carrier.sweep):
+    for work in (clients.accept, *works):
         tasks.keep(work)
     stop = Stop(loop, (signal.SIGTERM, signal.SIGINT))
     await stop.asked.wait()
@@ -56,6 +61,24 @@
     journal.close()
 
 
+def _mqtt(
+    setup: MqttSetup, dispatcher: Dispatcher, scheduler: LoopScheduler, tasks: Tasks
+) -> list[Callable[[], Awaitable[None]]]:
+    front, carrier = (
+        MqttFront(setup, dispatcher, scheduler, tasks),
+        MqttCarrier(setup, dispatcher, scheduler, tasks),
+    )
+    dispatcher.fronts["mqtt"], dispatcher.carriers["mqtt"] = front, carrier
+    pool = dispatcher.pool
+    for told in setup.members:
+        kind, zone = (
+            pool.kinds.index(told.kind),
+            pool.zones.index(told.zone) if told.zone in pool.zones else 0,
+        )
+        pool.fix(PoolMember(told.id, told.topic, told.destination, kind, zone, told.rate, carrier="mqtt"))
+    return [link.run for link in (*front.links, carrier.link)]
+
+
 async def _leave(dispatcher: Dispatcher, clients: VirtualServer, loop: asyncio.AbstractEventLoop) -> None:
     """Stop taking; let what is held finish for a bounded time; the journal keeps the rest."""
     began = loop.time()
--- a/honeyhitch/wire/calls.py
+++ b/honeyhitch/wire/calls.py
@@ -37,13 +37,18 @@
         if parts[0].key:
             headers["Idempotency-Key"] = parts[0].key
         return http1.request("POST", "/v1/messages", host, headers, parts[0].body)
-    body = b"".join(
+    return http1.request("POST", "/v1/messages:batch", host, headers, batch_body(parts))
+
+
+def batch_body(parts: list[Transaction]) -> bytes:
+    """Several messages as the lines of a batch."""
+    return b"".join(
         f"{part.id} {part.key or '-'} {len(part.body)}\r\n".encode() + part.body + b"\r\n" for part in parts
     )
-    return http1.request("POST", "/v1/messages:batch", host, headers, body)
 
 
-def _wait(headers: dict[str, str]) -> int:
+def wait(headers: dict[str, str]) -> int:
+    """The told wait in nanoseconds, 0 if there is none; names are in lower case."""
     text = headers.get("retry-after", "").strip()
     return min(MOST_WAIT, int(float(text) * SECOND)) if NUMBER.fullmatch(text) else 0
 
@@ -66,7 +71,7 @@
         told = dict(line.split()[:2] for line in _lines(answer.body) if len(line.split()) >= 2)
         # A message that the answer passes over may have run: nobody said that it did not.
         result.outcomes = [BATCH.get(told.get(part.id, ""), (api.Outcome.ERROR, False)) for part in parts]
-    result.wait = _wait(answer.headers)
+    result.wait = wait(answer.headers)
     result.told = report(answer.headers.get("x-pressure", ""))
     return result
 
--- /dev/null
+++ b/honeyhitch/wire/drivers/broker.py
@@ -0,0 +1,184 @@
+"""The MQTT front and the carrier for members behind a broker, each on sessions of its own.
+
+Intake and answers are sessions that the broker keeps, so that nothing taken or answered is lost with a
+connection. Calls go out on sessions that end with their connection, so that none is ever repeated by itself.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import sys
+
+from honeyhitch import interface as api
+from honeyhitch.core import Call, Dispatcher, Result
+from honeyhitch.lifecycle.config import MqttSetup
+from honeyhitch.memory.buffer import Buffer
+from honeyhitch.memory.pool import PoolMember
+from honeyhitch.memory.transactions import Transaction
+from honeyhitch.wire import mqtt_messages as messages
+from honeyhitch.wire.drivers import sockets
+from honeyhitch.wire.drivers.tasks import LoopScheduler, Tasks
+from honeyhitch.wire.mqtt import Outgoing, Packet, Session
+from honeyhitch.wire.resp import FieldError, Fields
+
+GREETING = 5.0  # seconds to connect, and for the server's CONNACK
+BAD = 0x83  # PUBACK: implementation specific error
+AGAIN = 1_000_000_000  # ns before an answer goes again that the broker had no room for
+
+
+class Link:
+    """One session's connection to the broker, made anew when it breaks."""
+
+    def __init__(self, address: str, session: Session, tasks: Tasks) -> None:
+        self.address, self.session, self.loop = address, session, tasks.loop
+        self.wake = asyncio.Event()
+
+    async def run(self) -> None:
+        """One connection, till it breaks."""
+        async with asyncio.timeout(GREETING):
+            sock = await sockets.connect(self.loop, self.address)
+        self.session.open()
+        try:
+            async with asyncio.TaskGroup() as group:
+                for work in (self._read(sock), self._write(sock), self._ping()):
+                    group.create_task(work)
+        except BaseExceptionGroup as several:
+            raise several.exceptions[0] from None
+        finally:
+            sock.close()
+            self.session.broke()
+
+    async def _read(self, sock: socket.socket) -> None:
+        buffer = Buffer()
+        while True:
+            patience = 1.5 * self.session.keep_alive if self.session.up else GREETING
+            async with asyncio.timeout(patience or None):
+                count = await sockets.read(self.loop, sock, buffer)
+            if not count:
+                raise ConnectionResetError("the broker closed the connection")
+            self.session.receive(buffer)
+            self.wake.set()
+
+    async def _write(self, sock: socket.socket) -> None:
+        while True:
+            if data := self.session.take_out():
+                await self.loop.sock_sendall(sock, data)
+            else:
+                self.wake.clear()
+                await self.wake.wait()
+
+    async def _ping(self) -> None:
+        while True:
+            await asyncio.sleep(self.session.keep_alive / 2 or GREETING)
+            if self.session.up and self.session.keep_alive:
+                self.session.ping()
+                self.wake.set()
+
+
+class MqttFront:
+    """Takes transactions from the intake topic and answers each where its publish says."""
+
+    def __init__(
+        self, setup: MqttSetup, dispatcher: Dispatcher, scheduler: LoopScheduler, tasks: Tasks
+    ) -> None:
+        self.dispatcher, self.scheduler, self.fields = dispatcher, scheduler, Fields(dispatcher.s)
+        self.intake = Session(f"{setup.client_id}-intake", setup.session_expiry, setup.keep_alive, anew=False)
+        self.intake.subscriptions, self.intake.on_publish = [setup.intake], self._taken
+        self.replies = Session(f"{setup.client_id}-answers", setup.session_expiry, setup.keep_alive)
+        for session in (self.intake, self.replies):
+            session.username, session.password = setup.username, setup.password
+        self.links = [Link(setup.broker, session, tasks) for session in (self.intake, self.replies)]
+        self.remember = max(cls.deadline for cls in dispatcher.s.classes)
+        self.rejected: dict[str, int] = {}  # ids answered without being taken on: remembered until
+
+    def _taken(self, packet: Packet) -> None:
+        if not self.dispatcher.taking:
+            return  # not acknowledged: the broker hands it to the next process, or to another dispatcher
+        now = self.scheduler.now()
+        self.rejected = {name: until for name, until in self.rejected.items() if until > now}
+        name = dict(packet.user).get("id", "")
+        try:
+            reply = messages.reply_to(packet)
+        except FieldError as error:  # there is no place to answer
+            print(f"intake: {error}", file=sys.stderr)
+            self.intake.acknowledge(packet, BAD)
+            return
+        if name not in self.rejected:
+            try:
+                offered = self.dispatcher.offer(messages.transaction(self.fields, packet, now))
+                more: dict[str, object] = {"again_ms": offered.come_back // 1_000_000}
+                answer = None if offered.taken else messages.final(reply, name, "deferred", more)
+            except FieldError as error:
+                answer = messages.final(reply, name, "error", {"reason": str(error)})
+            if answer is not None:
+                self.rejected[name] = now + self.remember
+                self._publish(answer, None)
+        # Only now: what was taken on is in the journal, so the broker may forget it.
+        self.intake.acknowledge(packet)
+        self.links[0].wake.set()
+
+    def answer(self, transaction: Transaction) -> None:
+        """Send the final answer of a transaction that was taken on."""
+        self._publish(messages.answer(transaction), transaction)
+
+    def _publish(self, answer: Packet, transaction: Transaction | None) -> None:
+        def done(ack: Packet | None, _: bool) -> None:
+            if ack is not None and ack.reason == messages.QUOTA:
+                self.scheduler.at(self.scheduler.now() + AGAIN, lambda: self._publish(answer, transaction))
+                return
+            if ack is None or ack.reason >= 0x80:
+                told = "no acknowledgement" if ack is None else f"reason {ack.reason:#x}"
+                print(f"answer to {answer.topic}: {told}", file=sys.stderr)
+            if transaction is not None:
+                self.dispatcher.answered(transaction)
+
+        self.replies.publish(answer, done)
+        self.links[1].wake.set()
+
+
+class MqttCarrier:
+    """Carries calls to members that the operator set up behind the broker."""
+
+    def __init__(
+        self, setup: MqttSetup, dispatcher: Dispatcher, scheduler: LoopScheduler, tasks: Tasks
+    ) -> None:
+        self.dispatcher, self.scheduler = dispatcher, scheduler
+        self.session = Session(f"{setup.client_id}-calls", 0, setup.keep_alive)
+        self.session.username, self.session.password = setup.username, setup.password
+        self.link = Link(setup.broker, self.session, tasks)
+        self.running: dict[Call, Outgoing | None] = {}
+
+    def start(self, call: Call) -> None:
+        """Publish it; without a connection it cannot have run."""
+        self.running[call] = None
+        if not self.session.up:
+            result = Result.same(api.Outcome.CONNECT_FAILED, len(call.parts))
+            self.scheduler.at(self.scheduler.now(), lambda: self._finish(call, result))
+            return
+
+        def done(ack: Packet | None, left: bool) -> None:
+            self._finish(call, messages.outcome(call, ack, left))
+
+        self.running[call] = self.session.publish(messages.call(call, call.timeout), done)
+        self.link.wake.set()
+        self.scheduler.at(call.sent + call.timeout, lambda: self._stop(call, api.Outcome.TIMEOUT))
+
+    def _finish(self, call: Call, result: Result) -> None:
+        if call in self.running:
+            del self.running[call]
+            self.dispatcher.ended(call, result)
+
+    def _stop(self, call: Call, outcome: api.Outcome) -> None:
+        one = self.running.get(call)
+        if one is not None:
+            self.session.withdraw(one)
+            never = not one.sent  # it still waited for the broker's receive maximum
+            self._finish(call, Result.same(api.Outcome.CONNECT_FAILED if never else outcome, len(call.parts)))
+
+    def give_up(self, call: Call) -> None:
+        """Stop waiting for it. A publish cannot be called back: it may have run."""
+        self._stop(call, api.Outcome.CANCELLED)
+
+    def close_idle(self, member: PoolMember) -> None:
+        """All members share one connection, which is never idle in this sense."""
--- /dev/null
+++ b/honeyhitch/wire/mqtt_messages.py
@@ -0,0 +1,93 @@
+"""What MQTT publishes mean here: transactions that come in, final answers, calls to pool members."""
+
+from __future__ import annotations
+
+import base64
+import json
+
+from honeyhitch import interface as api
+from honeyhitch.core import Call, Result
+from honeyhitch.memory.transactions import Ending, Transaction
+from honeyhitch.wire.calls import batch_body, report, wait
+from honeyhitch.wire.mqtt import Kind as PacketKind
+from honeyhitch.wire.mqtt import Packet, Properties
+from honeyhitch.wire.resp import FieldError, Fields
+
+MS = 1_000_000  # ns
+SECOND = 1000 * MS
+QUOTA, NO_SUBSCRIBERS = 0x97, 0x10
+STATUS = {Ending.DELIVERED: "delivered", Ending.REJECTED: "deferred", Ending.FAILED: "undeliverable"}
+
+
+def reply_to(packet: Packet) -> str:
+    """What is needed to answer a publish later, or FieldError where it names no topic to answer on."""
+    topic, correlation = packet.properties.get("response_topic"), packet.properties.get("correlation", b"")
+    if not isinstance(topic, str) or not topic or "+" in topic or "#" in topic:
+        raise FieldError("response topic: expected one topic name")
+    data = base64.b64encode(correlation if isinstance(correlation, bytes) else b"").decode()
+    return json.dumps({"topic": topic, "data": data}, separators=(",", ":"))
+
+
+def transaction(fields: Fields, packet: Packet, now: int) -> Transaction:
+    """The transaction that a publish hands in; named like the other front's fields."""
+    reply, told = reply_to(packet), dict(packet.user)
+    taken = fields.transaction(told.get("id", "").encode(), told, packet.payload, now)
+    expiry = packet.properties.get("message_expiry")
+    if isinstance(expiry, int):  # the server counts it down while it holds the publish
+        taken.deadline = min(taken.deadline, now + expiry * SECOND)
+    taken.front, taken.reply = "mqtt", reply
+    return taken
+
+
+def final(reply: str, name: str, status: str, more: dict[str, object]) -> Packet:
+    """One final answer."""
+    to = json.loads(reply)
+    properties: Properties = {"content_type": "application/json"}
+    if to["data"]:
+        properties["correlation"] = base64.b64decode(to["data"])
+    body = json.dumps({"id": name, "status": status, **more}, separators=(",", ":")).encode()
+    user = [("id", name), ("status", status)]
+    return Packet(
+        PacketKind.PUBLISH, topic=to["topic"], payload=body, qos=2, properties=properties, user=user
+    )
+
+
+def answer(ended: Transaction) -> Packet:
+    """The final answer to a transaction that was taken on."""
+    ending = ended.ending or Ending.FAILED
+    more: dict[str, object] = {}
+    if ending is Ending.REJECTED and ended.come_back:
+        more["again_ms"] = max(1, ended.come_back // MS)
+    return final(ended.reply, ended.id, STATUS.get(ending, "undeliverable"), more)
+
+
+def call(out: Call, left: int) -> Packet:
+    """The publish that carries one call: a message, or several as the lines of a batch."""
+    user = [("left-ms", str(max(1, left // MS)))]
+    packet = Packet(PacketKind.PUBLISH, topic=out.member.address, qos=1, user=user)
+    if len(out.parts) == 1:
+        (part,) = out.parts
+        user += [("id", part.id), ("key", part.key)] if part.key else [("id", part.id)]
+        packet.payload = part.body
+    else:
+        user.append(("batch", str(len(out.parts))))
+        packet.payload = batch_body(out.parts)
+    return packet
+
+
+def outcome(out: Call, ack: Packet | None, left: bool) -> Result:
+    """What the acknowledgement of a call says, or the lack of one; `left`: it may have gone out."""
+    count = len(out.parts)
+    if ack is None:
+        return Result.same(api.Outcome.RESET if left else api.Outcome.CONNECT_FAILED, count)
+    if ack.reason == NO_SUBSCRIBERS:  # taken by the server, but nobody is there: it has not run
+        result = Result.same(api.Outcome.CONNECT_FAILED, count)
+    elif ack.reason == QUOTA:
+        result = Result.same(api.Outcome.REFUSED, count)
+    elif ack.reason >= 0x80:
+        result = Result.same(api.Outcome.ERROR, count)
+    else:
+        result = Result.same(api.Outcome.DELIVERED, count, True)
+    told = {name.lower(): value for name, value in ack.user}
+    result.wait, result.told = wait(told), report(told.get("x-pressure", ""))
+    return result
