Play recorded exchanges against the protocol machines

Seen: the RESP front, calls and batches, discovery's watch and notices give the recorded bytes, whole and split at every byte.

--- /dev/null
+++ b/tests/test_exchanges.py
@@ -0,0 +1,254 @@
+"""Plays the recorded exchanges in tests/exchanges against the protocol machines, whole and byte by byte.
+
+A case starts with `== NAME`. `>` is fed to the machine, `<` is what it must give, `!` is what it must say
+went wrong; text is written with Python's escapes, and `hex:` starts bytes in hexadecimal digits.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from honeyhitch.core import Call, Offered
+from honeyhitch.memory.buffer import Buffer
+from honeyhitch.memory.pool import Pool, PoolError, PoolMember
+from honeyhitch.memory.transactions import Ending, Transaction
+from honeyhitch.wire import calls, discovery, http1, mqtt, mqtt_messages, notices, resp
+
+from .rig import SETTINGS, START
+from .world import settings
+
+FOLDER = Path(__file__).parent / "exchanges"
+SET = settings(**SETTINGS)
+Out = Iterator[bytes]
+
+
+def parts(count: int) -> list[Transaction]:
+    return [Transaction(f"id{i}", 0, 1, START, b"hello", key=f"key{i}") for i in range(count)]
+
+
+class Resp:
+    """The platform's front; a body `busy` is turned away."""
+
+    def __init__(self, _: str) -> None:
+        def offer(taken: Transaction) -> Offered:
+            self.seen.append(taken)
+            return Offered(taken.body != b"busy", 250_000_000)
+
+        self.seen: list[Transaction] = []
+        self.buffer = Buffer()
+        self.session = resp.Session(resp.Fields(SET), offer, lambda: True, lambda: START)
+
+    def feed(self, data: bytes) -> Out:
+        self.buffer.feed(data)
+        yield self.session.receive(self.buffer)
+
+    def end(self) -> Out:
+        for one in self.seen:
+            words = [
+                one.id,
+                one.key,
+                one.destination,
+                (one.deadline - START) // 10**6,
+                one.came_again,
+                one.body,
+            ]
+            yield f"took {' '.join(map(str, words))}\n".encode()
+        yield b"closes\n" if self.session.closing else b""
+
+
+class HttpCall:
+    """A call's answer; the argument is how many messages it carries."""
+
+    def __init__(self, count: str) -> None:
+        self.parts, self.machine, self.whole = parts(int(count)), http1.AnswerMachine(), False
+
+    def feed(self, data: bytes) -> Out:
+        answer = self.machine.feed(data)
+        if answer is not None and not self.whole:
+            self.whole = True
+            yield self.show(answer)
+
+    def show(self, answer: http1.Answer) -> bytes:
+        result = calls.read(answer, self.parts)
+        told = f" wait {result.wait // 10**6}" if result.wait else ""
+        told += f" {result.told}" if result.told else ""
+        ends = " ".join(outcome.value + "+" * over for outcome, over in result.outcomes)
+        return f"{ends}{told}\n".encode()
+
+    def end(self) -> Out:
+        answer = self.machine.ended()
+        if not self.whole and answer is not None:
+            yield self.show(answer)
+        elif not self.whole:
+            result = calls.broken(self.machine.answer.status, self.parts)
+            yield f"broken: {' '.join(outcome.value for outcome, _ in result.outcomes)}\n".encode()
+        else:
+            yield b"reusable\n" if self.machine.reusable else b"to be closed\n"
+
+
+class Encode:
+    """What is written: fed a word, it gives the bytes."""
+
+    def __init__(self, _: str) -> None:
+        pass
+
+    def feed(self, data: bytes) -> Out:
+        name, _, number = data.decode().partition(" ")
+        if name == "call":
+            yield calls.encode(parts(int(number)), 1_500_000_000, "127.0.0.1:80")
+        elif name == "watch":
+            yield discovery.watch_request("127.0.0.1:85", int(number))
+        else:
+            failed, back = parts(2)
+            failed.ending, back.ending, back.come_back = Ending.FAILED, Ending.REJECTED, int(number)
+            yield notices.encode([failed, back], "127.0.0.1:85")
+
+    def end(self) -> Out:
+        yield b""
+
+
+class Watch:
+    """Discovery's watch and the pool behind it."""
+
+    def __init__(self, _: str) -> None:
+        self.watch, self.pool = discovery.Watch(), Pool(SET)
+
+    def feed(self, data: bytes) -> Out:
+        for told in self.watch.feed(data):
+            news = self.pool.update(told)
+            rows = [f"{e.endpoint}:{e.destination}:{e.kind}:{e.status.value}" for e in news.entries]
+            yield f"{news.mode.value} {' '.join(rows)}\n".encode()
+
+    def end(self) -> Out:
+        yield f"revision {self.pool.revision}\n".encode()
+
+
+class Mqtt:
+    """A client's session. The argument `keep` makes the server keep it; `sends` starts with two publishes."""
+
+    def __init__(self, words: str) -> None:
+        self.session, self.buffer, self.said = (
+            mqtt.Session("c", 60 * ("keep" in words)),
+            Buffer(),
+            list[str](),
+        )
+        if "takes" in words:
+            self.session.subscriptions = ["in"]
+        self.session.on_publish = self.taken
+        self.session.open()
+        for qos in (1, 2) if "sends" in words else ():
+            packet = mqtt.Packet(mqtt.Kind.PUBLISH, topic="t", payload=b"x", qos=qos)
+            self.session.publish(packet, lambda ack, left: self.said.append(f"{ack and ack.reason} {left}\n"))
+
+    def taken(self, packet: mqtt.Packet) -> None:
+        self.said.append(f"{packet.topic} {packet.payload!r} {packet.user} dup={packet.dup}\n")
+        self.session.acknowledge(packet)
+
+    def feed(self, data: bytes) -> Out:
+        if data == b"break":
+            self.session.broke()
+        elif data == b"again":
+            self.session.open()
+        else:
+            self.buffer.feed(data)
+            self.session.receive(self.buffer)
+        yield self.session.take_out().hex().encode()
+
+    def end(self) -> Out:
+        yield "".join(self.said).encode()
+
+
+class MqttCall:
+    """The acknowledgement of a call; `none` and `left` stand for a connection that broke."""
+
+    def __init__(self, count: str) -> None:
+        member = PoolMember("m", "partner/1", 1, carrier="mqtt")
+        self.call = Call(member, parts(int(count)), [], [], START, [])
+
+    def feed(self, data: bytes) -> Out:
+        buffer = Buffer()
+        buffer.feed(data)
+        ack = None if data in (b"none", b"left") else mqtt.decode(buffer)
+        result = mqtt_messages.outcome(self.call, ack, data == b"left")
+        words = [outcome.value + "+" * over for outcome, over in result.outcomes]
+        yield f"{' '.join(words)} wait {result.wait // 10**6} {result.told}\n".encode()
+
+    def end(self) -> Out:
+        yield b""
+
+
+class MqttTake:
+    """A publish on the intake topic."""
+
+    def __init__(self, _: str) -> None:
+        self.buffer = Buffer()
+
+    def feed(self, data: bytes) -> Out:
+        packet = mqtt.Packet(mqtt.Kind.PUBLISH, **json.loads(data)) if data[:1] == b"{" else None
+        assert packet is not None
+        packet.payload = b"body"
+        packet.user = [(name, value) for name, value in packet.user]
+        taken = mqtt_messages.transaction(resp.Fields(SET), packet, START)
+        taken.ending, taken.come_back = Ending.REJECTED, 250_000_000
+        answer = mqtt_messages.answer(taken)
+        left = (taken.deadline - START) // 10**6
+        yield f"{taken.id} {taken.key} {left} -> {answer.topic} {answer.payload.decode()}\n".encode()
+
+    def end(self) -> Out:
+        yield b""
+
+
+MACHINES: dict[str, Callable[[str], Any]] = {
+    "resp": Resp,
+    "call": HttpCall,
+    "encode": Encode,
+    "watch": Watch,
+    "mqtt": Mqtt,
+    "mqtt-call": MqttCall,
+    "mqtt-take": MqttTake,
+}
+STREAMS = ("resp", "call", "watch")  # a connection's bytes, which may come in any pieces
+FAULTS = (http1.HttpError, discovery.WatchError, mqtt.MqttError, PoolError, resp.FieldError)
+
+
+def raw(text: str) -> bytes:
+    if text.startswith("hex:"):
+        return bytes.fromhex(text[4:])
+    return text.encode().decode("unicode_escape").encode("latin-1")
+
+
+def cases() -> Iterator[Any]:
+    for file in sorted(FOLDER.glob("*.txt")):
+        name, argument, lines = "", "", list[str]()
+        for line in [*file.read_text().splitlines(), "== "]:
+            if line.startswith("== "):
+                for split in (False, True) if file.stem in STREAMS and name else (False,) if name else ():
+                    yield pytest.param(
+                        file.stem, argument, lines, split, id=f"{file.stem}-{name}{'-split' * split}"
+                    )
+                name, _, argument = line[3:].partition(" | ")
+                lines = []
+            elif line[:2] in ("> ", "< ", "! "):
+                lines.append(line)
+
+
+@pytest.mark.parametrize(("machine", "argument", "lines", "split"), list(cases()))
+def test_exchange(machine: str, argument: str, lines: list[str], split: bool) -> None:
+    player, given = MACHINES[machine](argument), b""
+    wrong = ""
+    try:
+        for line in lines:
+            if line[0] == ">":
+                data = raw(line[2:])
+                for piece in [data[i : i + 1] for i in range(len(data))] if split else [data]:
+                    given += b"".join(player.feed(piece))
+        given += b"".join(player.end())
+    except FAULTS as error:
+        wrong = str(error)
+    assert given == b"".join(raw(line[2:]) for line in lines if line[0] == "<")
+    assert wrong == "".join(line[2:] for line in lines if line[0] == "!")
