Test the program on loopback and MQTT against a stand-in broker

Deadlines shifted by up to one round, since the time left was counted from the arrival and added to the round's time (core._taken counts from the round now).

--- a/honeyhitch/core.py
+++ b/honeyhitch/core.py
@@ -101,7 +101,7 @@
         self.brain, self.held = Brain(settings, seed), journal.held
         self.carriers: dict[str, Carrier] = {}
         self.fronts: dict[str, Front] = {}
-        self.events: list[api.Event] = []
+        self.events: list[api.Event | Transaction] = []
         self.out: dict[str, Call] = {}  # calls out, by the id of each transaction in them
         self.ticking, self.last_tick = False, 0
         self.taking, self.sending = True, True
@@ -114,7 +114,7 @@
             if transaction.ending is not None:  # decided already; only its answer may not have been sent
                 self._answer(transaction)
             else:
-                self._enter(transaction)
+                self._add(transaction)
 
     def offer(self, transaction: Transaction) -> Offered:
         """Take a transaction on, or reject it at once; one that is held already is not taken twice."""
@@ -127,26 +127,24 @@
         except JournalFull as error:
             print(f"journal: {error}", file=sys.stderr)
             return Offered(False, BUSY)
-        self._enter(transaction)
+        self._add(transaction)
         return Offered(True)
 
-    def _enter(self, transaction: Transaction) -> None:
+    def _taken(self, transaction: Transaction) -> api.NewMessage:
         first = transaction.first_ran()
         if first is None and transaction.key in self.held.keys:  # the key was delivered a moment ago
             first = self.held.keys[transaction.key][:2]
-        now = self.scheduler.now()
-        event = api.NewMessage(
+        return api.NewMessage(
             message=transaction.id,
             cls=transaction.cls,
             destination=transaction.destination,
-            time_left=transaction.deadline - now,
+            time_left=transaction.deadline - self.last_tick,  # from the round's time, which the module adds
             tenant=transaction.tenant,
             came_again=transaction.came_again,
             attempts=transaction.attempts,
             ran_at=first[0] if first else None,
             ran_zone=first[1] if first else 0,
         )
-        self._add(event)
 
     def news(self, news: api.ListNews) -> None:
         """The pool changed."""
@@ -191,7 +189,7 @@
 
     # Rounds: events that come within one resolution are handled together, as in the simulator.
 
-    def _add(self, event: api.Event) -> None:
+    def _add(self, event: api.Event | Transaction) -> None:
         self.events.append(event)
         if not self.ticking:
             self.ticking = True
@@ -199,10 +197,11 @@
 
     def _tick(self) -> None:
         self.ticking, self.last_tick = False, self.scheduler.now()
-        events, self.events = self.events, []
+        came, self.events = self.events, []
         if not self.sending:  # the process is about to end: what is owed is the next one's, by the journal
             return
         sends: list[api.Send] = []
+        events = [self._taken(event) if isinstance(event, Transaction) else event for event in came]
         for action in self.brain.handle(self.last_tick, events):
             match action:
                 case api.Send():
--- a/honeyhitch/lifecycle/serve.py
+++ b/honeyhitch/lifecycle/serve.py
@@ -23,76 +23,98 @@
 
 SPARE_SOCKETS = 200  # of the limit: for members, discovery, the journal and the like
 ACCEPT_ON, SEND_ON, LEAVE_AT = 0.6, 2.8, 3.3  # seconds after SIGTERM; SIGKILL comes after 3.7 at the soonest
+LOOK = 0.02  # seconds between looks at what is still out
+
+
+class Service:
+    """One dispatcher with all that stands around it; it belongs to the running loop."""
+
+    def __init__(self, config: Config) -> None:
+        self.config, self.loop = config, asyncio.get_running_loop()
+        settings, self.tasks, self.scheduler = config.settings, Tasks(self.loop), LoopScheduler(self.loop)
+        config.state.mkdir(parents=True, exist_ok=True)
+        remember = max(cls.deadline for cls in settings.classes)
+        self.journal = Journal(config.state, config.limits.disk, self.scheduler.now, remember)
+        pool = Pool(settings)
+        self.dispatcher = Dispatcher(settings, config.seed, pool, self.journal, self.scheduler)
+        carrier = HttpCarrier(self.dispatcher, self.scheduler, self.tasks)
+        discovery = Discovery(str(config.discovery), self.dispatcher, self.tasks)
+        self.dispatcher.carriers["http"], self.dispatcher.fronts["resp"] = carrier, discovery
+        self.works: list[Callable[[], Awaitable[None]]] = [discovery.watch, discovery.notify, carrier.sweep]
+        if config.operator.mqtt is not None:
+            self._mqtt(config.operator.mqtt)
+        self.servers: list[VirtualServer] = []
+
+    def _mqtt(self, setup: MqttSetup) -> None:
+        front = MqttFront(setup, self.dispatcher, self.scheduler, self.tasks)
+        carrier = MqttCarrier(setup, self.dispatcher, self.scheduler, self.tasks)
+        self.dispatcher.fronts["mqtt"], self.dispatcher.carriers["mqtt"] = front, carrier
+        pool = self.dispatcher.pool
+        for told in setup.members:
+            kind, zone = (
+                pool.kinds.index(told.kind),
+                pool.zones.index(told.zone) if told.zone in pool.zones else 0,
+            )
+            pool.fix(PoolMember(told.id, told.topic, told.destination, kind, zone, told.rate, carrier="mqtt"))
+        self.works += [link.run for link in (*front.links, carrier.link)]
+
+    def start(self, listen: bool = True) -> None:
+        """Replay the journal, then serve. Without `listen` only the library's callers hand in."""
+        dispatcher, config = self.dispatcher, self.config
+        try:
+            dispatcher.news(dispatcher.pool.update(config.known, cached=True))
+        except PoolError as error:
+            print(f"known: {error}", file=sys.stderr)
+        dispatcher.resume()
+        if listen:
+            fields = resp.Fields(config.settings)
+            self._listen(
+                (config.listen.host, config.listen.port),
+                lambda: resp.Session(fields, dispatcher.offer, lambda: dispatcher.taking, self.scheduler.now),
+                max(16, config.limits.sockets - SPARE_SOCKETS),
+            )
+        for work in self.works:
+            self.tasks.keep(work)
+
+    def _listen(self, address: tuple[str, int], session: Callable[[], resp.Session], most: int) -> None:
+        server = VirtualServer(address, session, most, self.tasks)
+        self.servers.append(server)
+        self.tasks.keep(server.accept)
+
+    async def leave(self) -> None:
+        """Stop taking; let what is held finish for a bounded time; the journal keeps the rest."""
+        began, dispatcher = self.loop.time(), self.dispatcher
+        dispatcher.taking = False
+        for server in self.servers:
+            server.close_idle()
+        while (gone := self.loop.time() - began) < LEAVE_AT:
+            if gone > ACCEPT_ON and not dispatcher.held.by_id:
+                return
+            if gone > SEND_ON:
+                dispatcher.sending = False
+                if not dispatcher.out:
+                    return
+            await asyncio.sleep(LOOK)
+
+    async def close(self) -> None:
+        """Let go of everything at once, as a kill would."""
+        self.dispatcher.taking = self.dispatcher.sending = False
+        for server in self.servers:
+            server.close()
+        await self.tasks.stop()
+        self.journal.close()
 
 
 async def run(config: Config) -> None:
     """Serve until a signal to stop has been obeyed."""
-    loop = asyncio.get_running_loop()
-    tasks, scheduler = Tasks(loop), LoopScheduler(loop)
-    settings = config.settings
-    config.state.mkdir(parents=True, exist_ok=True)
-    remember = max(cls.deadline for cls in settings.classes)
-    journal = Journal(config.state, config.limits.disk, scheduler.now, remember)
-    dispatcher = Dispatcher(settings, config.seed, Pool(settings), journal, scheduler)
-    carrier = HttpCarrier(dispatcher, scheduler, tasks)
-    discovery = Discovery(str(config.discovery), dispatcher, tasks)
-    dispatcher.carriers["http"], dispatcher.fronts["resp"] = carrier, discovery
-    works: list[Callable[[], Awaitable[None]]] = [discovery.watch, discovery.notify, carrier.sweep]
-    if config.operator.mqtt is not None:
-        works += _mqtt(config.operator.mqtt, dispatcher, scheduler, tasks)
+    service = Service(config)
     try:
-        dispatcher.news(dispatcher.pool.update(config.known, cached=True))
-    except PoolError as error:
-        print(f"known: {error}", file=sys.stderr)
-    dispatcher.resume()
-    fields = resp.Fields(settings)
-    clients = VirtualServer(
-        (config.listen.host, config.listen.port),
-        lambda: resp.Session(fields, dispatcher.offer, lambda: dispatcher.taking, scheduler.now),
-        max(16, config.limits.sockets - SPARE_SOCKETS),
-        tasks,
-    )
-    for work in (clients.accept, *works):
-        tasks.keep(work)
-    stop = Stop(loop, (signal.SIGTERM, signal.SIGINT))
-    await stop.asked.wait()
-    await _leave(dispatcher, clients, loop)
-    await tasks.stop()
-    journal.close()
-
-
-def _mqtt(
-    setup: MqttSetup, dispatcher: Dispatcher, scheduler: LoopScheduler, tasks: Tasks
-) -> list[Callable[[], Awaitable[None]]]:
-    front, carrier = (
-        MqttFront(setup, dispatcher, scheduler, tasks),
-        MqttCarrier(setup, dispatcher, scheduler, tasks),
-    )
-    dispatcher.fronts["mqtt"], dispatcher.carriers["mqtt"] = front, carrier
-    pool = dispatcher.pool
-    for told in setup.members:
-        kind, zone = (
-            pool.kinds.index(told.kind),
-            pool.zones.index(told.zone) if told.zone in pool.zones else 0,
-        )
-        pool.fix(PoolMember(told.id, told.topic, told.destination, kind, zone, told.rate, carrier="mqtt"))
-    return [link.run for link in (*front.links, carrier.link)]
-
-
-async def _leave(dispatcher: Dispatcher, clients: VirtualServer, loop: asyncio.AbstractEventLoop) -> None:
-    """Stop taking; let what is held finish for a bounded time; the journal keeps the rest."""
-    began = loop.time()
-    dispatcher.taking = False
-    clients.close_idle()
-    while loop.time() - began < LEAVE_AT:
-        gone = loop.time() - began
-        if gone > ACCEPT_ON and not dispatcher.held.by_id:
-            return
-        if gone > SEND_ON:
-            dispatcher.sending = False
-            if not dispatcher.out:
-                return
-        await asyncio.sleep(0.02)
+        stop = Stop(service.loop, (signal.SIGTERM, signal.SIGINT))
+        service.start()
+        await stop.asked.wait()
+        await service.leave()
+    finally:
+        await service.close()
 
 
 def serve(config: Config) -> None:
--- a/honeyhitch/wire/drivers/discovery.py
+++ b/honeyhitch/wire/drivers/discovery.py
@@ -50,7 +50,8 @@
 
     async def notify(self) -> None:
         """Send notices on one connection for as long as it lasts; those not confirmed go again."""
-        await self.wake.wait()
+        if not self.waiting:  # those of a connection that broke must not wait for the next one
+            await self.wake.wait()
         sock, buffer, machine = await self._connect(), Buffer(), http1.AnswerMachine()
         try:
             while True:
--- /dev/null
+++ b/tests/program.py
@@ -0,0 +1,120 @@
+"""Runs the real program in this process, on loopback sockets, for tests of the drivers."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+from collections.abc import AsyncIterator, Coroutine
+from pathlib import Path
+from typing import Any
+
+import uvloop
+
+from honeyhitch.lifecycle import config
+from honeyhitch.lifecycle.serve import run
+
+SETTINGS: dict[str, Any] = {
+    "classes": [
+        {
+            "name": "standard",
+            "semantics": "token",
+            "aim": 2_500_000_000,
+            "deadline": 20_000_000_000,
+            "window": 5_000_000_000,
+            "group": "all",
+        }
+    ],
+    "shapes": ["large", "small"],
+    "zones": ["hq"],
+    "tenants": [{"name": "studio", "quota-rps": 50.0, "fraction": 1.0}],
+    "family-info": {"call-slots": 8, "per-call": [20, 1], "own-limits": [False, False]},
+    "caps": {
+        "max-open": 50,
+        "most-tries": 12,
+        "max-retry-after": 2_000_000_000,
+        "connect-timeout": 1_500_000_000,
+    },
+    "invariants": {"fall-multiple": 1.5, "cold-share": 0.3, "cold": 14_000_000_000},
+    "report": {"how": "inline", "fields": ["x0", "x1"]},
+    "resolution": 5_000_000,
+}
+
+
+def play(work: Coroutine[Any, Any, None]) -> None:
+    """Run a test on uvloop; it fails rather than hangs."""
+
+    async def bounded() -> None:
+        async with asyncio.timeout(60):
+            await work
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(bounded())
+
+
+class Peer:
+    """A scripted party: it listens, and hands out its connections in the order in which they came."""
+
+    def __init__(self) -> None:
+        self.came: asyncio.Queue[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = asyncio.Queue()
+        self.port = 0
+        self.now: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+
+    async def start(self) -> Peer:
+        server = await asyncio.start_server(lambda r, w: self.came.put((r, w)), "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
+        return self
+
+    async def accepted(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        if self.now is None:
+            self.now = await self.came.get()
+        return self.now
+
+    async def dial(self, port: int) -> None:
+        self.now = await asyncio.open_connection("127.0.0.1", port)
+
+
+def free_port() -> int:
+    import socket
+
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+@contextlib.asynccontextmanager
+async def started(
+    folder: Path, discovery: int, members: list[dict[str, Any]], operator: str | None = None, port: int = 0
+) -> AsyncIterator[int]:
+    """The program, ready to serve; it is cancelled at the end, as abruptly as a kill."""
+    port = port or free_port()
+    told = {
+        "name": "n0",
+        "listen": f"127.0.0.1:{port}",
+        "discovery": f"127.0.0.1:{discovery}",
+        "state": str(folder / "state"),
+        "seed": "8c1f30d27a5be964",
+        "known": {"revision": 1, "complete": True, "members": members},
+        "settings": SETTINGS,
+    }
+    (folder / "config.json").write_text(json.dumps(told))
+    if operator is not None:
+        (folder / "operator.toml").write_text(operator)
+    path = str(folder / "operator.toml") if operator is not None else None
+    task = asyncio.ensure_future(run(config.read({}, str(folder / "config.json"), path)))
+    try:
+        while True:
+            try:
+                reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            except OSError:
+                assert not task.done(), task.exception()
+                await asyncio.sleep(0.01)
+                continue
+            writer.write(b"PING\r\n")
+            assert await reader.readline() == b"+PONG\r\n"
+            writer.close()
+            break
+        yield port
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -141,6 +141,7 @@
             self.session.subscriptions = ["in"]
         self.session.on_publish = self.taken
         self.session.open()
+        self.session.take_out()  # CONNECT; test_mqtt.py has another library read it
         for qos in (1, 2) if "sends" in words else ():
             packet = mqtt.Packet(mqtt.Kind.PUBLISH, topic="t", payload=b"x", qos=qos)
             self.session.publish(packet, lambda ack, left: self.said.append(f"{ack and ack.reason} {left}\n"))
@@ -154,6 +155,7 @@
             self.session.broke()
         elif data == b"again":
             self.session.open()
+            self.session.take_out()
         else:
             self.buffer.feed(data)
             self.session.receive(self.buffer)
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,266 @@
+"""The program on loopback sockets: recorded exchanges between its parties, and MQTT beside a stand-in broker.
+
+In tests/programs a line `PARTY> BYTES` is sent by that party, `PARTY< BYTES` is what it must receive (`%` in
+it stands for a number), `PARTY close` ends its connection, `restart` kills the program and starts it again.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import json
+import re
+from pathlib import Path
+from typing import Any
+
+import paho.mqtt.client as paho
+import pytest
+from paho.mqtt.packettypes import PacketTypes
+from paho.mqtt.properties import Properties
+
+from honeyhitch.memory.journal import unpack
+from honeyhitch.wire.mqtt import Kind, Packet
+
+from .broker import Broker
+from .program import Peer, free_port, play, started
+from .rig import row
+from .test_exchanges import raw
+from .world import MS
+
+PROGRAMS = sorted((Path(__file__).parent / "programs").glob("*.txt"))
+
+
+async def receive(peer: Peer, pattern: bytes) -> None:
+    reader, _ = await peer.accepted()
+    wanted, got = re.compile(re.escape(pattern).replace(b"%", rb"\d+"), re.DOTALL), b""
+    while not wanted.fullmatch(got):
+        byte = await reader.read(1)
+        assert byte, f"the connection ended after {got!r}"
+        got += byte
+        assert len(got) < len(pattern) + 64, got
+
+
+@pytest.mark.parametrize("file", PROGRAMS, ids=lambda file: file.stem)
+def test_program(file: Path, tmp_path: Path) -> None:
+    async def work() -> None:
+        peers = {name: await Peer().start() for name in ("agent", "watch", "one", "two")}
+        members = []
+        for name, kind, cell in (("one", "small", 1), ("two", "large", 2)):
+            members.append({**row(name, cell, kind), "host_port": f"127.0.0.1:{peers[name].port}"})
+        client, port = Peer(), free_port()
+        peers["client"] = client
+        script = [line for line in file.read_text().splitlines() if line and line[0] != "#"]
+        for part in "\n".join(script).split("\nrestart\n"):
+            async with started(tmp_path, peers["agent"].port, members, port=port):
+                agent = peers["agent"]
+                # The first connection to the agent is the watch; notices come on another.
+                peers["watch"].now = await agent.came.get()
+                await receive(peers["watch"], raw(WATCH.replace("PORT", str(agent.port))))
+                agent.now = None
+                await client.dial(port)
+                for line in part.splitlines():
+                    name, _, what = line.partition(" ")
+                    if what == "close":
+                        peers[name].now[1].close()  # type: ignore[index]
+                        peers[name].now = None
+                    elif name[-1] == ">":
+                        (await peers[name[:-1]].accepted())[1].write(raw(what))
+                    else:
+                        address = str(peers[name[:-1]].port)
+                        await receive(peers[name[:-1]], raw(what.replace("PORT", address)))
+            for name in ("agent", "one", "two"):
+                peers[name].now = None
+
+    play(work())
+
+
+WATCH = (
+    r"GET /api/targets?stream=1&index=% HTTP/1.1\r\nHost: 127.0.0.1:PORT\r\nAccept: application/json\r\n\r\n"
+)
+ENQUEUE = (
+    r"*5\r\n$7\r\nENQUEUE\r\n$1\r\n0\r\n$2\r\nid\r\n"
+    r"$38\r\nc=standard,t=studio,d=9000,k=kk,dest=1\r\n$4\r\nbody\r\n"
+)
+OPERATOR = """
+[mqtt]
+broker = "127.0.0.1:{port}"
+intake = "in"
+[[mqtt.member]]
+id = "topic-1"
+topic = "partner/1"
+dest = {dest}
+kind = "small"
+rate = 1000.0
+"""
+
+
+class Client:
+    """The independent client library against the stand-in broker; it collects final answers."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop, self.answers = loop, collections.defaultdict[str, list[dict[str, Any]]](list)
+        self.came = asyncio.Event()
+        self.paho = paho.Client(paho.CallbackAPIVersion.VERSION2, client_id="client", protocol=paho.MQTTv5)
+        self.paho.on_message = self._message
+        self.paho.on_connect = lambda client, *_: client.subscribe("re/client", qos=2)
+        self.paho.reconnect_delay_set(1, 1)
+
+    def _message(self, _: object, __: object, message: paho.MQTTMessage) -> None:
+        assert message.properties is not None and message.properties.CorrelationData == b"\x00corr"
+        self.loop.call_soon_threadsafe(self._answered, json.loads(message.payload))
+
+    def _answered(self, answer: dict[str, Any]) -> None:
+        self.answers[answer["id"]].append(answer)
+        self.came.set()
+
+    def connect(self, port: int) -> None:
+        properties = Properties(PacketTypes.CONNECT)
+        properties.SessionExpiryInterval = 600
+        self.paho.connect("127.0.0.1", port, clean_start=False, properties=properties)
+        self.paho.loop_start()
+
+    def hand_in(self, name: str, dest: int, left: int = 20_000) -> None:
+        properties = Properties(PacketTypes.PUBLISH)
+        properties.ResponseTopic, properties.CorrelationData = "re/client", b"\x00corr"
+        fields = {
+            "id": name,
+            "c": "standard",
+            "t": "studio",
+            "d": str(left),
+            "k": f"k-{name}",
+            "dest": str(dest),
+        }
+        properties.UserProperty = list(fields.items())
+        self.paho.publish("in", f"body of {name}", qos=1, properties=properties)
+
+    async def until(self, count: int) -> None:
+        while len(self.answers) < count:
+            self.came.clear()
+            await self.came.wait()
+
+
+def ended(broker: Broker, reasons: dict[str, int]) -> None:
+    """The partner behind the broker: acknowledges each call once, with a reason by the message's id."""
+
+    def partner(packet: Packet) -> Packet | None:
+        reason = reasons.get(dict(packet.user)["id"], 0)
+        return None if reason < 0 else Packet(Kind.PUBACK, id=packet.id, reason=reason)
+
+    broker.partner = partner
+
+
+def test_mqtt_serves_deadlines_rejects_errors_and_bad_input(tmp_path: Path) -> None:
+    async def work() -> None:
+        broker, agent = Broker(), await Peer().start()
+        await broker.start()
+        ended(broker, {"fails": 0x83, "silent": -1, "full": 0x97})
+        client = Client(asyncio.get_running_loop())
+        async with started(tmp_path, agent.port, [], OPERATOR.format(port=broker.port, dest=1)):
+            client.connect(broker.port)
+            while "n0-intake" not in broker.kept or "client" not in broker.kept:
+                await asyncio.sleep(0.01)
+            client.hand_in("good", 1)
+            await client.until(1)
+            client.hand_in("silent", 1, left=300)
+            client.hand_in("full", 1, left=300)
+            client.hand_in("fails", 1, left=300)
+            client.hand_in("nobody", 9, left=300)
+            client.hand_in("", 1)
+            await client.until(6)
+        client.paho.disconnect()
+        client.paho.loop_stop()
+        assert all(len(answers) == 1 for answers in client.answers.values())
+        status = {name: answers[0]["status"] for name, answers in client.answers.items()}
+        assert status == {
+            "good": "delivered",
+            "silent": "deferred",  # a repeat is dropped inside the window, so handing in again is harmless
+            "full": "deferred",
+            "fails": "deferred",
+            "nobody": "deferred",
+            "": "error",
+        }
+        assert client.answers["full"][0]["again_ms"] > 0
+        assert client.answers[""][0]["reason"].startswith("id:")
+
+    play(work())
+
+
+def test_a_broker_killed_in_a_burst_leaves_one_final_answer_each(tmp_path: Path) -> None:
+    async def work() -> None:
+        broker, agent, count = Broker(), await Peer().start(), 40
+        await broker.start()
+        ended(broker, {})
+        client = Client(asyncio.get_running_loop())
+        async with started(tmp_path, agent.port, [], OPERATOR.format(port=broker.port, dest=1)):
+            client.connect(broker.port)
+            while "n0-intake" not in broker.kept or "client" not in broker.kept:
+                await asyncio.sleep(0.01)
+            for i in range(count):
+                client.hand_in(f"m{i}", 1)
+                if i in (10, 25):
+                    await client.until(3)  # some are answered, some are out, some are on their way
+                    await broker.kill()
+                    await broker.start()
+            await client.until(count)
+            await asyncio.sleep(0.3)  # a second answer would come now
+        client.paho.disconnect()
+        client.paho.loop_stop()
+        assert {name: len(answers) for name, answers in client.answers.items()} == {
+            f"m{i}": 1 for i in range(count)
+        }
+        calls = [packet for packet in broker.published if packet.topic == "partner/1"]
+        assert not any(packet.dup for packet in calls), "no call is repeated by itself"
+
+    play(work())
+
+
+def test_a_drop_with_a_call_out_is_a_reset_and_the_module_decides(tmp_path: Path) -> None:
+    async def work() -> None:
+        broker, agent = Broker(), await Peer().start()
+        await broker.start()
+        ended(broker, {"m": -1})
+        client = Client(asyncio.get_running_loop())
+        async with started(tmp_path, agent.port, [], OPERATOR.format(port=broker.port, dest=1)):
+            client.connect(broker.port)
+            while "n0-intake" not in broker.kept or "client" not in broker.kept:
+                await asyncio.sleep(0.01)
+            client.hand_in("m", 1)
+            while not any(packet.topic == "partner/1" for packet in broker.published):
+                await asyncio.sleep(0.01)
+            await broker.kill()
+            ended(broker, {})
+            await broker.start()
+            await client.until(1)
+        client.paho.disconnect()
+        client.paho.loop_stop()
+        calls = [packet for packet in broker.published if packet.topic == "partner/1"]
+        assert len(calls) == 2 and not any(packet.dup for packet in calls)
+        assert {dict(packet.user)["key"] for packet in calls} == {"k-m"}, "its key lets the partner drop it"
+        assert [answer["status"] for answer in client.answers["m"]] == ["delivered"]
+
+    play(work())
+
+
+def test_one_partner_over_both_wires_shares_its_wait(tmp_path: Path) -> None:
+    async def work() -> None:
+        broker, agent, member, client = Broker(), await Peer().start(), await Peer().start(), Peer()
+        await broker.start()
+        ended(broker, {})
+        members = [{**row("one", 1), "host_port": f"127.0.0.1:{member.port}"}]
+        async with started(tmp_path, agent.port, members, OPERATOR.format(port=broker.port, dest=1)) as port:
+            while "n0-calls" not in broker.kept:
+                await asyncio.sleep(0.01)
+            await client.dial(port)
+            assert client.now is not None
+            client.now[1].write(raw(ENQUEUE))
+            await receive(client, b"+OK\r\n")
+            reader, writer = await member.accepted()
+            await reader.readuntil(b"body")
+            writer.write(b"HTTP/1.1 429 No\r\nRetry-After: 0.8\r\nContent-Length: 0\r\n\r\n")
+            while not any(packet.topic == "partner/1" for packet in broker.published):
+                await asyncio.sleep(0.01)
+        records = [fields for fields, _, _ in unpack((tmp_path / "state" / "journal").read_bytes())]
+        attempts = [int(str(fields["at"])) for fields in records if fields["t"] == "attempt"]
+        assert len(attempts) == 2 and attempts[1] - attempts[0] >= 800 * MS
+
+    play(work())
