--- a/honeyhitch/__init__.py
+++ b/honeyhitch/__init__.py
@@ -3,4 +3,5 @@
 from honeyhitch.brain import Brain
 from honeyhitch.interface import Settings
 
-__all__ = ["Brain", "Settings"]
+__all__ = ["Brain", "Settings", "__version__"]
+__version__ = "0.1.0"
--- a/honeyhitch/core.py
+++ b/honeyhitch/core.py
@@ -9,6 +9,7 @@
 import sys
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import Enum
 from typing import Protocol
 
 from honeyhitch import interface as api
@@ -22,6 +23,23 @@
 BUSY = 500 * MS  # ns; told to clients that are turned away before the module
 
 
+class Phase(Enum):
+    """How a dispatcher stands to new work."""
+
+    READY = "ready"
+    DRAINING = "draining"
+    DOWN = "down"
+
+
+@dataclass(frozen=True, slots=True)
+class State:
+    """The phase, and how full it is."""
+
+    phase: Phase
+    held: int
+    most: int
+
+
 @dataclass(frozen=True, slots=True)
 class Offered:
     """What the dispatcher says of a transaction that was handed in."""
@@ -146,6 +164,18 @@
             ran_zone=first[1] if first else 0,
         )
 
+    def withdraw(self, name: str) -> None:
+        """Nobody wants it any more: nothing further is tried, and no answer is sent."""
+        transaction = self.held.by_id.get(name)
+        if transaction is not None and transaction.ending is None:
+            self.journal.end(transaction, Ending.OVER)
+            self._add(api.Withdrawn(name))
+
+    def state(self) -> State:
+        """How it stands to new work."""
+        phase = Phase.READY if self.taking else Phase.DRAINING if self.sending else Phase.DOWN
+        return State(phase, len(self.held), self.s.max_open)
+
     def news(self, news: api.ListNews) -> None:
         """The pool changed."""
         self._add(news)
@@ -237,7 +267,7 @@
         now = self.scheduler.now()
         call = Call(member, [], [], [], now, [])
         for send in sends:
-            transaction = self.held.by_id[send.message]
+            transaction = self.held.by_id[send.message]  # the module sends nothing that it ended
             number = transaction.attempts
             try:
                 self.journal.attempt(transaction, now, member.zone)
@@ -278,7 +308,12 @@
         self._answer(transaction)
 
     def _answer(self, transaction: Transaction) -> None:
-        self.fronts[transaction.front].answer(transaction)
+        front = self.fronts.get(transaction.front)
+        if front is not None:
+            front.answer(transaction)
+        else:  # taken by a front that this process was started without: nobody can be told
+            print(f"{transaction.id}: no front {transaction.front!r} to answer it", file=sys.stderr)
+            self.answered(transaction)
 
     def answered(self, transaction: Transaction) -> None:
         """The final answer was sent."""
--- a/honeyhitch/lifecycle/cli.py
+++ b/honeyhitch/lifecycle/cli.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import os
+import secrets
+import socket
 import sys
-from importlib import metadata
 
 import click
 
+from honeyhitch import __version__
 from honeyhitch.lifecycle import config as configuration
 
 
@@ -42,10 +44,32 @@
 @main.command()
 def version() -> None:
     """Print the version."""
+    click.echo(__version__)
+
+
+@main.command()
+@click.argument("address")
+@click.argument("body")
+@click.option("--dest", type=int, required=True, help="The number of the destination.")
+@click.option("--class", "cls", default="standard", show_default=True, help="The class, as in the settings.")
+@click.option("--tenant", default="", help="The tenant, as in the settings.")
+@click.option("--left", type=int, default=20_000, show_default=True, help="Milliseconds it may take.")
+@click.option("--key", default="", help="Its idempotency key; a fresh one otherwise.")
+def send(address: str, body: str, dest: int, cls: str, tenant: str, left: int, key: str) -> None:
+    """Hand one message in at ADDRESS (HOST:PORT) and print the answer."""
+    name = secrets.token_hex(8)
+    fields = f"c={cls},t={tenant},d={left},dest={dest},k={key or name}"
+    parts = [b"ENQUEUE", b"0" * 16, name.encode(), fields.encode(), body.encode()]
+    request = b"*5\r\n" + b"".join(b"$%d\r\n%s\r\n" % (len(part), part) for part in parts)
     try:
-        click.echo(metadata.version("honeyhitch"))
-    except metadata.PackageNotFoundError:
-        click.echo("not installed as a package")
+        told = configuration.Address.parse(address, "address")
+        with socket.create_connection((told.host, told.port), timeout=5) as sock:
+            sock.sendall(request)
+            answer = sock.makefile("rb").readline().decode(errors="replace").strip()
+    except (OSError, configuration.ConfigError) as error:
+        raise click.ClickException(str(error)) from error
+    click.echo(f"{name} {answer}")
+    sys.exit(0 if answer.startswith("+") else 1)
 
 
 def _read(path: str | None, operator: str | None) -> configuration.Config:
--- a/honeyhitch/lifecycle/serve.py
+++ b/honeyhitch/lifecycle/serve.py
@@ -15,14 +15,16 @@
 from honeyhitch.memory.journal import Journal
 from honeyhitch.memory.pool import Pool, PoolError, PoolMember
 from honeyhitch.wire import resp
+from honeyhitch.wire.agent_check import AgentSession, HealthSession
 from honeyhitch.wire.drivers.broker import MqttCarrier, MqttFront
 from honeyhitch.wire.drivers.discovery import Discovery
 from honeyhitch.wire.drivers.members import HttpCarrier
 from honeyhitch.wire.drivers.tasks import LoopScheduler, Tasks
-from honeyhitch.wire.drivers.virtual_server import VirtualServer
+from honeyhitch.wire.drivers.virtual_server import ServerSession, VirtualServer
 
 SPARE_SOCKETS = 200  # of the limit: for members, discovery, the journal and the like
 ACCEPT_ON, SEND_ON, LEAVE_AT = 0.6, 2.8, 3.3  # seconds after SIGTERM; SIGKILL comes after 3.7 at the soonest
+BESIDE_SOCKETS = 16  # connections at once to the agent-check, and as many to health
 LOOK = 0.02  # seconds between looks at what is still out
 
 
@@ -37,7 +39,8 @@
         self.journal = Journal(config.state, config.limits.disk, self.scheduler.now, remember)
         pool = Pool(settings)
         self.dispatcher = Dispatcher(settings, config.seed, pool, self.journal, self.scheduler)
-        carrier = HttpCarrier(self.dispatcher, self.scheduler, self.tasks)
+        most_idle = max(32, config.limits.sockets // 4)
+        carrier = HttpCarrier(self.dispatcher, self.scheduler, self.tasks, most_idle)
         discovery = Discovery(str(config.discovery), self.dispatcher, self.tasks)
         self.dispatcher.carriers["http"], self.dispatcher.fronts["resp"] = carrier, discovery
         self.works: list[Callable[[], Awaitable[None]]] = [discovery.watch, discovery.notify, carrier.sweep]
@@ -73,10 +76,18 @@
                 lambda: resp.Session(fields, dispatcher.offer, lambda: dispatcher.taking, self.scheduler.now),
                 max(16, config.limits.sockets - SPARE_SOCKETS),
             )
+        beside, state = config.operator, dispatcher.state
+        if beside.agent_check is not None:
+            address = (beside.agent_check.host, beside.agent_check.port)
+            self._listen(address, lambda: AgentSession(state), BESIDE_SOCKETS)
+        if beside.health is not None:
+            self._listen(
+                (beside.health.host, beside.health.port), lambda: HealthSession(state), BESIDE_SOCKETS
+            )
         for work in self.works:
             self.tasks.keep(work)
 
-    def _listen(self, address: tuple[str, int], session: Callable[[], resp.Session], most: int) -> None:
+    def _listen(self, address: tuple[str, int], session: Callable[[], ServerSession], most: int) -> None:
         server = VirtualServer(address, session, most, self.tasks)
         self.servers.append(server)
         self.tasks.keep(server.accept)
--- /dev/null
+++ b/honeyhitch/middleware.py
@@ -0,0 +1,200 @@
+"""ASGI middleware: it gives an application the dispatcher and runs it over the application's lifespan."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import os
+import secrets
+from collections.abc import Awaitable, Callable, MutableMapping
+from typing import Any
+
+from honeyhitch.core import Dispatcher, Offered
+from honeyhitch.lifecycle import config as configuration
+from honeyhitch.lifecycle.serve import Service
+from honeyhitch.memory.transactions import Ending, Transaction
+
+SECOND = 10**9  # ns
+Message = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[Message]]
+Send = Callable[[Message], Awaitable[None]]
+App = Callable[[Message, Receive, Send], Awaitable[None]]
+
+
+class Rejected(Exception):
+    """The message was not done; handing it in again after `come_back` seconds is harmless."""
+
+    def __init__(self, come_back: float) -> None:
+        super().__init__(f"rejected; come back after {come_back:g} s")
+        self.come_back = come_back
+
+
+class Undeliverable(Exception):
+    """The message failed for good."""
+
+
+class AppFront:
+    """The front of an application in the same process: it hands in and waits for final answers."""
+
+    def __init__(self, dispatcher: Dispatcher) -> None:
+        self.dispatcher, self.names = dispatcher, [cls.name for cls in dispatcher.s.classes]
+        self.waiting: dict[str, asyncio.Future[Transaction]] = {}
+
+    def answer(self, transaction: Transaction) -> None:
+        """A final answer; after a restart of the process nobody waits for it any more."""
+        waiter = self.waiting.pop(transaction.id, None)
+        if waiter is not None and not waiter.done():
+            waiter.set_result(transaction)
+        self.dispatcher.answered(transaction)
+
+    def take(
+        self,
+        destination: int,
+        body: bytes,
+        *,
+        cls: str | None = None,
+        key: str = "",
+        tenant: str | None = None,
+        time_left: float | None = None,
+    ) -> str:
+        """Hand a message in without waiting for its end; its id. Raises Rejected."""
+        settings = self.dispatcher.s
+        number = self._index(self.names, cls, "cls")
+        left = settings.classes[number].deadline if time_left is None else int(time_left * SECOND)
+        name = secrets.token_hex(8)
+        transaction = Transaction(
+            id=name,
+            cls=number,
+            destination=destination,
+            deadline=self.dispatcher.scheduler.now() + left,
+            body=body,
+            key=key or name,
+            tenant=self._index(list(settings.tenant_names), tenant, "tenant"),
+            front="app",
+        )
+        offered: Offered = self.dispatcher.offer(transaction)
+        if not offered.taken:
+            raise Rejected(offered.come_back / SECOND)
+        return name
+
+    async def deliver(self, destination: int, body: bytes, **more: Any) -> str:
+        """Hand a message in and wait till it is delivered; its id. Raises Rejected or Undeliverable.
+
+        A caller that is cancelled withdraws the message: nothing more is tried for it.
+        """
+        name = self.take(destination, body, **more)
+        waiter = self.waiting[name] = asyncio.get_running_loop().create_future()
+        try:
+            ended = await waiter
+        except asyncio.CancelledError:
+            self.dispatcher.withdraw(name)
+            raise
+        finally:
+            self.waiting.pop(name, None)
+        if ended.ending is Ending.REJECTED:
+            raise Rejected(ended.come_back / SECOND)
+        if ended.ending is not Ending.DELIVERED:
+            raise Undeliverable(name)
+        return name
+
+    @staticmethod
+    def _index(names: list[str], name: str | None, what: str) -> int:
+        if name is not None and name not in names:
+            raise ValueError(f"{what}: not a name in the settings: {name!r}")
+        return 0 if name is None else names.index(name)
+
+
+class DispatcherMiddleware:
+    """Wraps an ASGI application. In it, `scope["state"]["honeyhitch"]` is the AppFront.
+
+    The dispatcher starts before the application's own start and stops after its end. An application that
+    lets Rejected out before it has begun to answer gives its client 503 with Retry-After. Add it as the
+    framework's own middleware: outside of one that answers 500 for every exception it would come too late.
+    """
+
+    def __init__(self, app: App, config: configuration.Config | None = None, listen: bool = False) -> None:
+        self.app, self.config, self.listen = app, config, listen
+        self.service: Service | None = None
+        self.front: AppFront | None = None
+
+    async def __call__(self, scope: Message, receive: Receive, send: Send) -> None:
+        """One ASGI scope."""
+        if scope["type"] == "lifespan":
+            await self._lifespan(scope, receive, send)
+            return
+        if self.front is None:
+            raise RuntimeError("the dispatcher is not running: the server must run the lifespan")
+        scope.setdefault("state", {})["honeyhitch"] = self.front
+        if scope["type"] != "http":
+            await self.app(scope, receive, send)
+            return
+        begun = False
+
+        async def watched(message: Message) -> None:
+            nonlocal begun
+            begun = begun or message["type"] == "http.response.start"
+            await send(message)
+
+        try:
+            await self.app(scope, receive, watched)
+        except Rejected as reject:
+            if begun:
+                raise
+            wait = str(max(1, math.ceil(reject.come_back))).encode()
+            headers = [(b"retry-after", wait), (b"content-type", b"text/plain"), (b"content-length", b"0")]
+            await send({"type": "http.response.start", "status": 503, "headers": headers})
+            await send({"type": "http.response.body", "body": b""})
+
+    async def _start(self) -> None:
+        service = Service(self.config or configuration.read(os.environ))
+        front = service.dispatcher.fronts["app"] = AppFront(service.dispatcher)
+        try:
+            service.start(self.listen)
+        except BaseException:
+            await service.close()
+            raise
+        self.service, self.front = service, front
+
+    async def _stop(self) -> None:
+        service, self.service, self.front = self.service, None, None
+        if service is not None:
+            await service.leave()
+            await service.close()
+
+    async def _lifespan(self, scope: Message, receive: Receive, send: Send) -> None:
+        """The application's own lifespan runs inside the dispatcher's, if it has one."""
+        asked = up = finished = False
+
+        async def inner_receive() -> Message:
+            nonlocal asked
+            message = await receive()
+            if message["type"] == "lifespan.startup":
+                asked = True
+                await self._start()
+                scope.setdefault("state", {})["honeyhitch"] = self.front
+            return message
+
+        async def inner_send(message: Message) -> None:
+            nonlocal up, finished
+            up = up or message["type"] == "lifespan.startup.complete"
+            if message["type"] != "lifespan.startup.complete":
+                finished = True
+                await self._stop()
+            await send(message)
+
+        try:
+            await self.app(scope, inner_receive, inner_send)
+        except Exception as error:
+            if asked and self.service is None and not finished:  # the dispatcher could not start
+                await send({"type": "lifespan.startup.failed", "message": str(error)})
+                return
+            if up:
+                await self._stop()
+                raise
+        if not finished:  # the application knows no lifespan; the dispatcher has one all the same
+            if not asked:
+                await inner_receive()
+            await send({"type": "lifespan.startup.complete"})
+            await receive()
+            await self._stop()
+            await send({"type": "lifespan.shutdown.complete"})
--- /dev/null
+++ b/honeyhitch/wire/agent_check.py
@@ -0,0 +1,91 @@
+"""What balancers ask: HAProxy's agent-check, and health over HTTP."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from http import HTTPStatus
+
+import httptools
+
+from honeyhitch.core import Phase, State
+from honeyhitch.memory.buffer import Buffer
+
+MOST_REQUEST = 8192  # bytes
+
+
+def weight(state: State) -> int:
+    """Per cent of its room that is left; a ready one keeps at least 1, as 0 would mean drain."""
+    return max(1, 100 - 100 * state.held // max(1, state.most))
+
+
+def agent_line(state: State) -> bytes:
+    """HAProxy's words for a state: `ready` ends an earlier drain, and the percentage sets the weight."""
+    if state.phase is Phase.READY:
+        return b"up ready %d%%\n" % weight(state)
+    return b"drain\n" if state.phase is Phase.DRAINING else b"down #not serving\n"
+
+
+class AgentSession:
+    """One agent-check: a line at once, whatever was sent, and the end of the connection."""
+
+    def __init__(self, state: Callable[[], State]) -> None:
+        self.opening, self.closing = agent_line(state()), True
+
+    def receive(self, buffer: Buffer) -> bytes:
+        """Nothing is read."""
+        buffer.take()
+        return b""
+
+
+class HealthSession:
+    """HTTP health: `/health` says whether to send work here, `/live` whether the process answers at all."""
+
+    opening = b""
+
+    def __init__(self, state: Callable[[], State]) -> None:
+        self.state, self.closing, self.seen = state, False, 0
+        self.parser = httptools.HttpRequestParser(self)
+        self.path, self.replies = b"", list[bytes]()
+
+    def receive(self, buffer: Buffer) -> bytes:
+        """Replies to the requests that came."""
+        data = buffer.take()
+        self.seen += len(data)
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._reply(HTTPStatus.BAD_REQUEST, {})
+            self.closing = True
+        if self.seen > MOST_REQUEST:
+            self._reply(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, {})
+            self.closing = True
+        replies, self.replies = b"".join(self.replies), []
+        return replies
+
+    def _reply(self, status: HTTPStatus, body: dict[str, object], with_body: bool = True) -> None:
+        text = json.dumps(body).encode() if body else b""
+        head = f"HTTP/1.1 {status.value} {status.phrase}\r\nContent-Type: application/json\r\n"
+        head += f"Cache-Control: no-store\r\nContent-Length: {len(text)}\r\n"
+        head += "Connection: close\r\n\r\n" if self.closing else "\r\n"
+        self.replies.append(head.encode() + (text if with_body else b""))
+
+    # What the parser calls.
+
+    def on_url(self, url: bytes) -> None:
+        self.path += url
+
+    def on_message_complete(self) -> None:
+        path, self.path, self.seen = self.path.partition(b"?")[0], b"", 0
+        method, self.closing = self.parser.get_method(), not self.parser.should_keep_alive()
+        state, wanted = self.state(), method != b"HEAD"
+        told: dict[str, object] = {"state": state.phase.value, "held": state.held, "most": state.most}
+        if method not in (b"GET", b"HEAD"):
+            self._reply(HTTPStatus.METHOD_NOT_ALLOWED, {})
+        elif path == b"/live":
+            self._reply(HTTPStatus.OK, told, wanted)
+        elif path == b"/health":
+            ready = state.phase is Phase.READY
+            self._reply(HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE, told, wanted)
+        else:
+            self._reply(HTTPStatus.NOT_FOUND, {})
--- a/honeyhitch/wire/drivers/members.py
+++ b/honeyhitch/wire/drivers/members.py
@@ -42,9 +42,12 @@
 class HttpCarrier:
     """The carrier for members that discovery lists."""
 
-    def __init__(self, dispatcher: Dispatcher, scheduler: LoopScheduler, tasks: Tasks) -> None:
+    def __init__(
+        self, dispatcher: Dispatcher, scheduler: LoopScheduler, tasks: Tasks, most_idle: int
+    ) -> None:
         self.dispatcher, self.scheduler, self.tasks = dispatcher, scheduler, tasks
         self.loop, self.settings = scheduler.loop, dispatcher.s
+        self.most_idle = most_idle
         self.idle: dict[str, list[Connection]] = {}  # by member, the latest used last
         self.running: dict[Call, asyncio.Task[None]] = {}
 
@@ -149,6 +152,9 @@
     def _keep(self, member: PoolMember, connection: Connection) -> None:
         connection.idle_since = self.scheduler.now()
         self.idle.setdefault(member.id, []).append(connection)
+        kept = [(one.idle_since, name) for name, ones in self.idle.items() for one in ones[:1]]
+        if sum(map(len, self.idle.values())) > self.most_idle:  # those idle for longest make room
+            self.idle[min(kept)[1]].pop(0).sock.close()
 
     @staticmethod
     def _close(progress: Progress) -> None:
--- a/honeyhitch/wire/drivers/virtual_server.py
+++ b/honeyhitch/wire/drivers/virtual_server.py
@@ -19,6 +19,7 @@
 class ServerSession(Protocol):
     """What answers on one connection."""
 
+    opening: bytes  # sent before anything is read
     closing: bool
 
     def receive(self, buffer: Buffer) -> bytes:
@@ -63,6 +64,8 @@
     async def _serve(self, sock: socket.socket) -> None:
         session, buffer = self.session(), Buffer()
         try:
+            if session.opening:
+                await self.loop.sock_sendall(sock, session.opening)
             while not session.closing and await sockets.read(self.loop, sock, buffer):
                 replies = session.receive(buffer)
                 self.clients[sock] = len(buffer) > 0
--- a/honeyhitch/wire/resp.py
+++ b/honeyhitch/wire/resp.py
@@ -130,6 +130,8 @@
 class Session:
     """One client's connection: bytes in, replies out. `closing` is set when it must be closed."""
 
+    opening = b""
+
     def __init__(
         self,
         fields: Fields,
--- a/tests/program.py
+++ b/tests/program.py
@@ -84,24 +84,17 @@
 
 @contextlib.asynccontextmanager
 async def started(
-    folder: Path, discovery: int, members: list[dict[str, Any]], operator: str | None = None, port: int = 0
+    folder: Path,
+    discovery: int,
+    members: list[dict[str, Any]],
+    operator: str | None = None,
+    port: int = 0,
+    stopped: bool = False,
 ) -> AsyncIterator[int]:
-    """The program, ready to serve; it is cancelled at the end, as abruptly as a kill."""
+    """The program, ready to serve, on this port; it is cancelled at the end, as abruptly as a kill."""
     port = port or free_port()
-    told = {
-        "name": "n0",
-        "listen": f"127.0.0.1:{port}",
-        "discovery": f"127.0.0.1:{discovery}",
-        "state": str(folder / "state"),
-        "seed": "8c1f30d27a5be964",
-        "known": {"revision": 1, "complete": True, "members": members},
-        "settings": SETTINGS,
-    }
-    (folder / "config.json").write_text(json.dumps(told))
-    if operator is not None:
-        (folder / "operator.toml").write_text(operator)
-    path = str(folder / "operator.toml") if operator is not None else None
-    task = asyncio.ensure_future(run(config.read({}, str(folder / "config.json"), path)))
+    path = write(folder, port, discovery, members, operator)
+    task = asyncio.ensure_future(run(config.read({}, *path)))
     try:
         while True:
             try:
@@ -115,6 +108,27 @@
             writer.close()
             break
         yield port
+        if stopped:  # it was told to stop, and must do so by itself
+            await task
     finally:
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
+
+
+def write(
+    folder: Path, port: int, discovery: int, members: list[dict[str, Any]], operator: str | None = None
+) -> tuple[str, str | None]:
+    """The configuration's files; their paths."""
+    told = {
+        "name": "n0",
+        "listen": f"127.0.0.1:{port}",
+        "discovery": f"127.0.0.1:{discovery}",
+        "state": str(folder / "state"),
+        "seed": "8c1f30d27a5be964",
+        "known": {"revision": 1, "complete": True, "members": members},
+        "settings": SETTINGS,
+    }
+    (folder / "config.json").write_text(json.dumps(told))
+    if operator is not None:
+        (folder / "operator.toml").write_text(operator)
+    return str(folder / "config.json"), str(folder / "operator.toml") if operator is not None else None
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,131 @@
+"""Configuration: one builder for both forms, defaults, and messages that name the faulty key."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+from click.testing import CliRunner
+
+from honeyhitch.lifecycle import config
+from honeyhitch.lifecycle.cli import main
+
+from .program import SETTINGS, write
+
+ROOT = Path(__file__).parent.parent
+
+
+def faulty(path: str, value: object) -> dict[str, Any]:
+    """The settings with one value changed, or taken away where it is None."""
+    told: Any = json.loads(json.dumps(SETTINGS))
+    *inner, last = path.split(".")
+    at = told
+    for name in inner:
+        at = at[int(name) if name.isdigit() else name]
+    at[last] = value
+    if value is None:
+        del at[last]
+    return dict(told)
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "says"),
+    [
+        ("family-info.call-slots", None, "settings.family-info.call-slots: this setting is missing"),
+        ("family-info.call-slots", "many", "settings.family-info.call-slots: expected a whole number"),
+        ("classes.0.semantics", "odd", "settings.classes.0.semantics: expected one of pure, token"),
+        ("classes.0.aim", 0, "settings.classes.aim: must be above 0"),
+        ("invariants.cold-share", 7, "settings.cold_share: must be above 0 and at most 1"),
+        ("caps.max-open", 0, "settings.max_open: must be at least 1"),
+    ],
+)
+def test_a_faulty_setting_is_named(tmp_path: Path, path: str, value: object, says: str) -> None:
+    file = Path(write(tmp_path, 6379, 8500, [])[0])
+    file.write_text(json.dumps({**json.loads(file.read_text()), "settings": faulty(path, value)}))
+    with pytest.raises(config.ConfigError) as error:
+        config.read({}, str(file))
+    assert str(error.value).startswith(says)
+
+
+@pytest.mark.parametrize(
+    ("change", "says"),
+    [
+        ({"listen": "nowhere"}, "listen: expected HOST:PORT"),
+        ({"listen": "127.0.0.1:99999"}, "listen: expected HOST:PORT"),
+        ({"state": ""}, "state: missing; give it in the file or as ROUTER_STATE"),
+        ({"seed": "xyz"}, "seed: expected a number"),
+        ({"limits": {"disk_mb": 0}}, "limits.disk_mb: expected a number above 0"),
+        ({"settings": []}, "settings: expected an object"),
+        ({"known": 3}, "known: expected an object"),
+    ],
+)
+def test_a_faulty_key_is_named(tmp_path: Path, change: dict[str, Any], says: str) -> None:
+    file = Path(write(tmp_path, 6379, 8500, [])[0])
+    file.write_text(json.dumps({**json.loads(file.read_text()), **change}))
+    with pytest.raises(config.ConfigError) as error:
+        config.read({}, str(file))
+    assert str(error.value).startswith(says)
+
+
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        ("[mqtt]", "mqtt.broker: missing"),
+        ("[mqtt]\nbroker = 3", "mqtt.broker: expected str"),
+        ('[mqtt]\nbroker = "b:1"\nkeep-alive = 0', "mqtt.keep-alive: expected at least 1"),
+        ('[mqtt]\nbroker = "b:1"\nretain = true', "mqtt.retain: no such key"),
+        (
+            '[mqtt]\nbroker = "b:1"\n[[mqtt.member]]\nid = "a"\ndest = 1\ntopic = "a/#"',
+            "mqtt.member.0.topic:",
+        ),
+        (
+            '[mqtt]\nbroker = "b:1"\n[[mqtt.member]]\nid = "a"\ndest = 1\ntopic = "a"\nkind = "x"',
+            "mqtt.member.0.kind:",
+        ),
+        ('[beside]\nhealth = "x"', "beside.health: expected HOST:PORT"),
+        ("[beside", "ROUTER_OPERATOR:"),
+    ],
+)
+def test_a_faulty_operators_file_is_named(tmp_path: Path, text: str, says: str) -> None:
+    with pytest.raises(config.ConfigError) as error:
+        config.read({}, *write(tmp_path, 6379, 8500, [], text))
+    assert str(error.value).startswith(says)
+
+
+def test_both_forms_give_the_same_settings() -> None:
+    nested = config.Pairs.of_nested(SETTINGS)
+    words = [f"{path}={value}" for path, value in nested.values.items()]
+    settings = nested.settings()
+    assert config.Pairs.of_words(words).settings() == settings
+    assert (settings.max_open, settings.kinds[0].per_call, settings.kinds[1].name) == (50, 20, "small")
+    assert settings.tenant_names == ("studio",) and settings.report_fields == ("x0", "x1")
+
+
+def test_variables_win_over_the_file_and_the_shipped_files_are_sound() -> None:
+    example = str(ROOT / "example" / "config.json")
+    read = config.read({"ROUTER_LISTEN": "127.0.0.2:7", "ROUTER_STATE": "elsewhere"}, example)
+    assert (str(read.listen), str(read.state)) == ("127.0.0.2:7", "elsewhere")
+    assert read.operator.mqtt is None and read.operator.health is None, "nothing is on by itself"
+    operator = (ROOT / "deploy" / "mqtt.toml").read_text()
+    told = config._operator(str(ROOT / "deploy" / "mqtt.toml"), "n", _named(read, "small-partner"))
+    assert told.mqtt is not None and "print-shop" in operator and told.mqtt.members[0].destination == 7
+
+
+def _named(read: config.Config, kind: str) -> Any:
+    import dataclasses
+
+    kinds = (dataclasses.replace(read.settings.kinds[0], name=kind),)
+    return dataclasses.replace(read.settings, kinds=kinds)
+
+
+def test_the_command_line() -> None:
+    runner = CliRunner()
+    assert runner.invoke(main, ["version"]).output.strip().count(".") == 2
+    shown = runner.invoke(main, ["check", "--config", str(ROOT / "example" / "config.json")])
+    assert shown.exit_code == 0 and "listens on 127.0.0.1:6379" in shown.output
+    wrong = runner.invoke(main, ["check", "--config", "absent.json"])
+    assert wrong.exit_code == 2 and "ROUTER_CONFIG: cannot read absent.json" in wrong.output
+    nobody = runner.invoke(main, ["send", "127.0.0.1:1", "--dest", "1", "hi"])
+    assert nobody.exit_code == 1 and nobody.output.startswith("Error: ")
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -13,11 +13,11 @@
 
 import pytest
 
-from honeyhitch.core import Call, Offered
+from honeyhitch.core import Call, Offered, Phase, State
 from honeyhitch.memory.buffer import Buffer
 from honeyhitch.memory.pool import Pool, PoolError, PoolMember
 from honeyhitch.memory.transactions import Ending, Transaction
-from honeyhitch.wire import calls, discovery, http1, mqtt, mqtt_messages, notices, resp
+from honeyhitch.wire import agent_check, calls, discovery, http1, mqtt, mqtt_messages, notices, resp
 
 from .rig import SETTINGS, START
 from .world import settings
@@ -184,6 +184,21 @@
         yield b""
 
 
+class Beside:
+    """Agent-check or health; the argument is the phase."""
+
+    def __init__(self, phase: str, kind: Callable[[Callable[[], State]], Any]) -> None:
+        state = State(Phase(phase or "ready"), 2, 50)
+        self.session, self.buffer = kind(lambda: state), Buffer()
+
+    def feed(self, data: bytes) -> Out:
+        self.buffer.feed(data)
+        yield b"" if self.session.closing else self.session.receive(self.buffer)
+
+    def end(self) -> Out:
+        yield self.session.opening + b"closes\n" * self.session.closing
+
+
 class MqttTake:
     """A publish on the intake topic."""
 
@@ -210,11 +225,13 @@
     "call": HttpCall,
     "encode": Encode,
     "watch": Watch,
+    "agent": lambda phase: Beside(phase, agent_check.AgentSession),
+    "health": lambda phase: Beside(phase, agent_check.HealthSession),
     "mqtt": Mqtt,
     "mqtt-call": MqttCall,
     "mqtt-take": MqttTake,
 }
-STREAMS = ("resp", "call", "watch")  # a connection's bytes, which may come in any pieces
+STREAMS = ("resp", "call", "watch", "health")  # a connection's bytes, which may come in any pieces
 FAULTS = (http1.HttpError, discovery.WatchError, mqtt.MqttError, PoolError, resp.FieldError)
 
 
--- /dev/null
+++ b/tests/test_middleware.py
@@ -0,0 +1,136 @@
+"""The ASGI middleware round a Starlette application and round a bare one."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from starlette.applications import Starlette
+from starlette.middleware import Middleware
+from starlette.requests import Request
+from starlette.responses import PlainTextResponse, Response
+from starlette.routing import Route
+
+from honeyhitch.lifecycle import config
+from honeyhitch.middleware import DispatcherMiddleware
+
+from .program import Peer, free_port, play, write
+from .rig import row
+
+
+async def deliver(request: Request) -> Response:
+    left = float(request.query_params.get("left", "20"))
+    dest = int(request.query_params.get("dest", "1"))
+    await request.state.honeyhitch.deliver(dest, await request.body(), tenant="studio", time_left=left)
+    return PlainTextResponse("delivered")
+
+
+async def bare(scope: Any, receive: Any, send: Any) -> None:
+    assert scope["type"] == "http", "it knows no lifespan"
+    await scope["state"]["honeyhitch"].deliver(9, b"", time_left=0.1)
+
+
+@contextlib.asynccontextmanager
+async def lifespan(app: Any) -> AsyncIterator[list[dict[str, Any]]]:
+    sent: list[dict[str, Any]] = []
+    inbox: asyncio.Queue[dict[str, Any]] = asyncio.Queue()
+    came = asyncio.Event()
+
+    async def send(message: Any) -> None:
+        sent.append(message)
+        came.set()
+
+    task = asyncio.ensure_future(app({"type": "lifespan", "state": {}}, inbox.get, send))
+    inbox.put_nowait({"type": "lifespan.startup"})
+    await came.wait()
+    yield sent
+    inbox.put_nowait({"type": "lifespan.shutdown"})
+    await task
+
+
+async def ask(app: Any, query: str, body: bytes = b"hi") -> tuple[int, dict[bytes, bytes]]:
+    sent: list[dict[str, Any]] = []
+
+    async def receive() -> dict[str, Any]:
+        return {"type": "http.request", "body": body}
+
+    async def send(message: Any) -> None:
+        sent.append(message)
+
+    scope = {"type": "http", "method": "POST", "path": "/", "query_string": query.encode(), "headers": []}
+    await app(scope, receive, send)
+    return sent[0]["status"], dict(sent[0]["headers"])
+
+
+def configured(folder: Path, agent: Peer, member: Peer) -> config.Config:
+    members = [{**row("one", 1), "host_port": f"127.0.0.1:{member.port}"}]
+    return config.read({}, *write(folder, free_port(), agent.port, members))
+
+
+def test_an_application_delivers_and_a_reject_becomes_503(tmp_path: Path) -> None:
+    async def work() -> None:
+        agent, member = await Peer().start(), await Peer().start()
+        made: list[DispatcherMiddleware] = []
+
+        def middleware(inner: Any) -> DispatcherMiddleware:
+            made.append(DispatcherMiddleware(inner, configured(tmp_path, agent, member)))
+            return made[-1]
+
+        routes = [Route("/", deliver, methods=["POST"])]
+        app = Starlette(routes=routes, middleware=[Middleware(middleware)])
+        async with lifespan(app) as sent:
+            assert sent == [{"type": "lifespan.startup.complete"}]
+            asked = asyncio.ensure_future(ask(app, ""))
+            reader, writer = await member.accepted()
+            assert (await reader.readuntil(b"\r\n\r\nhi")).startswith(b"POST /v1/messages ")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            assert (await asked)[0] == 200
+            status, headers = await ask(app, "dest=9&left=0.2")
+            assert status == 503 and int(headers[b"retry-after"]) >= 1
+            gone = asyncio.ensure_future(ask(app, ""))
+            await reader.readuntil(b"\r\n\r\nhi")
+            gone.cancel()
+            assert await reader.read(1) == b"", "nobody waits any more: the call is given up"
+            service = made[0].service
+            assert service is not None and not service.dispatcher.held.by_id
+        assert sent[-1] == {"type": "lifespan.shutdown.complete"} and made[0].service is None
+
+    play(work())
+
+
+def test_an_application_without_a_lifespan_gets_one(tmp_path: Path) -> None:
+    async def work() -> None:
+        agent, member = await Peer().start(), await Peer().start()
+        app = DispatcherMiddleware(bare, configured(tmp_path, agent, member))
+        with pytest.raises(RuntimeError, match="lifespan"):
+            await ask(app, "")
+        async with lifespan(app) as sent:
+            assert sent == [{"type": "lifespan.startup.complete"}]
+            assert (await ask(app, ""))[0] == 503
+        assert sent[-1] == {"type": "lifespan.shutdown.complete"}
+
+    play(work())
+
+
+def test_a_dispatcher_that_cannot_start_is_told_to_the_server(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def work() -> None:
+        monkeypatch.delenv("ROUTER_CONFIG", raising=False)
+        sent: list[Any] = []
+
+        async def receive() -> Any:
+            return {"type": "lifespan.startup"}
+
+        async def send(message: Any) -> None:
+            sent.append(message)
+
+        await DispatcherMiddleware(Starlette())({"type": "lifespan", "state": {}}, receive, send)
+        assert [message["type"] for message in sent] == ["lifespan.startup.failed"]
+        assert "ROUTER_CONFIG" in sent[0]["message"]
+
+    play(work())
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -1,7 +1,9 @@
 """The program on loopback sockets: recorded exchanges between its parties, and MQTT beside a stand-in broker.
 
-In tests/programs a line `PARTY> BYTES` is sent by that party, `PARTY< BYTES` is what it must receive (`%` in
-it stands for a number), `PARTY close` ends its connection, `restart` kills the program and starts it again.
+In tests/programs a line `PARTY> BYTES` is sent by that party, and `PARTY< BYTES` is what it must receive, where
+`%` stands for a number. `PARTY close` ends its connection, `PARTY ended` finds it ended, `dial` connects the
+client anew, `stop` is SIGTERM, after which the program must end by itself, and `restart` kills the program
+and starts it again.
 """
 
 from __future__ import annotations
@@ -9,7 +11,9 @@
 import asyncio
 import collections
 import json
+import os
 import re
+import signal
 from pathlib import Path
 from typing import Any
 
@@ -51,7 +55,8 @@
         peers["client"] = client
         script = [line for line in file.read_text().splitlines() if line and line[0] != "#"]
         for part in "\n".join(script).split("\nrestart\n"):
-            async with started(tmp_path, peers["agent"].port, members, port=port):
+            stopped = "stop" in part.splitlines()
+            async with started(tmp_path, peers["agent"].port, members, port=port, stopped=stopped):
                 agent = peers["agent"]
                 # The first connection to the agent is the watch; notices come on another.
                 peers["watch"].now = await agent.came.get()
@@ -60,7 +65,13 @@
                 await client.dial(port)
                 for line in part.splitlines():
                     name, _, what = line.partition(" ")
-                    if what == "close":
+                    if name == "stop":
+                        os.kill(os.getpid(), signal.SIGTERM)
+                    elif name == "dial":
+                        await client.dial(port)
+                    elif what == "ended":
+                        assert await peers[name].now[0].read(1) == b""  # type: ignore[index]
+                    elif what == "close":
                         peers[name].now[1].close()  # type: ignore[index]
                         peers[name].now = None
                     elif name[-1] == ">":
