--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -1,6 +1,6 @@
 """The program on loopback sockets: recorded exchanges between its parties, and MQTT beside a stand-in broker.
 
-In tests/programs a line `PARTY> BYTES` is sent by that party, and `PARTY< BYTES` is what it must receive, where
+In tests/programs a line `PARTY> BYTES` is sent by that party, `PARTY< BYTES` is what it must receive, where
 `%` stands for a number. `PARTY close` ends its connection, `PARTY ended` finds it ended, `dial` connects the
 client anew, `stop` is SIGTERM, after which the program must end by itself, and `restart` kills the program
 and starts it again.
