Free a call's slot after a fault of ours, and bound what is remembered of ended messages

Seen by reading: an unexpected exception in HttpCarrier._run left its call without an outcome, so its slot was lost; ids of the MQTT front were forgotten after 20 s, though a broker may hand them in again later; a key was remembered over all destinations and without its time; a copy's delivery moved the window's start. Checked: tests for the fault, for keys over a restart, at other fronts and past their time. An application's fields now go through the same builder as the fronts'.

--- a/honeyhitch/core.py
+++ b/honeyhitch/core.py
@@ -145,13 +145,21 @@
         except JournalFull as error:
             print(f"journal: {error}", file=sys.stderr)
             return Offered(False, BUSY)
-        self._add(transaction)
+        now = self.scheduler.now()
+        if transaction.front != "resp" and self._keyed(transaction) and self.held.delivered(transaction, now):
+            # As the receiver would say of a repeat; the caller hears first that it was taken.
+            self.scheduler.at(now, lambda: self._final(transaction.id, Ending.DELIVERED, 0))
+        else:
+            self._add(transaction)
         return Offered(True)
 
+    def _keyed(self, transaction: Transaction) -> bool:
+        return bool(transaction.key) and self.s.classes[transaction.cls].effect is api.Effect.KEYED
+
     def _taken(self, transaction: Transaction) -> api.NewMessage:
         first = transaction.first_ran()
-        if first is None and transaction.key in self.held.keys:  # the key was delivered a moment ago
-            first = self.held.keys[transaction.key][:2]
+        if first is None and self._keyed(transaction):  # a copy must keep to the window of the first
+            first = self.held.delivered(transaction, self.last_tick)
         return api.NewMessage(
             message=transaction.id,
             cls=transaction.cls,
--- a/honeyhitch/lifecycle/serve.py
+++ b/honeyhitch/lifecycle/serve.py
@@ -25,6 +25,7 @@
 SPARE_SOCKETS = 200  # of the limit: for members, discovery, the journal and the like
 ACCEPT_ON, SEND_ON, LEAVE_AT = 0.6, 2.8, 3.3  # seconds after SIGTERM; SIGKILL comes after 3.7 at the soonest
 BESIDE_SOCKETS = 16  # connections at once to the agent-check, and as many to health
+REDELIVERY = 600 * 10**9  # ns for which ids are remembered that a broker may hand in again
 LOOK = 0.02  # seconds between looks at what is still out
 
 
@@ -35,8 +36,14 @@
         self.config, self.loop = config, asyncio.get_running_loop()
         settings, self.tasks, self.scheduler = config.settings, Tasks(self.loop), LoopScheduler(self.loop)
         config.state.mkdir(parents=True, exist_ok=True)
-        remember = max(cls.deadline for cls in settings.classes)
-        self.journal = Journal(config.state, config.limits.disk, self.scheduler.now, remember)
+        longest = max(cls.deadline for cls in settings.classes)
+        # A broker may hand an id in again long after; a client of the other front does so at once or never.
+        self.journal = Journal(
+            config.state,
+            config.limits.disk,
+            self.scheduler.now,
+            lambda ended: max(longest, REDELIVERY) if ended.front == "mqtt" else longest,
+        )
         pool = Pool(settings)
         self.dispatcher = Dispatcher(settings, config.seed, pool, self.journal, self.scheduler)
         most_idle = max(32, config.limits.sockets // 4)
--- a/honeyhitch/memory/journal.py
+++ b/honeyhitch/memory/journal.py
@@ -19,6 +19,7 @@
 HEAD = struct.Struct("<II")  # length and checksum of what follows
 SPLIT = struct.Struct("<I")  # length of the JSON in a record; the body follows it
 LARGEST = 1 << 20  # bytes in one record; a greater length is a torn one
+DISK_A_NAME = 600  # bytes of the disk for each id or key that is remembered; it takes some 45 of them
 PIECE = 1000  # ids or keys in one record
 BLOCK = 512  # the disk counts files in whole blocks
 TAKE_SHARE, WRITE_SHARE, COMPACT_SHARE = 0.75, 0.95, 0.3  # of the disk: take, write at all, tidy up
@@ -55,9 +56,11 @@
 class Journal:
     """The file, and the account of what it holds: `held` is what a replay would give."""
 
-    def __init__(self, folder: Path, disk: int, clock: Callable[[], int], remember: int) -> None:
+    def __init__(
+        self, folder: Path, disk: int, clock: Callable[[], int], remember: Callable[[Transaction], int]
+    ) -> None:
         self.path, self.spare, self.disk = folder / "journal", folder / "journal.new", disk
-        self.clock, self.remember, self.held = clock, remember, Held()
+        self.clock, self.remember, self.held = clock, remember, Held(disk // DISK_A_NAME)
         self.live = 0  # bytes of the records that compaction would keep, roughly
         self.sizes: dict[str, int] = {}
         self.spare.unlink(missing_ok=True)  # a compaction that was cut short; the old file still holds all
@@ -109,11 +112,13 @@
         transaction.ending = ending
         self.held.by_id.pop(transaction.id, None)
         self.live -= self.sizes.pop(transaction.id, 0)
-        until = at + self.remember
+        until = at + self.remember(transaction)
         self.held.ended[transaction.id] = until
         first = transaction.first_ran()
         if ending is Ending.DELIVERED and transaction.key and first is not None:
-            self.held.keys[transaction.key] = (*first, until)
+            # A copy's own first attempt is later: the window counts from the earliest one.
+            first = min(first, self.held.delivered(transaction, at) or first)
+            self.held.keys[self.held.key(transaction)] = (*first, until)
 
     @staticmethod
     def _whole(transaction: Transaction) -> dict[str, object]:
--- a/honeyhitch/memory/transactions.py
+++ b/honeyhitch/memory/transactions.py
@@ -42,17 +42,28 @@
 class Held:
     """All transactions held, and for a while the ids and keys of those that ended."""
 
-    def __init__(self) -> None:
+    def __init__(self, most: int = 10_000) -> None:
         self.by_id: dict[str, Transaction] = {}
         self.ended: dict[str, int] = {}  # id: remembered until
-        self.keys: dict[str, tuple[int, int, int]] = {}  # delivered key: first ran at, zone, until
+        self.keys: dict[str, tuple[int, int, int]] = {}  # delivered: first ran at, its zone, until
+        self.most = most  # ids, and as many keys
 
     def __len__(self) -> int:
         return len(self.by_id)
 
+    @staticmethod
+    def key(transaction: Transaction) -> str:
+        """An idempotency key counts at one destination."""
+        return f"{transaction.destination} {transaction.key}"
+
+    def delivered(self, transaction: Transaction, now: int) -> tuple[int, int] | None:
+        """When and in which zone a message with this one's key first ran, if it was delivered lately."""
+        first, zone, until = self.keys.get(self.key(transaction), (0, 0, 0))
+        return (first, zone) if until > now else None
+
     def forget(self, now: int) -> None:
-        """Drop what need not be remembered any longer (both dicts are in the order of entry)."""
-        for old in [name for name, until in self.ended.items() if until <= now]:
-            del self.ended[old]
-        for old in [key for key, (_, _, until) in self.keys.items() if until <= now]:
-            del self.keys[old]
+        """Drop what need not be remembered any longer, and beyond `most` what would be dropped next."""
+        late = sorted(self.ended.values(), reverse=True)[: self.most][-1:] or [0]
+        self.ended = {name: until for name, until in self.ended.items() if until > now and until >= late[0]}
+        kept = [(key, row) for key, row in self.keys.items() if row[2] > now]
+        self.keys = dict(kept[-self.most :])
--- a/honeyhitch/middleware.py
+++ b/honeyhitch/middleware.py
@@ -13,6 +13,7 @@
 from honeyhitch.lifecycle import config as configuration
 from honeyhitch.lifecycle.serve import Service
 from honeyhitch.memory.transactions import Ending, Transaction
+from honeyhitch.wire.resp import Fields
 
 SECOND = 10**9  # ns
 Message = MutableMapping[str, Any]
@@ -37,7 +38,7 @@
     """The front of an application in the same process: it hands in and waits for final answers."""
 
     def __init__(self, dispatcher: Dispatcher) -> None:
-        self.dispatcher, self.names = dispatcher, [cls.name for cls in dispatcher.s.classes]
+        self.dispatcher, self.fields = dispatcher, Fields(dispatcher.s)
         self.waiting: dict[str, asyncio.Future[Transaction]] = {}
 
     def answer(self, transaction: Transaction) -> None:
@@ -57,21 +58,19 @@
         tenant: str | None = None,
         time_left: float | None = None,
     ) -> str:
-        """Hand a message in without waiting for its end; its id. Raises Rejected."""
+        """Hand a message in without waiting for its end; its id. Raises Rejected.
+
+        ValueError names a field that cannot be used.
+        """
         settings = self.dispatcher.s
-        number = self._index(self.names, cls, "cls")
-        left = settings.classes[number].deadline if time_left is None else int(time_left * SECOND)
+        left = settings.classes[0].deadline / SECOND if time_left is None else time_left
         name = secrets.token_hex(8)
-        transaction = Transaction(
-            id=name,
-            cls=number,
-            destination=destination,
-            deadline=self.dispatcher.scheduler.now() + left,
-            body=body,
-            key=key or name,
-            tenant=self._index(list(settings.tenant_names), tenant, "tenant"),
-            front="app",
-        )
+        told = {"c": settings.classes[0].name if cls is None else cls, "dest": str(destination)}
+        told |= {"k": key or name, "d": str(max(0, int(left * 1000)))}
+        told["t"] = tenant if tenant is not None else next(iter(settings.tenant_names), "")
+        now = self.dispatcher.scheduler.now()
+        transaction = self.fields.transaction(name.encode(), told, body, now)
+        transaction.front = "app"
         offered: Offered = self.dispatcher.offer(transaction)
         if not offered.taken:
             raise Rejected(offered.come_back / SECOND)
@@ -97,12 +96,6 @@
             raise Undeliverable(name)
         return name
 
-    @staticmethod
-    def _index(names: list[str], name: str | None, what: str) -> int:
-        if name is not None and name not in names:
-            raise ValueError(f"{what}: not a name in the settings: {name!r}")
-        return 0 if name is None else names.index(name)
-
 
 class DispatcherMiddleware:
     """Wraps an ASGI application. In it, `scope["state"]["honeyhitch"]` is the AppFront.
--- a/honeyhitch/wire/drivers/broker.py
+++ b/honeyhitch/wire/drivers/broker.py
@@ -24,6 +24,7 @@
 
 GREETING = 5.0  # seconds to connect, and for the server's CONNACK
 BAD = 0x83  # PUBACK: implementation specific error
+MOST_REJECTED = 10_000  # ids of which a redelivery is told
 AGAIN = 1_000_000_000  # ns before an answer goes again that the broker had no room for
 
 
@@ -89,14 +90,12 @@
         for session in (self.intake, self.replies):
             session.username, session.password = setup.username, setup.password
         self.links = [Link(setup.broker, session, tasks) for session in (self.intake, self.replies)]
-        self.remember = max(cls.deadline for cls in dispatcher.s.classes)
-        self.rejected: dict[str, int] = {}  # ids answered without being taken on: remembered until
+        self.rejected: dict[str, None] = {}  # the latest ids answered without being taken on
 
     def _taken(self, packet: Packet) -> None:
         if not self.dispatcher.taking:
             return  # not acknowledged: the broker hands it to the next process, or to another dispatcher
         now = self.scheduler.now()
-        self.rejected = {name: until for name, until in self.rejected.items() if until > now}
         name = dict(packet.user).get("id", "")
         try:
             reply = messages.reply_to(packet)
@@ -112,7 +111,9 @@
             except FieldError as error:
                 answer = messages.final(reply, name, "error", {"reason": str(error)})
             if answer is not None:
-                self.rejected[name] = now + self.remember
+                self.rejected[name] = None
+                if len(self.rejected) > MOST_REJECTED:
+                    del self.rejected[next(iter(self.rejected))]
                 self._publish(answer, None)
         # Only now: what was taken on is in the journal, so the broker may forget it.
         self.intake.acknowledge(packet)
--- a/honeyhitch/wire/drivers/members.py
+++ b/honeyhitch/wire/drivers/members.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import socket
+import sys
+import traceback
 from dataclasses import dataclass
 
 from honeyhitch import interface as api
@@ -97,15 +99,16 @@
             result = self._cut(call, progress, api.Outcome.CANCELLED)
         except (OSError, http1.HttpError):
             result = self._cut(call, progress, api.Outcome.RESET)
+        except Exception:  # a fault of ours must not keep the slot for ever
+            traceback.print_exc(file=sys.stderr)
+            result = self._cut(call, progress, api.Outcome.RESET)
         finally:
             # Only once the connection is closed or free is the slot free, whatever happened.
-            if result is None or not (progress.connection and progress.connection.machine.reusable):
-                self._close(progress)
-            else:
+            if result is not None and progress.connection and progress.connection.machine.reusable:
                 self._keep(call.member, progress.connection)
+            else:
+                self._close(progress)
             self.running.pop(call, None)
-            if result is None:
-                result = self._cut(call, progress, api.Outcome.RESET)
         self.dispatcher.ended(call, result)
 
     @staticmethod
--- a/honeyhitch/wire/resp.py
+++ b/honeyhitch/wire/resp.py
@@ -20,7 +20,7 @@
     """What follows cannot be told apart any more: the connection has to be closed."""
 
 
-class FieldError(Exception):
+class FieldError(ValueError):
     """A command that was read whole, with a field that cannot be used."""
 
 
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -63,7 +63,7 @@
     ) -> None:
         self.s = settings(**{**SETTINGS, **more})
         self.time = time or VirtualTime()
-        self.journal = Journal(folder, disk, self.time.now, 20 * SECOND)
+        self.journal = Journal(folder, disk, self.time.now, lambda ended: 20 * SECOND)
         self.calls: list[Call] = []
         self.answers: list[Transaction] = []
         self.confirm = True
@@ -90,7 +90,8 @@
             self.core.answered(transaction)
 
     def hand_in(self, name: str, dest: int = 1, left: int = 20 * SECOND, **more: Any) -> bool:
-        transaction = Transaction(name, 0, dest, self.time.time + left, b"body", key=f"k-{name}", **more)
+        more.setdefault("key", f"k-{name}")
+        transaction = Transaction(name, 0, dest, self.time.time + left, b"body", **more)
         return self.core.offer(transaction).taken
 
     def end(self, call: Call, outcome: api.Outcome, **more: Any) -> None:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -126,17 +126,26 @@
     assert [answer.id for answer in again.answers] == ["a"]
 
 
-def test_a_key_delivered_a_moment_ago_bounds_a_copy_handed_in_again(tmp_path: Path) -> None:
+def test_a_key_delivered_lately_bounds_a_copy_and_another_front_is_told(tmp_path: Path) -> None:
     stand = Stand(tmp_path)
-    stand.hand_in("a")
+    stand.hand_in("a", key="k")
     (call,) = stand.run(0.1)
     stand.end(call, Outcome.DELIVERED)
-    stand.run(6)
+    stand.run(1)
     again = Stand(tmp_path, stand.time)  # the key is remembered over a restart
-    again.core.held.keys["k-b"] = again.core.held.keys["k-a"]
-    again.hand_in("b", came_again=True)
-    assert not again.run(1), "outside the window a copy would run twice"
-    assert [answer.id for answer in again.answers] == ["b"]
+    again.hand_in("b", key="k")
+    (copy,) = again.run(0.1)
+    again.end(copy, Outcome.DELIVERED)
+    again.hand_in("c", key="k", front="mqtt")
+    again.run(0.1)
+    assert [(answer.id, answer.ending) for answer in again.answers] == [("c", Ending.DELIVERED)]
+    again.run(4.5)  # inside the copy's window, but past the first one's
+    again.hand_in("d", key="k")
+    assert not again.run(1), "outside the first one's window a copy would run"
+    assert again.answers[-1].id == "d" and again.answers[-1].ending is Ending.REJECTED
+    again.run(30)
+    again.hand_in("e", key="k")
+    assert again.run(1), "what is long past is no copy"
 
 
 def test_a_full_journal_turns_away_and_never_crashes(tmp_path: Path) -> None:
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -14,7 +14,7 @@
 
 
 def opened(folder: Path, disk: int = 1_000_000) -> Journal:
-    return Journal(folder, disk, lambda: NOW, 500)
+    return Journal(folder, disk, lambda: NOW, lambda ended: 500)
 
 
 def transaction(name: str, body: bytes = b"\r\n\x00\xff body") -> Transaction:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -23,6 +23,7 @@
 from paho.mqtt.properties import Properties
 
 from honeyhitch.memory.journal import unpack
+from honeyhitch.wire import calls
 from honeyhitch.wire.mqtt import Kind, Packet
 
 from .broker import Broker
@@ -92,6 +93,35 @@
     r"*5\r\n$7\r\nENQUEUE\r\n$1\r\n0\r\n$2\r\nid\r\n"
     r"$38\r\nc=standard,t=studio,d=9000,k=kk,dest=1\r\n$4\r\nbody\r\n"
 )
+
+
+def test_a_fault_of_ours_in_a_call_frees_its_slot(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    encode, faults = calls.encode, [RuntimeError("a fault")]
+
+    def faulty(*given: Any) -> bytes:
+        if faults:
+            raise faults.pop()
+        return encode(*given)
+
+    async def work() -> None:
+        agent, member, client = await Peer().start(), await Peer().start(), Peer()
+        members = [{**row("one", 1), "host_port": f"127.0.0.1:{member.port}"}]
+        async with started(tmp_path, agent.port, members) as port:
+            await client.dial(port)
+            assert client.now is not None
+            client.now[1].write(raw(ENQUEUE))
+            await receive(client, b"+OK\r\n")
+            while faults:
+                await asyncio.sleep(0.01)
+            await member.accepted()  # the connection of the faulty call, which carries nothing
+            member.now = None
+            reader, _ = await member.accepted()
+            assert await reader.readuntil(b"body")
+
+    monkeypatch.setattr(calls, "encode", faulty)
+    play(work())
+
+
 OPERATOR = """
 [mqtt]
 broker = "127.0.0.1:{port}"
