Answer each MQTT message without an id, and test what balancers ask on sockets

Seen by reading: a second message without an id was taken for a redelivery of the first and got no answer (MqttFront._taken). Checked: both get their error; agent-check and health answer on their ports.

--- a/honeyhitch/wire/drivers/broker.py
+++ b/honeyhitch/wire/drivers/broker.py
@@ -111,7 +111,8 @@
             except FieldError as error:
                 answer = messages.final(reply, name, "error", {"reason": str(error)})
             if answer is not None:
-                self.rejected[name] = None
+                if name:  # what names no id cannot be told from another such, and is answered each time
+                    self.rejected[name] = None
                 if len(self.rejected) > MOST_REJECTED:
                     del self.rejected[next(iter(self.rejected))]
                 self._publish(answer, None)
--- a/honeyhitch/wire/mqtt.py
+++ b/honeyhitch/wire/mqtt.py
@@ -392,6 +392,7 @@
 
     def publish(self, packet: Packet, done: Callable[[Packet | None, bool], None]) -> Outgoing:
         """Send a PUBLISH with QoS 1 or 2 as soon as the server's receive maximum allows."""
+        packet.dup = False  # also one that was out before and was refused
         one = Outgoing(packet, done)
         self.queue.append(one)
         self._drain()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -122,6 +122,21 @@
     play(work())
 
 
+def test_balancers_are_answered_beside_the_fronts(tmp_path: Path) -> None:
+    async def work() -> None:
+        agent, ports = await Peer().start(), (free_port(), free_port())
+        beside = '[beside]\nagent-check = "127.0.0.1:{}"\nhealth = "127.0.0.1:{}"\n'.format(*ports)
+        async with started(tmp_path, agent.port, [], beside):
+            reader, _ = await asyncio.open_connection("127.0.0.1", ports[0])
+            assert await reader.read() == b"up ready 100%\n"
+            reader, writer = await asyncio.open_connection("127.0.0.1", ports[1])
+            writer.write(b"GET /health HTTP/1.0\r\n\r\n")
+            answer = await reader.read()
+            assert answer.startswith(b"HTTP/1.1 200 OK\r\n") and answer.endswith(b'"held": 0, "most": 50}')
+
+    play(work())
+
+
 OPERATOR = """
 [mqtt]
 broker = "127.0.0.1:{port}"
@@ -207,10 +222,13 @@
             client.hand_in("fails", 1, left=300)
             client.hand_in("nobody", 9, left=300)
             client.hand_in("", 1)
+            client.hand_in("", 1)
             await client.until(6)
+            while len(client.answers[""]) < 2:  # without an id, each is answered by itself
+                await asyncio.sleep(0.01)
         client.paho.disconnect()
         client.paho.loop_stop()
-        assert all(len(answers) == 1 for answers in client.answers.values())
+        assert all(len(answers) == 1 + (name == "") for name, answers in client.answers.items())
         status = {name: answers[0]["status"] for name, answers in client.answers.items()}
         assert status == {
             "good": "delivered",
