--- /dev/null
+++ b/tests/test_fuzz.py
@@ -0,0 +1,89 @@
+"""Whatever bytes come, a machine answers, waits for more, or names what is wrong."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from honeyhitch.memory.buffer import Buffer
+from honeyhitch.wire import agent_check, calls, discovery, http1, mqtt, resp
+
+from .test_exchanges import FAULTS, Beside, Resp, parts
+
+PIECES = st.sampled_from(
+    [
+        b"*5\r\n",
+        b"$7\r\n",
+        b"ENQUEUE\r\n",
+        b"$-1\r\n",
+        b"\r\n",
+        b"HTTP/1.1 200 OK\r\n",
+        b"Content-Length: 5\r\n",
+        b"Transfer-Encoding: chunked\r\n",
+        b"5\r\n",
+        b"{}\n",
+        b'{"members":[{}]}\n',
+        b"id0 accepted\r\n",
+        b"id1\r\n",
+        b"\x20\x03\x00\x00\x00",
+        b"\x32\x07\x00\x01t\x00\x01\x00x",
+        b"\x30\xff\xff\xff\x7f",
+        b"\xe0\x00",
+        b"\x00",
+        b"GET /health HTTP/1.1\r\n",
+        b"Connection: close\r\n",
+        b"Retry-After: 1e9\r\n",
+        b"X-Pressure: x0=,=,x1\r\n",
+        b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
+    ]
+)
+BYTES = st.lists(PIECES | st.binary(max_size=12), max_size=8).map(b"".join)
+
+
+def answer(data: bytes) -> None:
+    machine = http1.AnswerMachine()
+    if (found := machine.feed(data) or machine.ended()) is not None:
+        result = calls.read(found, parts(2))
+        assert len(result.outcomes) == 2 and result.wait >= 0
+
+
+def session(data: bytes) -> None:
+    one, buffer = mqtt.Session("c", 60), Buffer()
+    one.open()
+    one.publish(mqtt.Packet(mqtt.Kind.PUBLISH, topic="t", qos=2), lambda ack, left: None)
+    buffer.feed(b"\x20\x03\x00\x00\x00" + data)
+    one.receive(buffer)
+    one.broke()
+
+
+def front(data: bytes) -> None:
+    list(Resp("").feed(data))
+
+
+def health(data: bytes) -> None:
+    list(Beside("", agent_check.HealthSession).feed(data))
+
+
+MACHINES: list[Callable[[bytes], Any]] = [
+    front,
+    answer,
+    lambda data: discovery.Watch().feed(data),
+    session,
+    health,
+]
+
+
+@pytest.mark.parametrize("machine", MACHINES, ids=["resp", "answer", "watch", "mqtt", "health"])
+def test_no_bytes_break_a_machine(machine: Callable[[bytes], Any]) -> None:
+    @given(BYTES)
+    def play(data: bytes) -> None:
+        try:
+            machine(data)
+        except (*FAULTS, resp.FramingError) as error:
+            assert str(error)
+
+    play()
