--- a/honeyhitch/lifecycle/serve.py
+++ b/honeyhitch/lifecycle/serve.py
@@ -61,11 +61,10 @@
         self.dispatcher.fronts["mqtt"], self.dispatcher.carriers["mqtt"] = front, carrier
         pool = self.dispatcher.pool
         for told in setup.members:
-            kind, zone = (
-                pool.kinds.index(told.kind),
-                pool.zones.index(told.zone) if told.zone in pool.zones else 0,
-            )
-            pool.fix(PoolMember(told.id, told.topic, told.destination, kind, zone, told.rate, carrier="mqtt"))
+            kind = pool.kinds.index(told.kind)
+            zone = pool.zones.index(told.zone) if told.zone in pool.zones else 0
+            member = PoolMember(told.id, told.topic, told.destination, kind, zone, told.rate, carrier="mqtt")
+            pool.fix(member)
         self.works += [link.run for link in (*front.links, carrier.link)]
 
     def start(self, listen: bool = True) -> None:
