Test that a killed process gives its MQTT messages one final answer

Checked: killed with a call out, the next process sends it again inside its window, knows the id when it is handed in once more, and answers once.

--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -300,6 +300,35 @@
     play(work())
 
 
+def test_the_process_killed_with_a_call_out_still_gives_one_final_answer(tmp_path: Path) -> None:
+    async def work() -> None:
+        broker, agent = Broker(), await Peer().start()
+        await broker.start()
+        ended(broker, {"m": -1})
+        client = Client(asyncio.get_running_loop())
+        operator = OPERATOR.format(port=broker.port, dest=1)
+        async with started(tmp_path, agent.port, [], operator):
+            client.connect(broker.port)
+            while "n0-intake" not in broker.kept or "client" not in broker.kept:
+                await asyncio.sleep(0.01)
+            client.hand_in("m", 1)
+            while not any(packet.topic == "partner/1" for packet in broker.published):
+                await asyncio.sleep(0.01)
+        ended(broker, {})
+        async with started(tmp_path, agent.port, [], operator):
+            client.hand_in("m", 1)  # handed in twice: the id is known over the restart
+            await client.until(1)
+            client.hand_in("n", 1)
+            await client.until(2)
+        client.paho.disconnect()
+        client.paho.loop_stop()
+        assert [answer["status"] for answer in client.answers["m"]] == ["delivered"]
+        calls = [packet for packet in broker.published if packet.topic == "partner/1"]
+        assert [dict(packet.user)["id"] for packet in calls] == ["m", "m", "n"]
+
+    play(work())
+
+
 def test_one_partner_over_both_wires_shares_its_wait(tmp_path: Path) -> None:
     async def work() -> None:
         broker, agent, member, client = Broker(), await Peer().start(), await Peer().start(), Peer()
