Reread the configuration on SIGHUP and move to the new agent

Checked: lifecycle/signals.py handled SIGTERM and SIGINT only. Ruled out: moving the socket alone. The variable ROUTER_DISCOVERY stays what it was at the start and would win over the new file, and the watch's index is the old agent's number, which a new one may take for news already had.

Now signals.py installs SIGHUP before anything else, Service.reload reads through config.read (with the configuration before, so that a changed word of the file wins over a variable of the start), logs a faulty file and keeps the old one, moves Discovery (watch, notices not confirmed) and names what else differs. Each watch first asks for the whole list. The example's discovery answers that too.

--- a/example/toy.py
+++ b/example/toy.py
@@ -60,13 +60,16 @@
 
 
 async def discovery(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    """Gives the list to a watch and keeps it open; takes notices."""
+    """Gives the list, once or to a watch, which it keeps open; takes notices."""
     while True:
         path, _, body = await read(reader)
         if path == "/reports":
             print(f"notice: {body.decode().strip()}", flush=True)
             writer.write(answer("204 No Content"))
             continue
+        if "stream=1" not in path:
+            writer.write(answer("200 OK", LIST))
+            continue
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         writer.write(b"%x\r\n%s\r\n" % (len(LIST), LIST))
         while True:
--- a/honeyhitch/lifecycle/cli.py
+++ b/honeyhitch/lifecycle/cli.py
@@ -22,10 +22,10 @@
 @click.option("--config", "path", type=click.Path(), help="The JSON file; ROUTER_CONFIG names it otherwise.")
 @click.option("--operator", type=click.Path(), help="An operator's TOML file; or ROUTER_OPERATOR names it.")
 def serve(path: str | None, operator: str | None) -> None:
-    """Run one dispatcher in the foreground till SIGTERM."""
+    """Run one dispatcher in the foreground till SIGTERM; SIGHUP makes it read its configuration again."""
     from honeyhitch.lifecycle.serve import serve as run
 
-    run(_read(path, operator))
+    run(_read(path, operator), lambda before: configuration.read(os.environ, path, operator, before))
 
 
 @main.command()
--- a/honeyhitch/lifecycle/config.py
+++ b/honeyhitch/lifecycle/config.py
@@ -237,6 +237,7 @@
     known: dict[str, Any]
     settings: api.Settings
     operator: Operator
+    words: dict[str, Any]  # the file's own words at the start, for what a variable can say too
 
 
 def _seed(value: object) -> int:
@@ -360,16 +361,27 @@
     return Operator(setup, parsed["agent-check"], parsed["health"])
 
 
-def read(environ: Mapping[str, str], path: str | None = None, operator: str | None = None) -> Config:
+def read(
+    environ: Mapping[str, str],
+    path: str | None = None,
+    operator: str | None = None,
+    before: Config | None = None,
+) -> Config:
     """The configuration: the file named in ROUTER_CONFIG, the other variables before its own words, and
-    the operator's file where ROUTER_OPERATOR or the command line names one."""
+    the operator's file where ROUTER_OPERATOR or the command line names one.
+
+    With `before` it is read again by a process that runs. Its variables are as old as its start and cannot
+    follow a new file: where the file no longer says what it said then, the file wins.
+    """
     path = path or environ.get("ROUTER_CONFIG", "")
     if not path:
         raise ConfigError("ROUTER_CONFIG: this variable is missing; it names the configuration's JSON file")
     told = _json(path)
+    words = {key: told.get(key) for key in ("name", "listen", "discovery", "state")}
+    first = before.words if before is not None else words
     values = {
-        key: environ.get(f"ROUTER_{key.upper()}") or told.get(key)
-        for key in ("name", "listen", "discovery", "state")
+        key: word if word and word != first[key] else environ.get(f"ROUTER_{key.upper()}") or word
+        for key, word in words.items()
     }
     for key, value in values.items():
         if not value:
@@ -393,4 +405,5 @@
         known=known,
         settings=settings,
         operator=_operator(operator or environ.get("ROUTER_OPERATOR", ""), str(values["name"]), settings),
+        words=first,
     )
--- a/honeyhitch/lifecycle/serve.py
+++ b/honeyhitch/lifecycle/serve.py
@@ -10,8 +10,8 @@
 import uvloop
 
 from honeyhitch.core import Dispatcher
-from honeyhitch.lifecycle.config import Config, MqttSetup
-from honeyhitch.lifecycle.signals import Stop
+from honeyhitch.lifecycle.config import Config, ConfigError, MqttSetup
+from honeyhitch.lifecycle.signals import Stop, on_reload
 from honeyhitch.memory.journal import Journal
 from honeyhitch.memory.pool import Pool, PoolError, PoolMember
 from honeyhitch.wire import resp
@@ -27,6 +27,7 @@
 BESIDE_SOCKETS = 16  # connections at once to the agent-check, and as many to health
 REDELIVERY = 600 * 10**9  # ns for which ids are remembered that a broker may hand in again
 LOOK = 0.02  # seconds between looks at what is still out
+AT_START_ONLY = ("name", "listen", "state", "seed", "limits", "known", "settings", "operator")
 
 
 class Service:
@@ -48,9 +49,9 @@
         self.dispatcher = Dispatcher(settings, config.seed, pool, self.journal, self.scheduler)
         most_idle = max(32, config.limits.sockets // 4)
         carrier = HttpCarrier(self.dispatcher, self.scheduler, self.tasks, most_idle)
-        discovery = Discovery(str(config.discovery), self.dispatcher, self.tasks)
-        self.dispatcher.carriers["http"], self.dispatcher.fronts["resp"] = carrier, discovery
-        self.works: list[Callable[[], Awaitable[None]]] = [discovery.watch, discovery.notify, carrier.sweep]
+        self.discovery = Discovery(str(config.discovery), self.dispatcher, self.tasks)
+        self.dispatcher.carriers["http"], self.dispatcher.fronts["resp"] = carrier, self.discovery
+        self.works: list[Callable[[], Awaitable[None]]] = [carrier.sweep]
         if config.operator.mqtt is not None:
             self._mqtt(config.operator.mqtt)
         self.servers: list[VirtualServer] = []
@@ -92,6 +93,23 @@
             )
         for work in self.works:
             self.tasks.keep(work)
+        self.discovery.start()
+
+    def reload(self, read: Callable[[Config], Config]) -> None:
+        """Take over a new configuration: nothing held is lost, and with a faulty one all stays as it is."""
+        try:
+            new = read(self.config)
+        except Exception as error:  # whatever is wrong with a file must not end a process that serves
+            what = error if isinstance(error, ConfigError) else repr(error)
+            print(f"reload: {what}; the configuration stays as it was", file=sys.stderr)
+            return
+        if new.discovery != self.config.discovery:
+            print(f"reload: discovery moves from {self.config.discovery} to {new.discovery}", file=sys.stderr)
+            self.discovery.move(str(new.discovery))
+        for name in AT_START_ONLY:
+            if getattr(new, name) != getattr(self.config, name):
+                print(f"reload: {name} differs and takes effect with a restart", file=sys.stderr)
+        self.config = new
 
     def _listen(self, address: tuple[str, int], session: Callable[[], ServerSession], most: int) -> None:
         server = VirtualServer(address, session, most, self.tasks)
@@ -122,11 +140,13 @@
         self.journal.close()
 
 
-async def run(config: Config) -> None:
-    """Serve until a signal to stop has been obeyed."""
+async def run(config: Config, read: Callable[[Config], Config]) -> None:
+    """Serve until a signal to stop has been obeyed; `read` reads the configuration again."""
+    loop = asyncio.get_running_loop()  # signals that come while the service is set up wait for it
+    on_reload(loop, lambda: service.reload(read))
+    stop = Stop(loop, (signal.SIGTERM, signal.SIGINT))
     service = Service(config)
     try:
-        stop = Stop(service.loop, (signal.SIGTERM, signal.SIGINT))
         service.start()
         await stop.asked.wait()
         await service.leave()
@@ -134,7 +154,7 @@
         await service.close()
 
 
-def serve(config: Config) -> None:
+def serve(config: Config, read: Callable[[Config], Config]) -> None:
     """Run on uvloop till told to stop."""
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(run(config))
+        runner.run(run(config, read))
--- a/honeyhitch/lifecycle/signals.py
+++ b/honeyhitch/lifecycle/signals.py
@@ -1,10 +1,10 @@
-"""Signals that ask the process to stop."""
+"""Signals that ask the process to stop, or to read its configuration again."""
 
 from __future__ import annotations
 
 import asyncio
 import signal
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 
 class Stop:
@@ -14,3 +14,8 @@
         self.asked = asyncio.Event()
         for number in signals:
             loop.add_signal_handler(number, self.asked.set)
+
+
+def on_reload(loop: asyncio.AbstractEventLoop, what: Callable[[], None]) -> None:
+    """Call it on each SIGHUP, which would end the process otherwise."""
+    loop.add_signal_handler(signal.SIGHUP, what)
--- a/honeyhitch/wire/discovery.py
+++ b/honeyhitch/wire/discovery.py
@@ -1,4 +1,4 @@
-"""Discovery's watch: a request, and JSON lines from a chunked answer that stays open."""
+"""Discovery's list and its watch: requests, and JSON from an answer, or from one that stays open."""
 
 from __future__ import annotations
 
@@ -14,6 +14,28 @@
     """The watch gave something that cannot be read, or ended."""
 
 
+def list_request(host: str) -> bytes:
+    """Ask for the whole list."""
+    return http1.request("GET", "/api/targets", host, {"Accept": "application/json"})
+
+
+def whole_list(answer: http1.Answer) -> dict[str, Any]:
+    """The list that an answer holds, in discovery's form."""
+    if answer.status != 200:
+        raise WatchError(f"list: answered {answer.status}")
+    return _object(answer.body, "list")
+
+
+def _object(text: bytes, name: str) -> dict[str, Any]:
+    try:
+        value = json.loads(text)
+    except ValueError as error:
+        raise WatchError(f"{name}: not JSON: {text[:80]!r}") from error
+    if not isinstance(value, dict):
+        raise WatchError(f"{name}: expected an object, got {text[:80]!r}")
+    return value
+
+
 def watch_request(host: str, revision: int) -> bytes:
     """Ask for all changes after a revision."""
     return http1.request(
@@ -36,15 +58,8 @@
         *lines, rest = bytes(self.line).split(b"\n")
         self.line = bytearray(rest)
         for line in lines:
-            if not line.strip():
-                continue
-            try:
-                value = json.loads(line)
-            except ValueError as error:
-                raise WatchError(f"watch: not JSON: {line[:80]!r}") from error
-            if not isinstance(value, dict):
-                raise WatchError(f"watch: expected an object, got {line[:80]!r}")
-            self.news.append(value)
+            if line.strip():
+                self.news.append(_object(line, "watch"))
 
     def feed(self, data: bytes) -> list[dict[str, Any]]:
         """Take bytes; the lists and changes read so far, each given once."""
--- a/honeyhitch/wire/drivers/discovery.py
+++ b/honeyhitch/wire/drivers/discovery.py
@@ -9,12 +9,12 @@
 from honeyhitch.memory.buffer import Buffer
 from honeyhitch.memory.transactions import Transaction
 from honeyhitch.wire import http1, notices
-from honeyhitch.wire.discovery import Watch, watch_request
+from honeyhitch.wire.discovery import Watch, list_request, watch_request, whole_list
 from honeyhitch.wire.drivers import sockets
 from honeyhitch.wire.drivers.tasks import Tasks
 
 SILENCE = 5.0  # seconds without even a heartbeat, of which one comes every 2 s
-ANSWER = 1.0  # seconds for the answer to notices, which is given at once
+ANSWER = 1.0  # seconds to connect, and for the answer to notices, which is given at once
 MOST_NOTICES = 200  # in one request
 
 
@@ -25,13 +25,29 @@
         self.address, self.dispatcher, self.tasks, self.loop = address, dispatcher, tasks, tasks.loop
         self.waiting: list[Transaction] = []
         self.wake = asyncio.Event()
+        self.works: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        """Keep the watch open and send notices from now on."""
+        self.works = [self.tasks.keep(self.watch), self.tasks.keep(self.notify)]
+
+    def move(self, address: str) -> None:
+        """The agent is at another address now; notices that the old one has not confirmed go there too."""
+        for work in self.works:
+            work.cancel()
+        self.address = address
+        self.start()
 
     async def watch(self) -> None:
         """One watch, till it breaks or falls silent; the pool as it is stays in use meanwhile."""
         pool, watch, buffer = self.dispatcher.pool, Watch(), Buffer()
-        async with asyncio.timeout(SILENCE):
-            sock = await sockets.connect(self.loop, self.address)
+        sock = await self._connect()
         try:
+            # The whole list first: an agent that took another's place need not go on with its revisions, and
+            # would take the old one's number for news that this process has had.
+            async with asyncio.timeout(SILENCE):
+                answer = await self._ask(sock, buffer, list_request(self.address))
+            self.dispatcher.news(pool.update(whole_list(answer)))
             await self.loop.sock_sendall(sock, watch_request(self.address, pool.revision))
             while True:
                 async with asyncio.timeout(SILENCE):
@@ -52,12 +68,12 @@
         """Send notices on one connection for as long as it lasts; those not confirmed go again."""
         if not self.waiting:  # those of a connection that broke must not wait for the next one
             await self.wake.wait()
-        sock, buffer, machine = await self._connect(), Buffer(), http1.AnswerMachine()
+        sock, buffer = await self._connect(), Buffer()
         try:
             while True:
                 self.wake.clear()
                 while some := self.waiting[:MOST_NOTICES]:
-                    await self._post(sock, buffer, machine, some)
+                    await self._post(sock, buffer, some)
                     del self.waiting[: len(some)]
                     for transaction in some:
                         self.dispatcher.answered(transaction)
@@ -71,21 +87,20 @@
         async with asyncio.timeout(ANSWER):
             return await sockets.connect(self.loop, self.address)
 
-    async def _post(
-        self,
-        sock: socket.socket,
-        buffer: Buffer,
-        machine: http1.AnswerMachine,
-        some: list[Transaction],
-    ) -> None:
-        machine.fresh()
+    async def _post(self, sock: socket.socket, buffer: Buffer, some: list[Transaction]) -> None:
         async with asyncio.timeout(ANSWER):
-            await self.loop.sock_sendall(sock, notices.encode(some, self.address))
-            answer = None
-            while answer is None:
-                count = await sockets.read(self.loop, sock, buffer)
-                answer = machine.feed(buffer.take()) if count else machine.ended()
-                if not count and answer is None:
-                    raise ConnectionResetError("notices: the connection ended before the answer")
+            request = notices.encode(some, self.address)
+            answer = await self._ask(sock, buffer, request)
         if answer.status != 204:
             raise ConnectionError(f"notices: answered {answer.status}")
+
+    async def _ask(self, sock: socket.socket, buffer: Buffer, request: bytes) -> http1.Answer:
+        machine = http1.AnswerMachine()
+        await self.loop.sock_sendall(sock, request)
+        while True:
+            count = await sockets.read(self.loop, sock, buffer)
+            answer = machine.feed(buffer.take()) if count else machine.ended()
+            if answer is not None:
+                return answer
+            if not count:
+                raise ConnectionResetError("the agent ended the connection before its answer")
--- a/tests/program.py
+++ b/tests/program.py
@@ -94,7 +94,7 @@
     """The program, ready to serve, on this port; it is cancelled at the end, as abruptly as a kill."""
     port = port or free_port()
     path = write(folder, port, discovery, members, operator)
-    task = asyncio.ensure_future(run(config.read({}, *path)))
+    task = asyncio.ensure_future(run(config.read({}, *path), lambda now: config.read({}, *path, now)))
     try:
         while True:
             try:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -113,6 +113,18 @@
     assert told.mqtt is not None and "print-shop" in operator and told.mqtt.members[0].destination == 7
 
 
+def test_a_file_read_again_wins_over_a_variable_from_the_start_where_it_changed(tmp_path: Path) -> None:
+    environ = {"ROUTER_DISCOVERY": "127.0.0.1:1"}
+    path = write(tmp_path, 6379, 8500, [])
+    first = config.read(environ, *path)
+    assert str(first.discovery) == "127.0.0.1:1"
+    assert str(config.read(environ, *path, first).discovery) == "127.0.0.1:1", "the file says what it said"
+    write(tmp_path, 6379, 8600, [])
+    second = config.read(environ, *path, first)
+    assert str(second.discovery) == "127.0.0.1:8600"
+    assert config.read(environ, *path, second) == second, "and goes on saying it"
+
+
 def _named(read: config.Config, kind: str) -> Any:
     import dataclasses
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -2,8 +2,8 @@
 
 In tests/programs a line `PARTY> BYTES` is sent by that party, `PARTY< BYTES` is what it must receive, where
 `%` stands for a number. `PARTY close` ends its connection, `PARTY ended` finds it ended, `dial` connects the
-client anew, `stop` is SIGTERM, after which the program must end by itself, and `restart` kills the program
-and starts it again.
+client anew, `stop` is SIGTERM, after which the program must end by itself, `restart` kills the program and
+starts it again, and `reload PARTY` names that party as discovery in the configuration and sends SIGHUP.
 """
 
 from __future__ import annotations
@@ -27,7 +27,7 @@
 from honeyhitch.wire.mqtt import Kind, Packet
 
 from .broker import Broker
-from .program import Peer, free_port, play, started
+from .program import Peer, free_port, play, started, write
 from .rig import row
 from .test_exchanges import raw
 from .world import MS
@@ -48,7 +48,7 @@
 @pytest.mark.parametrize("file", PROGRAMS, ids=lambda file: file.stem)
 def test_program(file: Path, tmp_path: Path) -> None:
     async def work() -> None:
-        peers = {name: await Peer().start() for name in ("agent", "watch", "one", "two")}
+        peers = {name: await Peer().start() for name in ("agent", "watch", "next", "one", "two")}
         members = []
         for name, kind, cell in (("one", "small", 1), ("two", "large", 2)):
             members.append({**row(name, cell, kind), "host_port": f"127.0.0.1:{peers[name].port}"})
@@ -61,7 +61,7 @@
                 agent = peers["agent"]
                 # The first connection to the agent is the watch; notices come on another.
                 peers["watch"].now = await agent.came.get()
-                await receive(peers["watch"], raw(WATCH.replace("PORT", str(agent.port))))
+                await watched(peers["watch"], agent.port, members)
                 agent.now = None
                 await client.dial(port)
                 for line in part.splitlines():
@@ -70,6 +70,16 @@
                         os.kill(os.getpid(), signal.SIGTERM)
                     elif name == "dial":
                         await client.dial(port)
+                    elif name == "reload":
+                        (tmp_path / "config.json").write_text("{")  # a faulty one changes nothing
+                        os.kill(os.getpid(), signal.SIGHUP)
+                        await client.dial(port)
+                        (await client.accepted())[1].write(b"PING\r\n")
+                        await receive(client, b"+PONG\r\n")
+                        write(tmp_path, port, peers[what].port, [])
+                        os.kill(os.getpid(), signal.SIGHUP)
+                        await watched(peers[what], peers[what].port, members)
+                        peers[what].now = None  # notices come on another connection
                     elif what == "ended":
                         assert await peers[name].now[0].read(1) == b""  # type: ignore[index]
                     elif what == "close":
@@ -86,9 +96,17 @@
     play(work())
 
 
-WATCH = (
-    r"GET /api/targets?stream=1&index=% HTTP/1.1\r\nHost: 127.0.0.1:PORT\r\nAccept: application/json\r\n\r\n"
-)
+TARGETS = r"GET /api/targets%s HTTP/1.1\r\nHost: 127.0.0.1:%d\r\nAccept: application/json\r\n\r\n"
+
+
+async def watched(agent: Peer, port: int, members: list[dict[str, Any]]) -> None:
+    """The whole list is asked for first, and then what changes after it."""
+    await receive(agent, raw(TARGETS % ("", port)))
+    body = json.dumps({"revision": 3, "complete": True, "members": members}).encode()
+    (await agent.accepted())[1].write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+    await receive(agent, raw(TARGETS % ("?stream=1&index=3", port)))
+
+
 ENQUEUE = (
     r"*5\r\n$7\r\nENQUEUE\r\n$1\r\n0\r\n$2\r\nid\r\n"
     r"$38\r\nc=standard,t=studio,d=9000,k=kk,dest=1\r\n$4\r\nbody\r\n"
