Budget the clients' places from the descriptors and turn away unusable messages

Checked: virtual_server.py closed every connection over limits.sockets - 200 = 56 at once (SPARE_SOCKETS), whatever the others were doing; connections that asked once and stayed, or never said anything, kept their places for ever. resp.py took any number as destination and any number of milliseconds, and answered empty commands with nothing. Ruled out: a higher constant. With the limit at 256 the silent ones still fill it.

Now serve.budget shares the descriptors out between calls, idle connections and clients. The virtual server closes what brings no whole request in 2 s, and when full lets the longest rested, or a mute one, make room; a new client waits for its place. Commands are read part by part, one connection has 16 of them a turn, and 32 unusable ones in a row close it. dest and d are checked against the lists told and the class. While leaving, what new connections hand in is taken on for 0.6 s, as most of it is delivered before the process ends.

--- a/honeyhitch/core.py
+++ b/honeyhitch/core.py
@@ -122,7 +122,7 @@
         self.events: list[api.Event | Transaction] = []
         self.out: dict[str, Call] = {}  # calls out, by the id of each transaction in them
         self.ticking, self.last_tick = False, 0
-        self.taking, self.sending = True, True
+        self.taking, self.sending, self.leaving = True, True, False
 
     # What comes in.
 
@@ -181,7 +181,8 @@
 
     def state(self) -> State:
         """How it stands to new work."""
-        phase = Phase.READY if self.taking else Phase.DRAINING if self.sending else Phase.DOWN
+        phase = Phase.DRAINING if self.sending else Phase.DOWN
+        phase = Phase.READY if self.taking and not self.leaving else phase
         return State(phase, len(self.held), self.s.max_open)
 
     def news(self, news: api.ListNews) -> None:
--- a/honeyhitch/lifecycle/config.py
+++ b/honeyhitch/lifecycle/config.py
@@ -5,7 +5,7 @@
 import json
 import tomllib
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any, TypeVar
 
@@ -13,6 +13,8 @@
 
 EFFECTS = {"pure": api.Effect.SAFE, "token": api.Effect.KEYED, "side_effect": api.Effect.UNSAFE}
 T = TypeVar("T")
+FIXED_SOCKETS = 32  # standard streams, loop, journal, listeners, discovery, broker, one just accepted
+LEAST_ROOM = 16  # descriptors for calls, clients and idle connections together
 
 
 class ConfigError(Exception):
@@ -185,7 +187,7 @@
 class Limits:
     """What the machine grants; going over it is a crash."""
 
-    sockets: int = 1024
+    sockets: int = 1024  # descriptors
     disk: int = 3_000_000  # bytes in the lasting folder
 
 
@@ -392,6 +394,13 @@
         settings = Pairs.of_nested(told["settings"]).settings()
     except (ConfigError, ValueError) as error:
         raise ConfigError(f"settings.{error}") from error
+    limits = _limits(told.get("limits"))
+    room = limits.sockets - FIXED_SOCKETS
+    if room < LEAST_ROOM:
+        raise ConfigError(
+            f"limits.sockets: expected at least {FIXED_SOCKETS + LEAST_ROOM}, got {limits.sockets}"
+        )
+    settings = replace(settings, slots=min(settings.slots, room // 2))  # a call is a descriptor
     known = told.get("known") or {"revision": 0, "complete": True, "members": []}
     if not isinstance(known, dict):
         raise ConfigError("known: expected an object in discovery's form")
@@ -401,7 +410,7 @@
         discovery=Address.parse(values["discovery"], "discovery"),
         state=Path(str(values["state"])),
         seed=_seed(told.get("seed", 0)),
-        limits=_limits(told.get("limits")),
+        limits=limits,
         known=known,
         settings=settings,
         operator=_operator(operator or environ.get("ROUTER_OPERATOR", ""), str(values["name"]), settings),
--- a/honeyhitch/lifecycle/serve.py
+++ b/honeyhitch/lifecycle/serve.py
@@ -10,7 +10,7 @@
 import uvloop
 
 from honeyhitch.core import Dispatcher
-from honeyhitch.lifecycle.config import Config, ConfigError, MqttSetup
+from honeyhitch.lifecycle.config import FIXED_SOCKETS, Config, ConfigError, MqttSetup
 from honeyhitch.lifecycle.signals import Stop, on_reload
 from honeyhitch.memory.journal import Journal
 from honeyhitch.memory.pool import Pool, PoolError, PoolMember
@@ -22,7 +22,6 @@
 from honeyhitch.wire.drivers.tasks import LoopScheduler, Tasks
 from honeyhitch.wire.drivers.virtual_server import ServerSession, VirtualServer
 
-SPARE_SOCKETS = 200  # of the limit: for members, discovery, the journal and the like
 ACCEPT_ON, SEND_ON, LEAVE_AT = 0.6, 2.8, 3.3  # seconds after SIGTERM; SIGKILL comes after 3.7 at the soonest
 BESIDE_SOCKETS = 16  # connections at once to the agent-check, and as many to health
 REDELIVERY = 600 * 10**9  # ns for which ids are remembered that a broker may hand in again
@@ -30,6 +29,16 @@
 AT_START_ONLY = ("name", "listen", "state", "seed", "limits", "known", "settings", "operator")
 
 
+def budget(config: Config) -> tuple[int, int]:
+    """How many clients and how many idle connections to members there may be; with the calls out and what is
+    always open they stay under the limit of descriptors."""
+    beside = config.operator
+    others = BESIDE_SOCKETS * ((beside.agent_check is not None) + (beside.health is not None))
+    left = config.limits.sockets - FIXED_SOCKETS - config.settings.slots - others
+    most_idle = max(1, left // 4)
+    return max(1, left - most_idle), most_idle
+
+
 class Service:
     """One dispatcher with all that stands around it; it belongs to the running loop."""
 
@@ -47,7 +56,7 @@
         )
         pool = Pool(settings)
         self.dispatcher = Dispatcher(settings, config.seed, pool, self.journal, self.scheduler)
-        most_idle = max(32, config.limits.sockets // 4)
+        self.most_clients, most_idle = budget(config)
         carrier = HttpCarrier(self.dispatcher, self.scheduler, self.tasks, most_idle)
         self.discovery = Discovery(str(config.discovery), self.dispatcher, self.tasks)
         self.dispatcher.carriers["http"], self.dispatcher.fronts["resp"] = carrier, self.discovery
@@ -77,11 +86,13 @@
             print(f"known: {error}", file=sys.stderr)
         dispatcher.resume()
         if listen:
-            fields = resp.Fields(config.settings)
+            fields = resp.Fields(config.settings, dispatcher.pool.serves)
             self._listen(
                 (config.listen.host, config.listen.port),
-                lambda: resp.Session(fields, dispatcher.offer, lambda: dispatcher.taking, self.scheduler.now),
-                max(16, config.limits.sockets - SPARE_SOCKETS),
+                lambda: resp.Session(
+                    fields, dispatcher.offer, lambda: not dispatcher.leaving, self.scheduler.now
+                ),
+                self.most_clients,
             )
         beside, state = config.operator, dispatcher.state
         if beside.agent_check is not None:
@@ -115,14 +126,20 @@
         server = VirtualServer(address, session, most, self.tasks)
         self.servers.append(server)
         self.tasks.keep(server.accept)
+        self.tasks.keep(server.sweep)
 
     async def leave(self) -> None:
-        """Stop taking; let what is held finish for a bounded time; the journal keeps the rest."""
+        """Let what is held finish for a bounded time; the journal keeps the rest.
+
+        New connections keep coming for a moment. What they hand in is still taken on, as there is time to do
+        it; after that it is turned away.
+        """
         began, dispatcher = self.loop.time(), self.dispatcher
-        dispatcher.taking = False
+        dispatcher.leaving = True
         for server in self.servers:
-            server.close_idle()
+            server.drain()
         while (gone := self.loop.time() - began) < LEAVE_AT:
+            dispatcher.taking = gone <= ACCEPT_ON
             if gone > ACCEPT_ON and not dispatcher.held.by_id:
                 return
             if gone > SEND_ON:
--- a/honeyhitch/memory/pool.py
+++ b/honeyhitch/memory/pool.py
@@ -45,10 +45,16 @@
         self.members: dict[str, PoolMember] = {}
         self.fixed: dict[str, PoolMember] = {}  # set up by the operator, never in discovery's list
         self.revision = 0
+        self.destinations: set[int] = set()  # each that was ever listed; one between two members still exists
+
+    def serves(self, destination: int) -> bool:
+        """Whether there is such a destination, as far as can be told."""
+        return destination in self.destinations or not self.destinations
 
     def fix(self, member: PoolMember) -> None:
         """Add a member that the operator set up; a whole list from discovery leaves it in place."""
         self.fixed[member.id] = self.members[member.id] = member
+        self.destinations.add(member.destination)
 
     def update(self, told: dict[str, Any], cached: bool = False) -> api.ListNews:
         """Enter one list or one change, in discovery's form, and say what is new."""
@@ -58,6 +64,7 @@
         except (KeyError, TypeError, ValueError) as error:
             raise PoolError(f"members: {type(error).__name__}: {error}") from error
         self.revision = revision
+        self.destinations.update(entry.destination for entry in news)
         if not told.get("complete", False):
             return api.ListNews(api.ListMode.CHANGES, news)
         news += tuple(member.entry() for member in self.fixed.values())
--- a/honeyhitch/middleware.py
+++ b/honeyhitch/middleware.py
@@ -38,7 +38,7 @@
     """The front of an application in the same process: it hands in and waits for final answers."""
 
     def __init__(self, dispatcher: Dispatcher) -> None:
-        self.dispatcher, self.fields = dispatcher, Fields(dispatcher.s)
+        self.dispatcher, self.fields = dispatcher, Fields(dispatcher.s, dispatcher.pool.serves)
         self.waiting: dict[str, asyncio.Future[Transaction]] = {}
 
     def answer(self, transaction: Transaction) -> None:
--- a/honeyhitch/wire/agent_check.py
+++ b/honeyhitch/wire/agent_check.py
@@ -30,7 +30,7 @@
     """One agent-check: a line at once, whatever was sent, and the end of the connection."""
 
     def __init__(self, state: Callable[[], State]) -> None:
-        self.opening, self.closing = agent_line(state()), True
+        self.opening, self.closing, self.more, self.half = agent_line(state()), True, False, False
 
     def receive(self, buffer: Buffer) -> bytes:
         """Nothing is read."""
@@ -44,7 +44,7 @@
     opening = b""
 
     def __init__(self, state: Callable[[], State]) -> None:
-        self.state, self.closing, self.seen = state, False, 0
+        self.state, self.closing, self.more, self.half, self.seen = state, False, False, False, 0
         self.parser = httptools.HttpRequestParser(self)
         self.path, self.replies = b"", list[bytes]()
 
--- a/honeyhitch/wire/drivers/broker.py
+++ b/honeyhitch/wire/drivers/broker.py
@@ -83,7 +83,8 @@
     def __init__(
         self, setup: MqttSetup, dispatcher: Dispatcher, scheduler: LoopScheduler, tasks: Tasks
     ) -> None:
-        self.dispatcher, self.scheduler, self.fields = dispatcher, scheduler, Fields(dispatcher.s)
+        self.dispatcher, self.scheduler = dispatcher, scheduler
+        self.fields = Fields(dispatcher.s, dispatcher.pool.serves)
         self.intake = Session(f"{setup.client_id}-intake", setup.session_expiry, setup.keep_alive, anew=False)
         self.intake.subscriptions, self.intake.on_publish = [setup.intake], self._taken
         self.replies = Session(f"{setup.client_id}-answers", setup.session_expiry, setup.keep_alive)
@@ -93,7 +94,7 @@
         self.rejected: dict[str, None] = {}  # the latest ids answered without being taken on
 
     def _taken(self, packet: Packet) -> None:
-        if not self.dispatcher.taking:
+        if self.dispatcher.leaving or not self.dispatcher.taking:
             return  # not acknowledged: the broker hands it to the next process, or to another dispatcher
         now = self.scheduler.now()
         name = dict(packet.user).get("id", "")
--- a/honeyhitch/wire/drivers/virtual_server.py
+++ b/honeyhitch/wire/drivers/virtual_server.py
@@ -1,11 +1,17 @@
-"""The virtual server: it accepts clients and lets a session answer what they send."""
+"""The virtual server: it accepts clients and lets a session answer what they send.
+
+A connection has its place for as long as it is used. One that says nothing or never ends what it began is
+closed after a while, and when all places are taken one that rests makes room for the next client.
+"""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 import sys
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Protocol
 
 from honeyhitch.memory.buffer import Buffer, Overflow
@@ -14,6 +20,12 @@
 
 BACKLOG = 1024
 PAUSE = 0.05  # seconds before accepting again when no descriptor was left
+PATIENCE = 2.0  # seconds for a first request, for the rest of a half one, and for replies to be read
+RESTED = 2.0  # seconds without a request after which a connection may have to make room
+MUTE = 0.1  # seconds without a first byte after which one may have to, whose request would have come with it
+SWEEP = 0.25  # seconds between looks at connections that are out of time
+LOOK = 0.01  # seconds between looks for a place when all are taken
+SLOW = b"-ERR request: not whole in time\r\n"
 
 
 class ServerSession(Protocol):
@@ -21,9 +33,32 @@
 
     opening: bytes  # sent before anything is read
     closing: bool
+    more: bool  # whole requests are left in the buffer
+    half: bool  # a request has come in part
 
     def receive(self, buffer: Buffer) -> bytes:
-        """Replies to what the buffer holds whole."""
+        """Replies to what the buffer holds whole, or to a part of it if that is `more`."""
+
+
+@dataclass(slots=True, eq=False)
+class Client:
+    """One client's connection, and since when it has stood as it stands."""
+
+    sock: socket.socket
+    since: float
+    answered: bool = False
+    half: bool = False
+    sending: bool = False
+
+    @property
+    def resting(self) -> bool:
+        """Nothing is open on it: it may be closed, and the client's next request goes elsewhere."""
+        return self.answered and not self.half and not self.sending and sockets.quiet(self.sock)
+
+    @property
+    def mute(self) -> bool:
+        """It has not said anything yet."""
+        return not self.answered and not self.half and not self.sending and sockets.quiet(self.sock)
 
 
 class VirtualServer:
@@ -33,7 +68,8 @@
         self, address: tuple[str, int], session: Callable[[], ServerSession], most: int, tasks: Tasks
     ) -> None:
         self.session, self.most, self.tasks, self.loop = session, most, tasks, tasks.loop
-        self.clients: dict[socket.socket, bool] = {}  # true while a request is half read
+        self.clients: dict[Client, None] = {}  # those that have stood for longest are mostly first
+        self.draining = False
         self.listener = sockets.fresh()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind(address)
@@ -53,35 +89,76 @@
                 print(f"accept: {error}", file=sys.stderr)
                 await asyncio.sleep(PAUSE)
                 continue
-            if len(self.clients) >= self.most:
-                sock.close()
-                continue
+            # Closing it now would fail a request that may be on its way: it waits for a place instead, and
+            # those behind it wait in the backlog.
+            while len(self.clients) >= self.most and not self._make_room():
+                await asyncio.sleep(LOOK)
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self.clients[sock] = False
-            self.tasks.start(self._serve(sock))
-
-    async def _serve(self, sock: socket.socket) -> None:
-        session, buffer = self.session(), Buffer()
+            client = Client(sock, self.loop.time())
+            self.clients[client] = None
+            self.tasks.start(self._serve(client))
+
+    def _make_room(self) -> bool:
+        """Close the connection that can best be missed, if there is one that may be closed."""
+        now = self.loop.time()
+        rested = [one for one in self.clients if one.answered and now - one.since > RESTED]
+        mute = [one for one in self.clients if not one.answered and now - one.since > MUTE]
+        for one in sorted(rested, key=lambda one: one.since) + mute:
+            if one.resting or one.mute:
+                self._end(one)
+                return True
+        return False
+
+    async def sweep(self) -> None:
+        """Close what is out of time: its place is needed, and whoever is behind it waits for a word."""
+        while True:
+            await asyncio.sleep(SWEEP)
+            late = self.loop.time() - PATIENCE
+            for one in list(self.clients):
+                if one.since < late and (one.sending or one.half or not one.answered):
+                    if not one.sending:
+                        with contextlib.suppress(OSError):
+                            one.sock.send(SLOW)
+                    self._end(one)
+
+    def _end(self, client: Client) -> None:
+        self.clients.pop(client, None)
+        with contextlib.suppress(OSError):
+            client.sock.shutdown(socket.SHUT_RDWR)  # its task reads the end, and closes it
+
+    async def _serve(self, client: Client) -> None:
+        session, buffer, sock = self.session(), Buffer(), client.sock
         try:
             if session.opening:
                 await self.loop.sock_sendall(sock, session.opening)
-            while not session.closing and await sockets.read(self.loop, sock, buffer):
+            while not session.closing:
+                if session.more:  # the other connections have their turn first
+                    await asyncio.sleep(0)
+                elif not await sockets.read(self.loop, sock, buffer):
+                    break
                 replies = session.receive(buffer)
-                self.clients[sock] = len(buffer) > 0
                 if replies:
+                    client.sending, client.since = True, self.loop.time()
                     await self.loop.sock_sendall(sock, replies)
+                    client.sending, client.answered, client.since = False, True, self.loop.time()
+                elif session.half and not client.half and client.answered:
+                    client.since = self.loop.time()
+                client.half = session.half or session.more
+                if self.draining and client.resting:
+                    break
         except (OSError, Overflow):
             pass  # the client went away, or kept sending without end
         finally:
-            self.clients.pop(sock, None)
+            self.clients.pop(client, None)
             sock.close()
 
-    def close_idle(self) -> None:
-        """Close connections on which nothing is half read: the client's next request goes elsewhere."""
-        for sock, busy in self.clients.items():
-            if not busy and sockets.quiet(sock):
-                sock.shutdown(socket.SHUT_RDWR)
+    def drain(self) -> None:
+        """Close each connection once nothing is open on it: the client's next request goes elsewhere."""
+        self.draining = True
+        for client in list(self.clients):
+            if client.resting:
+                self._end(client)
 
     def close(self) -> None:
         """Stop listening."""
--- a/honeyhitch/wire/resp.py
+++ b/honeyhitch/wire/resp.py
@@ -11,9 +11,12 @@
 
 MOST_ARGS = 64
 MOST_BULK = 65536  # bytes; a body holds no more
+MOST_COMMAND = MOST_BULK + 4096  # bytes of all parts of one command
 MOST_LINE = 1024  # bytes of a line that holds a number or an inline command
 MS = 1_000_000  # ns
 WORD = 128  # bytes of an id or a key
+TURN = 16  # commands answered before other connections have their turn
+MOST_BAD = 32  # commands in a row that cannot be used, after which the connection is closed
 
 
 class FramingError(Exception):
@@ -24,13 +27,15 @@
     """A command that was read whole, with a field that cannot be used."""
 
 
-def _line(buffer: Buffer, at: int) -> tuple[bytes, int] | None:
-    end = buffer.find(b"\r\n", at, MOST_LINE + 2)
+def _line(buffer: Buffer) -> bytes | None:
+    end = buffer.find(b"\r\n", 0, MOST_LINE + 2)
     if end < 0:
-        if len(buffer) - at > MOST_LINE:
+        if len(buffer) > MOST_LINE:
             raise FramingError(f"line: longer than {MOST_LINE} bytes")
         return None
-    return buffer.peek(at, end - at), end + 2
+    line = buffer.peek(0, end)
+    buffer.consume(end + 2)
+    return line
 
 
 def _count(line: bytes, mark: bytes, name: str, most: int) -> int:
@@ -42,32 +47,42 @@
     return int(digits)
 
 
-def read_command(buffer: Buffer) -> list[bytes] | None:
-    """The next whole command, which is consumed; None while some of it is still to come."""
-    head = _line(buffer, 0)
-    if head is None:
-        return None
-    line, at = head
-    if line[:1] != b"*":
-        if not line.isascii() or not (line.replace(b" ", b"").isalnum() or not line):
-            raise FramingError("array: expected * and a number")
-        buffer.consume(at)
-        return line.split()
-    parts: list[bytes] = []
-    for _ in range(_count(line, b"*", "array", MOST_ARGS)):
-        head = _line(buffer, at)
-        if head is None:
-            return None
-        line, at = head
-        length = _count(line, b"$", "bulk", MOST_BULK)
-        if len(buffer) < at + length + 2:
-            return None
-        parts.append(buffer.peek(at, length))
-        if buffer.peek(at + length, 2) != b"\r\n":
-            raise FramingError("bulk: expected CR LF after its bytes")
-        at += length + 2
-    buffer.consume(at)
-    return parts
+class CommandReader:
+    """Reads commands part by part, so that one that comes byte by byte is not read over and over."""
+
+    def __init__(self) -> None:
+        self.left, self.length, self.size = 0, -1, 0  # parts to come; the next one's length; bytes so far
+        self.parts: list[bytes] = []
+
+    def next(self, buffer: Buffer) -> list[bytes] | None:
+        """The next whole command, which is consumed; None while some of it is still to come."""
+        if not self.left:
+            line = _line(buffer)
+            if line is None:
+                return None
+            if line[:1] != b"*":
+                if not line.isascii() or not (line.replace(b" ", b"").isalnum() or not line):
+                    raise FramingError("array: expected * and a number")
+                return line.split()
+            self.left, self.size, self.parts = _count(line, b"*", "array", MOST_ARGS), 0, []
+        while self.left:
+            if self.length < 0:
+                line = _line(buffer)
+                if line is None:
+                    return None
+                self.length = _count(line, b"$", "bulk", MOST_BULK)
+                self.size += self.length
+                if self.size > MOST_COMMAND:
+                    raise FramingError(f"command: at most {MOST_COMMAND} bytes allowed")
+            if len(buffer) < self.length + 2:
+                return None
+            part = buffer.peek(0, self.length + 2)
+            if part[self.length :] != b"\r\n":
+                raise FramingError("bulk: expected CR LF after its bytes")
+            buffer.consume(self.length + 2)
+            self.parts.append(part[: self.length])
+            self.left, self.length = self.left - 1, -1
+        return self.parts
 
 
 def _word(value: bytes, name: str) -> str:
@@ -92,9 +107,9 @@
 class Fields:
     """Builds transactions from names and values as the settings name them, for every front."""
 
-    def __init__(self, settings: api.Settings) -> None:
+    def __init__(self, settings: api.Settings, served: Callable[[int], bool]) -> None:
         self.classes = tuple(cls.name for cls in settings.classes)
-        self.tenants, self.settings = settings.tenant_names, settings
+        self.tenants, self.settings, self.served = settings.tenant_names, settings, served
 
     def transaction(self, name: bytes, fields: dict[str, str], body: bytes, now: int) -> Transaction:
         """One transaction, or FieldError naming the field at fault. Unknown names are skipped."""
@@ -104,11 +119,17 @@
         key = fields.get("k", "")
         if not key and self.settings.classes[cls].effect is api.Effect.KEYED:
             raise FieldError("k: needed in a keyed class")
+        destination, left = _number(fields, "dest"), _number(fields, "d")
+        if not self.served(destination):  # nothing could ever be done for it but to hold it to its end
+            raise FieldError(f"dest: no such destination: {destination}")
+        if not 0 < left * MS <= self.settings.classes[cls].deadline:
+            most = self.settings.classes[cls].deadline // MS
+            raise FieldError(f"d: expected 1 to {most} milliseconds in this class, got {left}")
         return Transaction(
             id=_word(name, "id"),
             cls=cls,
-            destination=_number(fields, "dest"),
-            deadline=now + _number(fields, "d") * MS,
+            destination=destination,
+            deadline=now + left * MS,
             body=body,
             key=_word(key.encode(), "k") if key else "",
             tenant=_pick(self.tenants, fields, "t") if self.tenants else 0,
@@ -128,7 +149,8 @@
 
 
 class Session:
-    """One client's connection: bytes in, replies out. `closing` is set when it must be closed."""
+    """One client's connection: bytes in, replies out. `closing` is set when it must be closed, `more` when
+    whole commands wait for the connection's next turn, and `half` while the end of one is still to come."""
 
     opening = b""
 
@@ -140,25 +162,34 @@
         clock: Callable[[], int],
     ) -> None:
         self.fields, self.offer, self.ready, self.clock = fields, offer, ready, clock
-        self.closing = False
+        self.closing = self.more = self.half = False
+        self.reader, self.bad = CommandReader(), 0
 
     def receive(self, buffer: Buffer) -> bytes:
-        """Replies to all whole commands in the buffer, in their order."""
+        """Replies to whole commands in the buffer, in their order, up to one turn's worth."""
         replies: list[bytes] = []
+        self.more = self.half = False
         while not self.closing:
+            if len(replies) == TURN:
+                self.more = len(buffer) > 0
+                break
             try:
-                command = read_command(buffer)
+                command = self.reader.next(buffer)
             except FramingError as error:
                 replies.append(f"-ERR {error}\r\n".encode())
                 self.closing = True
                 break
             if command is None:
+                self.half = self.reader.left > 0 or len(buffer) > 0
                 break
-            if command:
-                replies.append(self._reply(command))
+            replies.append(self._reply(command))
+            self.bad = self.bad + 1 if replies[-1].startswith(b"-ERR") else 0
+            self.closing = self.closing or self.bad == MOST_BAD
         return b"".join(replies)
 
     def _reply(self, command: list[bytes]) -> bytes:
+        if not command:
+            return b"-ERR command: empty, expected ENQUEUE or PING\r\n"
         name = command[0].upper()
         if name == b"PING":
             if not self.ready():
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -41,11 +41,14 @@
 
         self.seen: list[Transaction] = []
         self.buffer = Buffer()
-        self.session = resp.Session(resp.Fields(SET), offer, lambda: True, lambda: START)
+        fields = resp.Fields(SET, lambda destination: destination != 404)
+        self.session = resp.Session(fields, offer, lambda: True, lambda: START)
 
     def feed(self, data: bytes) -> Out:
         self.buffer.feed(data)
         yield self.session.receive(self.buffer)
+        while self.session.more and not self.session.closing:
+            yield self.session.receive(self.buffer)
 
     def end(self) -> Out:
         for one in self.seen:
@@ -58,7 +61,7 @@
                 one.body,
             ]
             yield f"took {' '.join(map(str, words))}\n".encode()
-        yield b"closes\n" if self.session.closing else b""
+        yield b"closes\n" if self.session.closing else b"half\n" if self.session.half else b""
 
 
 class HttpCall:
@@ -210,7 +213,7 @@
         assert packet is not None
         packet.payload = b"body"
         packet.user = [(name, value) for name, value in packet.user]
-        taken = mqtt_messages.transaction(resp.Fields(SET), packet, START)
+        taken = mqtt_messages.transaction(resp.Fields(SET, lambda _: True), packet, START)
         taken.ending, taken.come_back = Ending.REJECTED, 250_000_000
         answer = mqtt_messages.answer(taken)
         left = (taken.deadline - START) // 10**6
--- a/tests/test_middleware.py
+++ b/tests/test_middleware.py
@@ -68,6 +68,7 @@
 
 def configured(folder: Path, agent: Peer, member: Peer) -> config.Config:
     members = [{**row("one", 1), "host_port": f"127.0.0.1:{member.port}"}]
+    members.append(row("leaving", 9, phase="Terminating"))
     return config.read({}, *write(folder, free_port(), agent.port, members))
 
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -52,6 +52,7 @@
         members = []
         for name, kind, cell in (("one", "small", 1), ("two", "large", 2)):
             members.append({**row(name, cell, kind), "host_port": f"127.0.0.1:{peers[name].port}"})
+        members.append(row("leaving", 9, phase="Terminating"))
         client, port = Peer(), free_port()
         peers["client"] = client
         script = [line for line in file.read_text().splitlines() if line and line[0] != "#"]
@@ -253,11 +254,12 @@
             "silent": "deferred",  # a repeat is dropped inside the window, so handing in again is harmless
             "full": "deferred",
             "fails": "deferred",
-            "nobody": "deferred",
+            "nobody": "error",
             "": "error",
         }
         assert client.answers["full"][0]["again_ms"] > 0
         assert client.answers[""][0]["reason"].startswith("id:")
+        assert client.answers["nobody"][0]["reason"].startswith("dest:")
 
     play(work())
 
--- /dev/null
+++ b/tests/test_virtual_server.py
@@ -0,0 +1,120 @@
+"""Clients' places: who keeps one, who makes room, and who is closed for saying nothing, on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import pytest
+
+from honeyhitch.core import Offered
+from honeyhitch.lifecycle import config
+from honeyhitch.lifecycle.serve import budget
+from honeyhitch.memory.buffer import Buffer
+from honeyhitch.wire import resp
+from honeyhitch.wire.drivers import virtual_server
+from honeyhitch.wire.drivers.tasks import Tasks
+from honeyhitch.wire.drivers.virtual_server import VirtualServer
+
+from .program import play, write
+from .test_exchanges import SET, START
+
+PING, PONG = b"PING\r\n", b"+PONG\r\n"
+Stream = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+
+def session() -> resp.Session:
+    fields = resp.Fields(SET, lambda _: True)
+    return resp.Session(fields, lambda _: Offered(True), lambda: True, lambda: START)
+
+
+@asynccontextmanager
+async def served(most: int) -> AsyncIterator[VirtualServer]:
+    tasks = Tasks(asyncio.get_running_loop())
+    server = VirtualServer(("127.0.0.1", 0), session, most, tasks)
+    tasks.keep(server.accept)
+    tasks.keep(server.sweep)
+    yield server
+    server.close()
+    await tasks.stop()
+
+
+async def dial(server: VirtualServer) -> Stream:
+    return await asyncio.open_connection("127.0.0.1", server.port)
+
+
+async def ping(stream: Stream) -> None:
+    stream[1].write(PING)
+    assert await stream[0].readline() == PONG
+
+
+def test_rested_and_mute_connections_make_room_and_those_in_use_do_not(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def work() -> None:
+        async with served(2) as server:
+            mute, half = await dial(server), await dial(server)
+            half[1].write(b"*1\r\n$4\r\nPI")
+            new = await dial(server)
+            await ping(new)  # it had to wait, and was not closed
+            assert await mute[0].read() == b""
+            half[1].write(b"NG\r\n")
+            assert await half[0].readline() == PONG
+            monkeypatch.setattr(virtual_server, "RESTED", 0.05)
+            await ping(new)
+            newer = await dial(server)
+            await ping(newer)
+            assert await half[0].read() == b"", "the one that has rested for longest"
+
+    play(work())
+
+
+def test_a_connection_that_never_ends_what_it_began_is_told_and_closed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(virtual_server, "PATIENCE", 0.1)
+    monkeypatch.setattr(virtual_server, "SWEEP", 0.02)
+
+    async def work() -> None:
+        async with served(10) as server:
+            used = await dial(server)
+            await ping(used)
+            for begun, told in ((b"", b""), (b"*1\r\n$4\r\nPI", b""), (PING + b"*", PONG)):
+                reader, writer = await dial(server)
+                writer.write(begun)
+                assert await reader.read() == told + virtual_server.SLOW
+            await ping(used)  # one that was answered may rest
+
+    play(work())
+
+
+def test_a_flood_on_one_connection_leaves_the_others_their_turns() -> None:
+    one, buffer = session(), Buffer()
+    buffer.feed(PING * 1000)
+    assert one.receive(buffer).count(PONG) == resp.TURN and one.more
+
+    async def work() -> None:
+        async with served(10) as server:
+            flood, usual = await dial(server), await dial(server)
+            flood[1].write(PING * 100_000)
+            await flood[0].readline()
+            await ping(usual)
+            assert len(await flood[0].read(1 << 20)) < 100_000 * len(PONG)
+            flood[1].close()
+
+    play(work())
+
+
+@pytest.mark.parametrize("sockets", [64, 256, 1024])
+def test_all_descriptors_together_stay_under_the_limit(tmp_path: Path, sockets: int) -> None:
+    path = Path(write(tmp_path, 6379, 8500, [])[0])
+    told = json.loads(path.read_text())
+    told["settings"]["family-info"]["call-slots"] = 200
+    path.write_text(json.dumps({**told, "limits": {"sockets": sockets}}))
+    read = config.read({}, str(path))
+    clients, idle = budget(read)
+    assert clients > 0 and idle > 0
+    assert clients + idle + read.settings.slots + config.FIXED_SOCKETS <= sockets
