Judge spoilt answers by what they prove, and reuse no connection with bytes behind one

Seen by probe (tests/exchanges/call.txt, tests/programs/spoilt.txt): a cut answer headed 429, 503, 504 or 410 counted as never run or over; half a copy directly behind an answer left the connection reusable, so that its other half met the next call; an unfinished head or a length that never comes held its slot to the call's time-out. At fault: calls.broken looked up SIMPLE for any status; http1.AnswerMachine.feed took a second message in the same read for no matter; members._exchange read on without any limit of its own. Ruled out: judging a short length by the body. It looks the same as a good answer with more behind it, so what says there that nothing ran is counted as may have run, while a told wait binds all the same.

Now only a lone 200 is true when cut or spoilt, also with a first line without reason; the rest of an answer that has begun is waited for 0.5 s (0.1 s where a lone 200 said it all), a stated length past 128 KB not at all.

--- a/honeyhitch/wire/calls.py
+++ b/honeyhitch/wire/calls.py
@@ -5,7 +5,7 @@
 import re
 
 from honeyhitch import interface as api
-from honeyhitch.core import Result
+from honeyhitch.core import NEVER_RAN, Result
 from honeyhitch.memory.transactions import Transaction
 from honeyhitch.wire import http1
 
@@ -71,6 +71,11 @@
         told = dict(line.split()[:2] for line in _lines(answer.body) if len(line.split()) >= 2)
         # A message that the answer passes over may have run: nobody said that it did not.
         result.outcomes = [BATCH.get(told.get(part.id, ""), (api.Outcome.ERROR, False)) for part in parts]
+    if answer.more:  # a spoilt length looks like this, too: what says that nothing ran proves nothing
+        result.outcomes = [
+            (api.Outcome.RESET, False) if outcome in NEVER_RAN else (outcome, over)
+            for outcome, over in result.outcomes
+        ]
     result.wait = wait(answer.headers)
     result.told = report(answer.headers.get("x-pressure", ""))
     return result
@@ -80,8 +85,8 @@
     return body.decode("latin-1").splitlines()
 
 
-def broken(status: int, parts: list[Transaction]) -> Result:
-    """The connection broke when no more than the first line had come; a lone 200 has delivered."""
-    if len(parts) > 1 or status not in SIMPLE:
-        return Result.same(api.Outcome.RESET, len(parts))
-    return Result.same(SIMPLE[status], 1, status in (200, 410))
+def broken(status: int, parts: list[Transaction], outcome: api.Outcome) -> Result:
+    """No whole answer came, whatever its first line says: the call may have run. Only a lone 200 is true."""
+    if status == 200 and len(parts) == 1:
+        return Result.same(api.Outcome.DELIVERED, 1, True)
+    return Result.same(outcome, len(parts))
--- a/honeyhitch/wire/drivers/discovery.py
+++ b/honeyhitch/wire/drivers/discovery.py
@@ -9,7 +9,7 @@
 from honeyhitch.memory.buffer import Buffer
 from honeyhitch.memory.transactions import Transaction
 from honeyhitch.wire import http1, notices
-from honeyhitch.wire.discovery import Watch, list_request, watch_request, whole_list
+from honeyhitch.wire.discovery import MOST_LINE, Watch, list_request, watch_request, whole_list
 from honeyhitch.wire.drivers import sockets
 from honeyhitch.wire.drivers.tasks import Tasks
 
@@ -95,7 +95,7 @@
             raise ConnectionError(f"notices: answered {answer.status}")
 
     async def _ask(self, sock: socket.socket, buffer: Buffer, request: bytes) -> http1.Answer:
-        machine = http1.AnswerMachine()
+        machine = http1.AnswerMachine(most=MOST_LINE)
         await self.loop.sock_sendall(sock, request)
         while True:
             count = await sockets.read(self.loop, sock, buffer)
--- a/honeyhitch/wire/drivers/members.py
+++ b/honeyhitch/wire/drivers/members.py
@@ -19,6 +19,9 @@
 NS = 1_000_000_000
 IDLE_SHARE = 0.8  # of the time after which a member closes an idle connection
 SWEEP = 1.0  # seconds between looks at idle connections
+STALL = 0.5  # seconds for more of an answer that has begun; it is written at once or spoilt
+KNOWN = 0.1  # seconds where its first line has told already all that matters
+MOST_ANSWER = 1 << 17  # bytes of one; a body holds half of it at most
 
 
 @dataclass(slots=True, eq=False)
@@ -38,7 +41,6 @@
     def __init__(self) -> None:
         self.written = False  # its last byte was handed to the connection
         self.connection: Connection | None = None
-        self.status = 0
 
 
 class HttpCarrier:
@@ -116,10 +118,8 @@
         """No whole answer came. Before the last byte was written the call cannot have run."""
         if not progress.written:
             return Result.same(api.Outcome.CONNECT_FAILED, len(call.parts))
-        status = progress.connection.machine.answer.status if progress.connection else 0
-        if status:
-            return calls.broken(status, call.parts)
-        return Result.same(outcome, len(call.parts))
+        status = progress.connection.machine.status if progress.connection else 0
+        return calls.broken(status, call.parts, outcome)
 
     async def _exchange(self, call: Call, progress: Progress) -> Result:
         connection = progress.connection = await self._connection(call.member)
@@ -128,7 +128,7 @@
         progress.written = True
         connection.machine.fresh()
         while True:
-            count = await sockets.read(self.loop, connection.sock, connection.buffer)
+            count = await self._read(call, connection)
             if count:
                 answer = connection.machine.feed(connection.buffer.take())
             else:
@@ -138,6 +138,16 @@
             if not count:
                 raise ConnectionResetError("the connection ended before the answer")
 
+    async def _read(self, call: Call, connection: Connection) -> int:
+        read, machine = sockets.read(self.loop, connection.sock, connection.buffer), connection.machine
+        if not machine.seen:
+            return await read
+        try:
+            async with asyncio.timeout(KNOWN if machine.status == 200 and len(call.parts) == 1 else STALL):
+                return await read
+        except TimeoutError:
+            raise http1.HttpError("answer: its rest does not come") from None
+
     async def _connection(self, member: PoolMember) -> Connection:
         kept = self.idle.get(member.id, [])
         while kept:
@@ -150,7 +160,7 @@
                 sock = await sockets.connect(self.loop, member.address)
         except TimeoutError:
             raise ConnectionRefusedError("the connection never came up") from None
-        return Connection(sock, member.address, Buffer(), http1.AnswerMachine())
+        return Connection(sock, member.address, Buffer(), http1.AnswerMachine(most=MOST_ANSWER))
 
     def _keep(self, member: PoolMember, connection: Connection) -> None:
         connection.idle_since = self.scheduler.now()
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -13,6 +13,7 @@
 
 import pytest
 
+from honeyhitch import interface as api
 from honeyhitch.core import Call, Offered, Phase, State
 from honeyhitch.memory.buffer import Buffer
 from honeyhitch.memory.pool import Pool, PoolError, PoolMember
@@ -68,13 +69,15 @@
     """A call's answer; the argument is how many messages it carries."""
 
     def __init__(self, count: str) -> None:
-        self.parts, self.machine, self.whole = parts(int(count)), http1.AnswerMachine(), False
+        self.parts, self.machine, self.spoilt = parts(int(count)), http1.AnswerMachine(most=4096), False
+        self.answer: http1.Answer | None = None
 
     def feed(self, data: bytes) -> Out:
-        answer = self.machine.feed(data)
-        if answer is not None and not self.whole:
-            self.whole = True
-            yield self.show(answer)
+        try:
+            self.answer = None if self.spoilt else self.machine.feed(data)
+        except http1.HttpError:
+            self.spoilt = True
+        yield b""
 
     def show(self, answer: http1.Answer) -> bytes:
         result = calls.read(answer, self.parts)
@@ -84,14 +87,14 @@
         return f"{ends}{told}\n".encode()
 
     def end(self) -> Out:
-        answer = self.machine.ended()
-        if not self.whole and answer is not None:
-            yield self.show(answer)
-        elif not self.whole:
-            result = calls.broken(self.machine.answer.status, self.parts)
+        ended = self.answer is None
+        answer = None if self.spoilt else self.answer or self.machine.ended()
+        if answer is None:
+            result = calls.broken(self.machine.status, self.parts, api.Outcome.RESET)
             yield f"broken: {' '.join(outcome.value for outcome, _ in result.outcomes)}\n".encode()
         else:
-            yield b"reusable\n" if self.machine.reusable else b"to be closed\n"
+            yield self.show(answer)
+            yield b"" if ended else b"reusable\n" if self.machine.reusable else b"to be closed\n"
 
 
 class Encode:
