Forget members that are gone, and those a whole list leaves out

Seen by probe (tests/exchanges/watch.txt): Pool.members kept each member that was ever named, and one that a whole list left out stayed ready; its idle connections stayed open to their time. Also a list of which one row could not be read was entered in part; now it is read whole first.

--- a/honeyhitch/core.py
+++ b/honeyhitch/core.py
@@ -255,8 +255,8 @@
                     if (call := self.out.get(name)) is not None:
                         self.carriers[call.member.carrier].give_up(call)
                 case api.Close(name):
-                    member = self.pool.members[name]
-                    self.carriers[member.carrier].close_idle(member)
+                    if (member := self.pool.members.get(name)) is not None:
+                        self.carriers[member.carrier].close_idle(member)
                 case api.Subscribe():
                     pass  # the watch is always on
         self._send_all(sends)
--- a/honeyhitch/memory/pool.py
+++ b/honeyhitch/memory/pool.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from honeyhitch import interface as api
@@ -37,7 +37,7 @@
 
 
 class Pool:
-    """Members by id. Those that are gone stay known, so that calls still out can be told of."""
+    """Members by id. Those that are gone are forgotten; a call still out knows its own."""
 
     def __init__(self, settings: api.Settings) -> None:
         self.kinds = tuple(kind.name for kind in settings.kinds)
@@ -60,10 +60,19 @@
         """Enter one list or one change, in discovery's form, and say what is new."""
         try:
             rows, revision = told["members"], int(told["revision"])
-            news = tuple(self._member(row).entry() for row in rows)
+            read = [self._member(row) for row in rows]
         except (KeyError, TypeError, ValueError) as error:
             raise PoolError(f"members: {type(error).__name__}: {error}") from error
-        self.revision = revision
+        members = [one for one in read if one.status is not api.Status.GONE or one.id in self.members]
+        self.revision, news = revision, tuple(member.entry() for member in members)
+        if told.get("complete", False):  # what a whole list leaves out is gone as well
+            named = {entry.endpoint for entry in news} | self.fixed.keys()
+            self.members = {name: member for name, member in self.members.items() if name in named}
+        for member in members:
+            if member.status is not api.Status.GONE:
+                self.members[member.id] = member
+            elif member.id not in self.fixed:
+                self.members.pop(member.id, None)
         self.destinations.update(entry.destination for entry in news)
         if not told.get("complete", False):
             return api.ListNews(api.ListMode.CHANGES, news)
@@ -75,15 +84,14 @@
         old = self.members.get(name)
         status = PHASES.get(str(row.get("phase", "Ready")), api.Status.READY)
         if status is api.Status.GONE and old is not None:
-            old.status = status
-            return old
+            return replace(old, status=status)
         cell = row.get("cell")
         destination = int(cell) if cell is not None else old.destination if old else -1
         address = str(row.get("host_port") or (old.address if old else ""))
         host, _, port = address.rpartition(":")
         if status is not api.Status.GONE and not (host and port.isdigit()):
             raise PoolError(f"host_port: expected HOST:PORT, got {address!r}")
-        member = PoolMember(
+        return PoolMember(
             id=name,
             address=address,
             destination=destination,
@@ -92,5 +100,3 @@
             scale=float(row.get("size", 1.0)),
             status=status,
         )
-        self.members[name] = member
-        return member
--- a/honeyhitch/wire/drivers/members.py
+++ b/honeyhitch/wire/drivers/members.py
@@ -74,16 +74,16 @@
         while True:
             await asyncio.sleep(SWEEP)
             for name in list(self.idle):
-                member = self.dispatcher.pool.members[name]
-                if member.status is api.Status.GONE:
-                    self.close_idle(member)
-                else:
-                    self.idle[name] = [kept for kept in self.idle[name] if self._usable(kept, member)]
+                member = self.dispatcher.pool.members.get(name)
+                kept = [one for one in self.idle.pop(name) if self._usable(one, member)]
+                if kept:
+                    self.idle[name] = kept
 
-    def _usable(self, connection: Connection, member: PoolMember) -> bool:
+    def _usable(self, connection: Connection, member: PoolMember | None) -> bool:
         most = self.settings.conn_idle * IDLE_SHARE
         stale = most and self.scheduler.now() - connection.idle_since > most
-        if not stale and connection.address == member.address and sockets.quiet(connection.sock):
+        there = member is not None and connection.address == member.address
+        if there and not stale and sockets.quiet(connection.sock):
             return True
         connection.sock.close()
         return False
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -131,7 +131,7 @@
             yield f"{news.mode.value} {' '.join(rows)}\n".encode()
 
     def end(self) -> Out:
-        yield f"revision {self.pool.revision}\n".encode()
+        yield f"revision {self.pool.revision} knows {' '.join(self.pool.members)}\n".encode()
 
 
 class Mqtt:
