Judge a batch as one call, send broken ones smaller, and take little time left for no age

Destinations with batches go out after one broken call and alternate between single trials that pass and batches that break. Checked: messages reset once pass later, so none is faulty by itself; size in bytes does not matter within singles. At fault in brain.py: Message.aim counted back from the deadline and so put first-time messages with little time left behind all others; _learn noted a failed call once for each message in it, 20 failures against a memory of 5; flow and latency took a batch for 20 calls, so that a refusal hardly cut its pace; _send always filled up to per_call.

--- a/honeyhitch/brain.py
+++ b/honeyhitch/brain.py
@@ -28,6 +28,7 @@
 PACE_FLOOR, PACE_END = 0.4, 2.0  # x this instance's part: least pace, and where pacing ends
 FLOW_SPAN, LOW_ALLOWANCE = 2 * SECOND, 0.15  # ns flow is averaged over; share left that starts pacing
 TABLE, TIGHT, CLUMP = 6, 0.1, 3 * SECOND  # instances with a connection each; share; traffic told at once
+MOST_TOGETHER, TOGETHER = 1024, 0.5  # messages in a call where none break; growth with a call that passes
 ASK_GAP, ASK_MOST, AVOID_STEPS = 500 * MS, 8 * SECOND, 4  # ns, asking again; steps an endpoint is ranked by
 RESTING = (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED)  # after these it may still run: a key rests
 NEVER_RAN = (Outcome.REFUSED, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
@@ -39,10 +40,10 @@
     def __init__(self, fade: int) -> None:
         self.bad, self.good, self.at, self.fade = 0.0, 0.0, 0, fade
 
-    def note(self, now: int, bad: bool) -> None:
+    def note(self, now: int, bad: bool, weight: float = 1.0) -> None:
         self.share(now)
-        keep = min(1.0, (MEMORY - 1) / max(1e-9, self.bad + self.good))
-        self.bad, self.good = self.bad * keep + bad, self.good * keep + (not bad)
+        keep = min(1.0, (MEMORY - weight) / max(1e-9, self.bad + self.good))
+        self.bad, self.good = self.bad * keep + weight * bad, self.good * keep + weight * (not bad)
 
     def share(self, now: int) -> float:  # of bad ones; one unknown outcome counts with them
         keep, self.at = exp((self.at - now) / self.fade), now
@@ -60,7 +61,8 @@
         self.zoned = self.keyed and cls.group is api.Group.ZONE
         self.deadline, self.worth = now + event.time_left, cls.worth
         self.span = min(cls.aim + int(cls.aim_stretch * event.work), cls.deadline)
-        self.aim = self.deadline - cls.deadline + self.span
+        began = self.deadline - cls.deadline if event.came_again else now  # little time left is no age
+        self.aim = min(began + self.span, self.deadline)
         self.call: Call | None = None  # never two at once
         self.ran: list[tuple[int, int]] = []  # when and in which zone it may have run, oldest first
         self.attempts = self.failures = event.attempts  # more than none after a restart of the process
@@ -94,7 +96,7 @@
     """One call out: its slot is free when the last of its messages has an outcome."""
 
     def __init__(self, endpoint: Endpoint, sent: int) -> None:
-        self.endpoint, self.sent, self.left = endpoint, sent, 1
+        self.endpoint, self.sent, self.left, self.size, self.passed = endpoint, sent, 1, 1, False
 
 
 class Endpoint:
@@ -113,6 +115,7 @@
         self.calls: dict[Call, None] = {}  # oldest first
         self.scale, self.limit, self.flow, self.rate, self.risk = 0.0, 0.0, 0.0, inf, RISKY_SHARE
         self.wait_until = self.trial_at = self.last_send = self.run = self.cut_at = self.down_at = 0
+        self.most = float(MOST_TOGETHER)  # messages a call should hold; fewer where whole calls break
         self.ok_sent = self.bad_sent = self.bad_at = self.back_at = self.closed_at = -NEVER
         self.out, self.flow_at, self.spread = False, 0, SPREAD if settings.instances > TABLE else JITTER
 
@@ -163,8 +166,11 @@
         self.trial_at = now + int(gap * self.rng.uniform(1 - self.spread, 1 + self.spread))
 
     def passed(self, now: int, call: Call, took: int) -> bool:  # true if it brings the lane back
-        self.latency += LATENCY_WEIGHT * (took - self.latency)
-        self.flow = self.flow * exp((self.flow_at - now) / FLOW_SPAN) + 1
+        self.latency += LATENCY_WEIGHT / call.size * (took - self.latency)
+        self.flow = (
+            self.flow * exp((self.flow_at - now) / FLOW_SPAN) + 1 / call.size
+        )  # in calls, as limits are
+        self.most = min(MOST_TOGETHER, self.most * (1 + TOGETHER / call.size))
         self.flow_at, self.ok_sent = now, max(self.ok_sent, call.sent)
         if call.sent < self.bad_sent:  # older than a failure: it proves nothing
             return False
@@ -361,7 +367,12 @@
             lane.cut(self.now)
         if event.outcome is not Outcome.REFUSED:
             for tally in (endpoint.tallies[message.number], lane.tally):
-                tally.note(self.now, event.outcome is not Outcome.DELIVERED)
+                tally.note(self.now, event.outcome is not Outcome.DELIVERED, 1 / call.size)
+        call.passed = call.passed or event.outcome is Outcome.DELIVERED
+        if call.size > 1 and not call.left and not call.passed and event.outcome not in NEVER_RAN:
+            lane.most = (
+                call.size / 2
+            )  # each message may break the call that carries it and all that ride along
         if event.outcome is not Outcome.DELIVERED:
             lane.failed(self.now, call, event.outcome is Outcome.REFUSED, event.wait)
         elif lane.passed(self.now, call, event.took):
@@ -449,10 +460,14 @@
         lane.calls[call] = None
         self._put(message, call)
         for queue in dest.queues.values():  # further messages ride along where a call takes several
-            while call.left < dest.per_call and not lane.out and (rider := self._head(queue)) is not None:
+            while (
+                call.left < min(dest.per_call, lane.most)
+                and not lane.out
+                and (rider := self._head(queue)) is not None
+            ):
                 if rider.zone() not in (None, endpoint.zone) or rider.cls is not message.cls:
                     break
-                call.left += 1
+                call.left = call.size = call.left + 1
                 self._put(rider, call)
 
     def _put(self, message: Message, call: Call) -> None:
--- a/honeyhitch/core.py
+++ b/honeyhitch/core.py
@@ -132,6 +132,7 @@
             if transaction.ending is not None:  # decided already; only its answer may not have been sent
                 self._answer(transaction)
             else:
+                transaction.came_again = True  # its age is not that of this process
                 self._add(transaction)
 
     def offer(self, transaction: Transaction) -> Offered:
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+from collections import Counter
 
 import pytest
 
@@ -284,3 +285,40 @@
     assert sum(bool(line.strip()) for line in lines) <= 500
     assert max(len(line) for line in lines) <= 110
     assert "honeyhitch/interface.py" in lines[0]
+
+
+def test_little_time_left_is_no_age_unless_it_came_again() -> None:
+    world = World(settings(slots=4, cancel=False), ONE)
+    world.batch([world.hand_in(f"out{i}") for i in range(3)])  # three quarters of the slots
+    world.batch([world.hand_in("long"), world.hand_in("old", time_left=SECOND, came_again=True)])
+    world.batch([world.hand_in("hasty", time_left=SECOND)], at=10 * MS)
+    for name in ("out0", "out1", "out2"):
+        world.batch([world.end(name, Outcome.DELIVERED)], at=world.now + 60 * MS)
+        world.run(world.now + 60 * MS)
+    assert [a.message for _, a in world.sends()[3:]] == ["hasty", "long", "old"]
+
+
+def test_a_batch_that_breaks_goes_again_in_smaller_ones_and_counts_once() -> None:
+    world = World(settings(kinds=(api.Kind(per_call=16),)), ONE)
+    names = [f"m{i}" for i in range(16)]
+    world.batch([world.hand_in("first")])
+    world.batch([world.end("first", Outcome.DELIVERED)], at=50 * MS)
+    world.batch([world.hand_in(name) for name in names], at=60 * MS)
+    assert sum(at == 60 * MS for at, _ in world.sends()) == 16, "one call holds them all"
+    world.batch([world.end(name, Outcome.RESET) for name in names], at=100 * MS)
+    world.batch([world.hand_in("other")], at=110 * MS)
+    assert world.sends("other"), "one broken call is one failure, however much it carried"
+    world.batch([world.end("other", Outcome.DELIVERED)], at=160 * MS)
+    world.run(600 * MS)
+    together = Counter(at for at, _ in world.sends() if at > 160 * MS)
+    assert together and max(together.values()) <= 9
+
+
+def test_a_faulty_part_of_a_batch_that_passed_leaves_its_size() -> None:
+    world = World(settings(kinds=(api.Kind(per_call=8),)), ONE)
+    names = [f"m{i}" for i in range(8)]
+    world.batch([world.hand_in(name) for name in names])
+    ends = [world.end(name, Outcome.ERROR if name == "m7" else Outcome.DELIVERED) for name in names]
+    world.batch(ends, at=50 * MS)
+    world.batch([world.hand_in(f"n{i}") for i in range(8)], at=60 * MS)
+    assert sum(at == 60 * MS for at, _ in world.sends()) == 8
