Let the longest unused connection make room at once when all places are taken

At fault: VirtualServer._make_room let an answered connection go only after 2 s, so that accepting stood still and the backlog, usual clients with it, waited past their 400 ms.

Now clients lie in order of use, and the first that is answered and quiet, or mute for 0.1 s, is closed; PROTOCOL has such a client send again on a new connection. The 2 s were also a scan and a sort for each accept.

--- a/honeyhitch/wire/drivers/virtual_server.py
+++ b/honeyhitch/wire/drivers/virtual_server.py
@@ -1,7 +1,7 @@
 """The virtual server: it accepts clients and lets a session answer what they send.
 
 A connection has its place for as long as it is used. One that says nothing or never ends what it began is
-closed after a while, and when all places are taken one that rests makes room for the next client.
+closed after a while, and when all places are taken the longest unused one makes room for the next client.
 """
 
 from __future__ import annotations
@@ -21,8 +21,7 @@
 BACKLOG = 1024
 PAUSE = 0.05  # seconds before accepting again when no descriptor was left
 PATIENCE = 2.0  # seconds for a first request, for the rest of a half one, and for replies to be read
-RESTED = 2.0  # seconds without a request after which a connection may have to make room
-MUTE = 0.1  # seconds without a first byte after which one may have to, whose request would have come with it
+MUTE = 0.1  # seconds without a first byte after which one may make room: a request would have come with it
 SWEEP = 0.25  # seconds between looks at connections that are out of time
 LOOK = 0.01  # seconds between looks for a place when all are taken
 SLOW = b"-ERR request: not whole in time\r\n"
@@ -68,7 +67,7 @@
         self, address: tuple[str, int], session: Callable[[], ServerSession], most: int, tasks: Tasks
     ) -> None:
         self.session, self.most, self.tasks, self.loop = session, most, tasks, tasks.loop
-        self.clients: dict[Client, None] = {}  # those that have stood for longest are mostly first
+        self.clients: dict[Client, None] = {}  # those that have stood as they stand for longest come first
         self.draining = False
         self.listener = sockets.fresh()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -100,12 +99,14 @@
             self.tasks.start(self._serve(client))
 
     def _make_room(self) -> bool:
-        """Close the connection that can best be missed, if there is one that may be closed."""
-        now = self.loop.time()
-        rested = [one for one in self.clients if one.answered and now - one.since > RESTED]
-        mute = [one for one in self.clients if not one.answered and now - one.since > MUTE]
-        for one in sorted(rested, key=lambda one: one.since) + mute:
-            if one.resting or one.mute:
+        """Close the connection that has stood unused for longest, if any may be closed.
+
+        One that was answered may be closed at any time, since its client asks again on a new one; waiting for
+        it to have rested would leave a crowd of new clients out.
+        """
+        mute_since = self.loop.time() - MUTE
+        for one in self.clients:
+            if one.resting or (one.since < mute_since and one.mute):
                 self._end(one)
                 return True
         return False
@@ -122,6 +123,12 @@
                             one.sock.send(SLOW)
                     self._end(one)
 
+    def _touch(self, client: Client) -> None:
+        client.since = self.loop.time()
+        if client in self.clients:
+            del self.clients[client]
+            self.clients[client] = None
+
     def _end(self, client: Client) -> None:
         self.clients.pop(client, None)
         with contextlib.suppress(OSError):
@@ -139,11 +146,13 @@
                     break
                 replies = session.receive(buffer)
                 if replies:
-                    client.sending, client.since = True, self.loop.time()
+                    client.sending = True
+                    self._touch(client)
                     await self.loop.sock_sendall(sock, replies)
-                    client.sending, client.answered, client.since = False, True, self.loop.time()
+                    client.sending, client.answered = False, True
+                    self._touch(client)
                 elif session.half and not client.half and client.answered:
-                    client.since = self.loop.time()
+                    self._touch(client)
                 client.half = session.half or session.more
                 if self.draining and client.resting:
                     break
--- a/tests/test_virtual_server.py
+++ b/tests/test_virtual_server.py
@@ -51,9 +51,7 @@
     assert await stream[0].readline() == PONG
 
 
-def test_rested_and_mute_connections_make_room_and_those_in_use_do_not(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
+def test_the_longest_unused_makes_room_and_those_in_use_do_not() -> None:
     async def work() -> None:
         async with served(2) as server:
             mute, half = await dial(server), await dial(server)
@@ -63,11 +61,12 @@
             assert await mute[0].read() == b""
             half[1].write(b"NG\r\n")
             assert await half[0].readline() == PONG
-            monkeypatch.setattr(virtual_server, "RESTED", 0.05)
             await ping(new)
             newer = await dial(server)
             await ping(newer)
             assert await half[0].read() == b"", "the one that has rested for longest"
+            for _ in range(20):  # a crowd that asks once and stays: none of it is left out
+                await ping(await dial(server))
 
     play(work())
 
