Take a kept connection that breaks without a word for stale, not its member for sick

At fault: the driver reported any such end as RESET or CONNECT_FAILED, and Brain._learn counted it against the lane. Ruled out: keeping no connections.

Now Connection.untold tells a kept connection on which nothing came; Result.stale and AttemptEnded.stale carry it, and the module retries the message as ever but learns nothing. A member that is down refuses the new connection.

--- a/honeyhitch/brain.py
+++ b/honeyhitch/brain.py
@@ -350,7 +350,7 @@
             message.ran.pop()
         if event.outcome in RESTING and message.key in self.lines:
             self.lines[message.key][1][0] = self.now + self.s.order_pause
-        if event.outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
+        if event.outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT) and not event.stale:
             self._learn(event, call, message)
         self.hot[message.dest] = None
         self._end(message) if message.ended or event.settled else self._retry(message, event, lane)
--- a/honeyhitch/core.py
+++ b/honeyhitch/core.py
@@ -55,6 +55,7 @@
     outcomes: list[tuple[api.Outcome, bool]]  # and whether nothing more is owed
     wait: int = 0
     told: dict[str, float] = field(default_factory=dict)
+    stale: bool = False  # a connection kept from an earlier call broke before any answer
 
     @classmethod
     def same(cls, outcome: api.Outcome, count: int, over: bool = False) -> Result:
@@ -224,6 +225,7 @@
                 wait=result.wait,
                 allowance=result.told.get("x0", 1.0),
                 limit=result.told.get("x1", 0.0),
+                stale=result.stale,
             )
         )
 
--- a/honeyhitch/interface.py
+++ b/honeyhitch/interface.py
@@ -207,6 +207,7 @@
     wait: int = 0  # told wait, 0 if none
     allowance: float = 1.0  # told share of the limit that is left
     limit: float = 0.0  # told limit in calls a second, 0 if there is none
+    stale: bool = False  # a kept connection broke without a word: it tells of the connection alone
 
 
 @dataclass(frozen=True, slots=True)
--- a/honeyhitch/wire/drivers/members.py
+++ b/honeyhitch/wire/drivers/members.py
@@ -34,6 +34,11 @@
     machine: http1.AnswerMachine
     idle_since: int = 0
 
+    @property
+    def untold(self) -> bool:
+        """It was kept from an earlier call, and nothing has come on it since."""
+        return self.idle_since > 0 and not self.machine.seen
+
 
 class Progress:
     """How far a call has come, which says what a break or a time-out means."""
@@ -116,17 +121,24 @@
     @staticmethod
     def _cut(call: Call, progress: Progress, outcome: api.Outcome) -> Result:
         """No whole answer came. Before the last byte was written the call cannot have run."""
+        connection = progress.connection
         if not progress.written:
-            return Result.same(api.Outcome.CONNECT_FAILED, len(call.parts))
-        status = progress.connection.machine.status if progress.connection else 0
-        return calls.broken(status, call.parts, outcome)
+            outcome = api.Outcome.CONNECT_FAILED
+            result = Result.same(outcome, len(call.parts))
+        else:
+            result = calls.broken(connection.machine.status if connection else 0, call.parts, outcome)
+        # Members drop kept connections, some without a word. That says nothing of their health: a new
+        # connection will tell, and one that is down refuses it.
+        broke = outcome in (api.Outcome.RESET, api.Outcome.CONNECT_FAILED)
+        result.stale = broke and connection is not None and connection.untold
+        return result
 
     async def _exchange(self, call: Call, progress: Progress) -> Result:
         connection = progress.connection = await self._connection(call.member)
+        connection.machine.fresh()
         left = call.timeout - (self.scheduler.now() - call.sent)
         await self.loop.sock_sendall(connection.sock, calls.encode(call.parts, left, connection.address))
         progress.written = True
-        connection.machine.fresh()
         while True:
             count = await self._read(call, connection)
             if count:
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -322,3 +322,13 @@
     world.batch(ends, at=50 * MS)
     world.batch([world.hand_in(f"n{i}") for i in range(8)], at=60 * MS)
     assert sum(at == 60 * MS for at, _ in world.sends()) == 8
+
+
+@pytest.mark.parametrize(("stale", "sent"), [(True, 3), (False, 0)])
+def test_kept_connections_that_broke_do_not_put_a_destination_out(stale: bool, sent: int) -> None:
+    world = World(settings(), ONE)
+    names = [f"m{i}" for i in range(4)]
+    world.batch([world.hand_in(name) for name in names])
+    world.batch([world.end(name, Outcome.RESET, stale=stale) for name in names], at=60 * MS)
+    world.batch([world.hand_in(f"n{i}") for i in range(3)], at=70 * MS)
+    assert sum(at == 70 * MS for at, _ in world.sends()) == sent
--- /dev/null
+++ b/tests/test_members.py
@@ -0,0 +1,46 @@
+"""What the end of a call says of its connection, beside what the programs in tests/programs show."""
+
+from __future__ import annotations
+
+import socket
+
+import pytest
+
+from honeyhitch import interface as api
+from honeyhitch.core import Call
+from honeyhitch.memory.buffer import Buffer
+from honeyhitch.memory.pool import PoolMember
+from honeyhitch.wire import http1
+from honeyhitch.wire.drivers.members import Connection, HttpCarrier, Progress
+
+from .rig import START
+from .test_exchanges import parts
+
+Outcome = api.Outcome
+
+
+@pytest.mark.parametrize(
+    ("kept", "written", "came", "outcome", "told", "stale"),
+    [
+        (True, True, b"", Outcome.RESET, Outcome.RESET, True),
+        (True, False, b"", Outcome.RESET, Outcome.CONNECT_FAILED, True),
+        (False, True, b"", Outcome.RESET, Outcome.RESET, False),
+        (True, True, b"HTTP/1.1 5", Outcome.RESET, Outcome.RESET, False),
+        (True, True, b"", Outcome.TIMEOUT, Outcome.TIMEOUT, False),
+        (True, True, b"HTTP/1.1 200 OK", Outcome.RESET, Outcome.DELIVERED, False),
+    ],
+)
+def test_a_kept_connection_that_breaks_without_a_word_is_stale(
+    kept: bool, written: bool, came: bytes, outcome: Outcome, told: Outcome, stale: bool
+) -> None:
+    member = PoolMember("m", "127.0.0.1:9", 1)
+    machine = http1.AnswerMachine()
+    if came:
+        machine.feed(came)
+    with socket.socket() as sock:
+        progress = Progress()
+        progress.connection = Connection(sock, member.address, Buffer(), machine, START if kept else 0)
+        progress.written = written
+        call = Call(member, parts(1), [0], [0], START, [True])
+        result = HttpCarrier._cut(call, progress, outcome)
+    assert (result.outcomes[0][0], result.stale) == (told, stale)
