Let a lane's pace follow the told limit when it rises again

At fault in brain.py: Lane.pace grows from Lane.rate by 15 % a second, and the floor of 0.4 of the part was applied only at the moment of a cut, to the limit as it was then.

Now the floor, 0.7 of the told part, holds at each look.

--- a/honeyhitch/brain.py
+++ b/honeyhitch/brain.py
@@ -25,8 +25,9 @@
 TRIAL_GAP, TRIAL_SLACK, TRIAL_MOST, SPREAD = 200 * MS, 700 * MS, 16 * SECOND, 0.5  # ns, ns x instances, ns
 ROUGH_ERROR, LEAST_PART, SAFETY = 1.5, 0.001, 0.8  # x too high; calls a second; share of the budget used
 CUT, CUT_START, REGROWTH = 0.75, 0.9, 0.15  # x a refusal, x the flow before a first one, share a second
-PACE_FLOOR, PACE_END = 0.4, 2.0  # x this instance's part: least pace, and where pacing ends
+PACE_FLOOR, PACE_END = 0.7, 2.0  # x this instance's part: least pace, and where pacing ends
 FLOW_SPAN, LOW_ALLOWANCE = 2 * SECOND, 0.15  # ns flow is averaged over; share left that starts pacing
+
 TABLE, TIGHT, CLUMP = 6, 0.1, 3 * SECOND  # instances with a connection each; share; traffic told at once
 MOST_TOGETHER, TOGETHER = 1024, 0.5  # messages in a call where none break; growth with a call that passes
 ASK_GAP, ASK_MOST, AVOID_STEPS = 500 * MS, 8 * SECOND, 4  # ns, asking again; steps an endpoint is ranked by
@@ -132,7 +133,7 @@
     def pace(self, now: int) -> float:
         """Calls a second allowed now. One pace serves refusals and the ramp after a return (rule 4)."""
         grown = REGROWTH * min(1.0, self.rate) * (now - self.cut_at) / SECOND if self.rate < inf else 0.0
-        rate = self.rate * (1 + grown)
+        rate = max(self.rate * (1 + grown), PACE_FLOOR * self.part())  # a limit may have been raised since
         if rate > PACE_END * max(self.part(), self.rate / CUT_START):
             rate = self.rate = inf
         ramp = now - self.back_at < self.s.cold
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -332,3 +332,21 @@
     world.batch([world.end(name, Outcome.RESET, stale=stale) for name in names], at=60 * MS)
     world.batch([world.hand_in(f"n{i}") for i in range(3)], at=70 * MS)
     assert sum(at == 70 * MS for at, _ in world.sends()) == sent
+
+
+def test_the_pace_follows_a_limit_that_is_told_to_be_back() -> None:
+    world = World(settings(slots=40), ONE)
+    counts: list[int] = []
+    for limit in (2.0, 20.0):  # a limit that fell for ten seconds, and is back
+        before = len(world.sends())
+        for i in range(100):
+            name = f"{limit}-{i}"
+            events: list[api.Event] = [
+                world.end(one, Outcome.DELIVERED if limit > 2 else Outcome.REFUSED, limit=limit)
+                for one, known in world.messages.items()
+                if known.attempts and known.attempts[-1].outcome is None
+            ]
+            world.batch([*events, world.hand_in(name)])
+            world.run(world.now + 100 * MS)
+        counts.append(len(world.sends()) - before)
+    assert counts[1] > 85, "a hundred were asked for at half the limit"
