Give up hopeless messages at once and learn little from hasty time-outs and broken batches

A batch of 20 reset on a kept connection did not halve the next one. A message reset with 400 ms left was not tried again, as its pause would be 250 ms. Checked: calls of one message passed at 85 % all the while; no call was refused for its connection. At fault in brain.py: _put sent whatever had a millisecond left; _learn took each time-out for a failure, and a broken batch for as much as a broken single call, though any of its parts may break it; _retry cut no first pause.

Now _expire gives a message up when half the mean latency is out of reach; a time-out before the call was overdue teaches nothing; a broken batch of n counts for 1/n and halves the next one whatever broke it; the first pause, too, is cut to the time left.

--- a/honeyhitch/brain.py
+++ b/honeyhitch/brain.py
@@ -30,8 +30,10 @@
 
 TABLE, TIGHT, CLUMP = 6, 0.1, 3 * SECOND  # instances with a connection each; share; traffic told at once
 MOST_TOGETHER, TOGETHER = 1024, 0.5  # messages in a call where none break; growth with a call that passes
+REACH = 0.5  # x mean latency; with less time left a message is given up
 ASK_GAP, ASK_MOST, AVOID_STEPS = 500 * MS, 8 * SECOND, 4  # ns, asking again; steps an endpoint is ranked by
 RESTING = (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED)  # after these it may still run: a key rests
+MAY_HAVE_RUN = (Outcome.ERROR, *RESTING)
 NEVER_RAN = (Outcome.REFUSED, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
 
 
@@ -115,8 +117,11 @@
         self.tight, self.tally = tight, Tally(FADE)  # failed connects of all its kind; failed calls here
         self.calls: dict[Call, None] = {}  # oldest first
         self.scale, self.limit, self.flow, self.rate, self.risk = 0.0, 0.0, 0.0, inf, RISKY_SHARE
-        self.wait_until = self.trial_at = self.last_send = self.run = self.cut_at = self.down_at = 0
-        self.most = float(MOST_TOGETHER)  # messages a call should hold; fewer where whole calls break
+        self.wait_until = self.trial_at = self.last_send = self.cut_at = self.down_at = 0
+        self.run, self.most = (
+            0.0,
+            float(MOST_TOGETHER),
+        )  # messages a call should hold; fewer where whole calls break
         self.ok_sent = self.bad_sent = self.bad_at = self.back_at = self.closed_at = -NEVER
         self.out, self.flow_at, self.spread = False, 0, SPREAD if settings.instances > TABLE else JITTER
 
@@ -144,10 +149,13 @@
         rate = CUT * self.pace(now) if self.rate < inf else max(CUT_START * flow, self.part())
         self.rate, self.cut_at = max(rate, PACE_FLOOR * self.part()), now
 
+    def overdue(self) -> float:  # an answer that takes longer is late
+        return max(LEAST_OVERDUE, OVERDUE_FACTOR * self.latency)
+
     def ready_at(self, now: int, unsafe: bool) -> int:
         """When this lane may take a message; NEVER means that an outcome will tell."""
         sent = next(iter(self.calls)).sent if self.calls else now
-        silent = now - sent > max(LEAST_OVERDUE, OVERDUE_FACTOR * self.latency) and self.ok_sent < sent
+        silent = now - sent > self.overdue() and self.ok_sent < sent
         if silent and not self.out:  # a hang: nothing sent since the oldest call was answered
             self.close(now)
         risky = unsafe and self.tally.share(now) > self.risk
@@ -175,14 +183,16 @@
         self.flow_at, self.ok_sent = now, max(self.ok_sent, call.sent)
         if call.sent < self.bad_sent:  # older than a failure: it proves nothing
             return False
-        back, self.run = self.out, 0
+        back, self.run = self.out, 0.0
         if back:  # no ramp where no trial failed: one failure is no outage
             self.out, self.back_at = False, now if self.closed_at > self.down_at else -NEVER
         return back
 
     def failed(self, now: int, call: Call, refused: bool, wait: int) -> None:
-        fresh = call.sent >= self.bad_at  # one burst counts once
-        self.run += fresh
+        fresh = (
+            call.sent >= self.bad_at
+        )  # one burst counts once, a broken batch hardly: any part may break it
+        self.run += fresh / (1 if refused else call.size)
         self.bad_sent, self.bad_at = max(self.bad_sent, call.sent), now
         if refused and fresh:
             self.cut(now)
@@ -274,7 +284,7 @@
         message = Message(event, self.s.classes[event.cls], dest, self.now)
         message.worth *= self._share(event.tenant) if self.s.tenant_rates else 1.0
         self.messages[message.id] = message
-        self._wake(message.deadline - self.margin, self._woken, message)
+        self._wake(message.deadline - self._reach(message), self._expire, message)
         if (message.attempts or message.ran) and not message.may_try(self.now, self.most):
             self._finish(message)  # a restart came between: its tries, its window or its time are used up
         elif message.key is not None:
@@ -303,18 +313,24 @@
     def _queue(self, message: Message) -> None:
         message.dest.waiting.pop(message, None)
         if message.ran:  # a keyed message's window may close while it queues
-            self._wake(message.until() - self.margin, self._woken, message)
+            self._wake(message.until() - self._reach(message), self._expire, message)
         queue = message.dest.queues.setdefault((message.number, message.zone()), ([], []))
         self.seq += 1
         heappush(queue[0], (message.aim, self.seq, message))
         message.queued, self.hot[message.dest] = True, None
 
     def _woken(self, message: Message) -> None:
-        if not message.ended and message.call is None and self.now >= message.until() - self.margin:
-            self._finish(message)
-        elif message in message.dest.waiting:
+        if message in message.dest.waiting:
             self._queue(message)
 
+    def _reach(self, message: Message) -> int:  # with less time left no try could hope for an answer
+        return self.margin + (int(REACH * message.dest.lane.latency) if message.dest.lane else 0)
+
+    def _expire(self, message: Message) -> None:
+        if not message.ended and message.call is None:
+            last = message.until() - self._reach(message)
+            self._finish(message) if self.now >= last else self._wake(last, self._expire, message)
+
     def _finish(self, message: Message) -> None:  # at once: a refusal where that is true
         lanes = [e.lane for e in message.dest.endpoints.values() if e.listed]
         opens = min((max(lane.wait_until, lane.trial_at) for lane in lanes), default=0)
@@ -351,7 +367,13 @@
             message.ran.pop()
         if event.outcome in RESTING and message.key in self.lines:
             self.lines[message.key][1][0] = self.now + self.s.order_pause
-        if event.outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT) and not event.stale:
+        call.passed = call.passed or event.outcome is Outcome.DELIVERED
+        if call.size > 1 and not call.left and not call.passed and event.outcome in MAY_HAVE_RUN:
+            lane.most = (
+                call.size / 2
+            )  # each message may break the call that carries it and all that ride along
+        hasty = event.outcome is Outcome.TIMEOUT and event.took < lane.overdue()  # cut to its own deadline
+        if event.outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT) and not event.stale and not hasty:
             self._learn(event, call, message)
         self.hot[message.dest] = None
         self._end(message) if message.ended or event.settled else self._retry(message, event, lane)
@@ -368,12 +390,8 @@
             lane.cut(self.now)
         if event.outcome is not Outcome.REFUSED:
             for tally in (endpoint.tallies[message.number], lane.tally):
-                tally.note(self.now, event.outcome is not Outcome.DELIVERED, 1 / call.size)
-        call.passed = call.passed or event.outcome is Outcome.DELIVERED
-        if call.size > 1 and not call.left and not call.passed and event.outcome not in NEVER_RAN:
-            lane.most = (
-                call.size / 2
-            )  # each message may break the call that carries it and all that ride along
+                bad = event.outcome is not Outcome.DELIVERED
+                tally.note(self.now, bad, 1 / (call.size if call.passed else call.size**2))
         if event.outcome is not Outcome.DELIVERED:
             lane.failed(self.now, call, event.outcome is Outcome.REFUSED, event.wait)
         elif lane.passed(self.now, call, event.took):
@@ -388,7 +406,7 @@
         left = message.until() - int(2 * lane.latency) - self.now
         if event.wait:
             pause = max(event.wait, lane.wait_until - self.now)
-        elif pause > left > LADDER[max(0, rung - 1)]:
+        elif pause > left > (LADDER[rung - 1] if rung else 0):
             pause = left
         if pause > left or not message.may_try(self.now, self.most):
             self._finish(message)
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -350,3 +350,29 @@
             world.run(world.now + 100 * MS)
         counts.append(len(world.sends()) - before)
     assert counts[1] > 85, "a hundred were asked for at half the limit"
+
+
+def test_a_message_without_the_time_for_an_answer_is_given_up_at_once() -> None:
+    world = World(settings(slots=4), ONE)
+    world.batch([world.hand_in(f"out{i}") for i in range(3)])
+    world.batch([world.hand_in("hasty", time_left=300 * MS)], at=10 * MS)
+    world.run(280 * MS)  # a first answer is taken to need 200 ms, and half of that is out of reach
+    assert [(type(a), at) for at, a in world.log if getattr(a, "message", "") == "hasty"] == [
+        (api.Refuse, 200 * MS)
+    ]
+
+
+def test_time_outs_cut_to_a_message_do_not_put_its_destination_out() -> None:
+    world = World(settings(), ONE)
+    world.batch([world.hand_in(f"m{i}", time_left=150 * MS) for i in range(5)])
+    world.run(SECOND)
+    world.batch([world.hand_in(f"n{i}") for i in range(4)])
+    assert sum(at == world.now for at, _ in world.sends()) == 4
+
+
+def test_a_hasty_message_is_tried_again_inside_the_time_it_has() -> None:
+    world = World(settings(), TWO)
+    world.batch([world.hand_in("m", time_left=600 * MS)])
+    world.batch([world.end("m", Outcome.RESET)], at=50 * MS)
+    world.run(600 * MS)
+    assert len(world.sends("m")) == 2
