Split the configuration by table and put its types beneath those who use them

Change: honeyhitch/setup.py holds the typed values and ConfigError; lifecycle/config is a package with a file a table (values, instance, mqtt, operator, file). No behaviour changes; messages and keys are the same.

--- /dev/null
+++ b/honeyhitch/lifecycle/config/file.py
@@ -0,0 +1,116 @@
+"""The configuration as a whole: the platform's file and variables, and the operator's file beside them."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import Any
+
+from honeyhitch import interface as api
+from honeyhitch.lifecycle.config.instance import Pairs
+from honeyhitch.lifecycle.config.operator import read as read_operator
+from honeyhitch.setup import Address, ConfigError, Limits, Operator
+
+FIXED_SOCKETS = 32  # standard streams, loop, journal, listeners, discovery, broker, one just accepted
+LEAST_ROOM = 16  # descriptors for calls, clients and idle connections together
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """What one dispatcher is told at its start; what the module needs of it is in `settings`."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    state: Path
+    seed: int
+    limits: Limits
+    known: dict[str, Any]
+    settings: api.Settings
+    operator: Operator
+    words: dict[str, Any]  # the file's own words at the start, for what a variable can say too
+
+
+def _seed(value: object) -> int:
+    try:
+        return int(value, 16) if isinstance(value, str) else int(value)  # type: ignore[call-overload]
+    except (TypeError, ValueError):
+        raise ConfigError(f"seed: expected a number or hexadecimal digits, got {value!r}") from None
+
+
+def _json(path: str) -> dict[str, Any]:
+    try:
+        value = json.loads(Path(path).read_bytes())
+    except OSError as error:
+        raise ConfigError(f"ROUTER_CONFIG: cannot read {path}: {error.strerror}") from error
+    except ValueError as error:
+        raise ConfigError(f"ROUTER_CONFIG: {path} is not JSON: {error}") from error
+    if not isinstance(value, dict):
+        raise ConfigError(f"ROUTER_CONFIG: expected an object in {path}")
+    return value
+
+
+def _limits(told: object) -> Limits:
+    told = told if isinstance(told, dict) else {}
+    numbers = {name: told.get(name, default) for name, default in (("sockets", 1024), ("disk_mb", 3))}
+    for name, value in numbers.items():
+        if isinstance(value, bool) or not isinstance(value, (int, float)) or not value > 0:
+            raise ConfigError(f"limits.{name}: expected a number above 0, got {value!r}")
+    return Limits(sockets=int(numbers["sockets"]), disk=int(numbers["disk_mb"] * 1_000_000))
+
+
+def read(
+    environ: Mapping[str, str],
+    path: str | None = None,
+    operator: str | None = None,
+    before: Config | None = None,
+) -> Config:
+    """The configuration: the file named in ROUTER_CONFIG, the other variables before its own words, and
+    the operator's file where ROUTER_OPERATOR or the command line names one.
+
+    With `before` it is read again by a process that runs. Its variables are as old as its start and cannot
+    follow a new file: where the file no longer says what it said then, the file wins.
+    """
+    path = path or environ.get("ROUTER_CONFIG", "")
+    if not path:
+        raise ConfigError("ROUTER_CONFIG: this variable is missing; it names the configuration's JSON file")
+    told = _json(path)
+    words = {key: told.get(key) for key in ("name", "listen", "discovery", "state")}
+    first = before.words if before is not None else words
+    values = {
+        key: word if word and word != first[key] else environ.get(f"ROUTER_{key.upper()}") or word
+        for key, word in words.items()
+    }
+    for key, value in values.items():
+        if not value:
+            raise ConfigError(f"{key}: missing; give it in the file or as ROUTER_{key.upper()}")
+    if not isinstance(told.get("settings"), dict):
+        raise ConfigError("settings: expected an object")
+    try:
+        settings = Pairs.of_nested(told["settings"]).settings()
+    except (ConfigError, ValueError) as error:
+        raise ConfigError(f"settings.{error}") from error
+    limits = _limits(told.get("limits"))
+    room = limits.sockets - FIXED_SOCKETS
+    if room < LEAST_ROOM:
+        raise ConfigError(
+            f"limits.sockets: expected at least {FIXED_SOCKETS + LEAST_ROOM}, got {limits.sockets}"
+        )
+    settings = replace(settings, slots=min(settings.slots, room // 2))  # a call is a descriptor
+    known = told.get("known") or {"revision": 0, "complete": True, "members": []}
+    if not isinstance(known, dict):
+        raise ConfigError("known: expected an object in discovery's form")
+    return Config(
+        name=str(values["name"]),
+        listen=Address.parse(values["listen"], "listen"),
+        discovery=Address.parse(values["discovery"], "discovery"),
+        state=Path(str(values["state"])),
+        seed=_seed(told.get("seed", 0)),
+        limits=limits,
+        known=known,
+        settings=settings,
+        operator=read_operator(operator or environ.get("ROUTER_OPERATOR", ""), str(values["name"]), settings),
+        words=first,
+    )
--- /dev/null
+++ b/honeyhitch/lifecycle/config/mqtt.py
@@ -0,0 +1,51 @@
+"""The table `[mqtt]` of the operator's file."""
+
+from __future__ import annotations
+
+from honeyhitch import interface as api
+from honeyhitch.lifecycle.config.values import Table
+from honeyhitch.setup import Address, ConfigError, MqttMember, MqttSetup
+
+
+def _topic(text: str, name: str, wild: bool) -> str:
+    if not text or "\0" in text or (not wild and ("+" in text or "#" in text)):
+        raise ConfigError(f"{name}: expected {'a topic filter' if wild else 'one topic name'}, got {text!r}")
+    return text
+
+
+def setup(told: object, name: str, settings: api.Settings) -> MqttSetup:
+    table = Table(told, "mqtt")
+    members = []
+    for i, row in enumerate(table.get("member", list, [])):
+        inner = Table(row, f"mqtt.member.{i}")
+        member = MqttMember(
+            id=inner.get("id", str),
+            topic=_topic(inner.get("topic", str), f"{inner.at}.topic", False),
+            destination=inner.get("dest", int),
+            kind=inner.get("kind", str, settings.kinds[0].name),
+            zone=inner.get("zone", str, ""),
+            rate=inner.get("rate", float, 1.0),
+        )
+        if member.kind not in [kind.name for kind in settings.kinds]:
+            raise ConfigError(f"{inner.at}.kind: not a kind in the settings: {member.kind!r}")
+        inner.done()
+        members.append(member)
+    password = table.maybe("password", str)
+    setup = MqttSetup(
+        broker=str(Address.parse(table.get("broker", str), "mqtt.broker")),
+        intake=_topic(table.get("intake", str, "honeyhitch/intake"), "mqtt.intake", True),
+        client_id=table.get("client-id", str, name),
+        keep_alive=table.get("keep-alive", int, 20),
+        session_expiry=table.get("session-expiry", int, 3600),
+        username=table.maybe("username", str),
+        password=None if password is None else password.encode(),
+        members=tuple(members),
+    )
+    for key, value, least in (
+        ("keep-alive", setup.keep_alive, 1),
+        ("session-expiry", setup.session_expiry, 1),
+    ):
+        if value < least:
+            raise ConfigError(f"mqtt.{key}: expected at least {least}, got {value}")
+    table.done()
+    return setup
--- /dev/null
+++ b/honeyhitch/lifecycle/config/operator.py
@@ -0,0 +1,31 @@
+"""The operator's file, in TOML: what is off unless it asks for it."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+
+from honeyhitch import interface as api
+from honeyhitch.lifecycle.config import mqtt
+from honeyhitch.lifecycle.config.values import Table
+from honeyhitch.setup import Address, ConfigError, Operator
+
+
+def read(path: str, name: str, settings: api.Settings) -> Operator:
+    if not path:
+        return Operator()
+    try:
+        told = tomllib.loads(Path(path).read_text())
+    except OSError as error:
+        raise ConfigError(f"ROUTER_OPERATOR: cannot read {path}: {error.strerror}") from error
+    except ValueError as error:
+        raise ConfigError(f"ROUTER_OPERATOR: {path} is not TOML: {error}") from error
+    table = Table(told, path)
+    beside = Table(table.get("beside", dict, {}), "beside")
+    addresses = {key: beside.maybe(key, str) for key in ("agent-check", "health")}
+    beside.done()
+    told_mqtt = table.maybe("mqtt", dict)
+    table.done()
+    parsed = {key: Address.parse(text, f"beside.{key}") if text else None for key, text in addresses.items()}
+    setup = mqtt.setup(told_mqtt, name, settings) if told_mqtt is not None else None
+    return Operator(setup, parsed["agent-check"], parsed["health"])
--- a/honeyhitch/lifecycle/serve.py
+++ b/honeyhitch/lifecycle/serve.py
@@ -10,10 +10,11 @@
 import uvloop
 
 from honeyhitch.core import Dispatcher
-from honeyhitch.lifecycle.config import FIXED_SOCKETS, Config, ConfigError, MqttSetup
+from honeyhitch.lifecycle.config import FIXED_SOCKETS, Config, ConfigError
 from honeyhitch.lifecycle.signals import Stop, on_reload
 from honeyhitch.memory.journal import Journal
 from honeyhitch.memory.pool import Pool, PoolError, PoolMember
+from honeyhitch.setup import MqttSetup
 from honeyhitch.wire import resp
 from honeyhitch.wire.agent_check import AgentSession, HealthSession
 from honeyhitch.wire.drivers.broker import MqttCarrier, MqttFront
--- /dev/null
+++ b/honeyhitch/setup.py
@@ -0,0 +1,74 @@
+"""What a deployment sets up, as typed values; nothing here reads a file, and nothing decides.
+
+The files are read in `lifecycle/config`; whoever uses a value imports its type from here.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+class ConfigError(Exception):
+    """A value that cannot be used; the message names its key."""
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """Where something listens."""
+
+    host: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: object, name: str) -> Address:
+        """From HOST:PORT."""
+        host, _, port = str(text).rpartition(":")
+        if not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+            raise ConfigError(f"{name}: expected HOST:PORT, got {text!r}")
+        return cls(host, int(port))
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """What the machine grants; going over it is a crash."""
+
+    sockets: int = 1024  # descriptors
+    disk: int = 3_000_000  # bytes in the lasting folder
+
+
+@dataclass(frozen=True, slots=True)
+class MqttMember:
+    """A pool member behind the broker."""
+
+    id: str
+    topic: str
+    destination: int
+    kind: str = ""
+    zone: str = ""
+    rate: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class MqttSetup:
+    """The MQTT front, as the operator's file sets it up."""
+
+    broker: str
+    intake: str
+    client_id: str
+    keep_alive: int = 20  # seconds
+    session_expiry: int = 3600  # seconds
+    username: str | None = None
+    password: bytes | None = None
+    members: tuple[MqttMember, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Operator:
+    """What an operator's file adds; nothing of it is on by itself."""
+
+    mqtt: MqttSetup | None = None
+    agent_check: Address | None = None
+    health: Address | None = None
--- a/honeyhitch/wire/drivers/broker.py
+++ b/honeyhitch/wire/drivers/broker.py
@@ -12,10 +12,10 @@
 
 from honeyhitch import interface as api
 from honeyhitch.core import Call, Dispatcher, Result
-from honeyhitch.lifecycle.config import MqttSetup
 from honeyhitch.memory.buffer import Buffer
 from honeyhitch.memory.pool import PoolMember
 from honeyhitch.memory.transactions import Transaction
+from honeyhitch.setup import MqttSetup
 from honeyhitch.wire import mqtt_messages as messages
 from honeyhitch.wire.drivers import sockets
 from honeyhitch.wire.drivers.tasks import LoopScheduler, Tasks
--- a/honeyhitch/wirehost.py
+++ b/honeyhitch/wirehost.py
@@ -12,7 +12,9 @@
 
 from honeyhitch import interface as api
 from honeyhitch.brain import Brain
-from honeyhitch.lifecycle.config import ConfigError, Pairs, decimal, pick, whole
+from honeyhitch.lifecycle.config.instance import Pairs
+from honeyhitch.lifecycle.config.values import decimal, pick, whole
+from honeyhitch.setup import ConfigError
 
 OUTCOMES = {
     "pass": api.Outcome.DELIVERED,
