Log structured events with structlog, limited per key, and none for a message that goes well

Need: the process wrote free text and bare tracebacks to standard error, which no program could read and which a fault in a loop could repeat without end.

The adapter's errors are events, too.

--- a/honeyhitch/core.py
+++ b/honeyhitch/core.py
@@ -6,18 +6,19 @@
 
 from __future__ import annotations
 
-import sys
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Protocol
 
 from honeyhitch import interface as api
+from honeyhitch import logs
 from honeyhitch.brain import Brain
 from honeyhitch.memory.journal import Journal, JournalFull
 from honeyhitch.memory.pool import Pool, PoolMember
 from honeyhitch.memory.transactions import Ending, Transaction
 
+log = logs.get()
 MS = 1_000_000  # ns
 NEVER_RAN = (api.Outcome.REFUSED, api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT)
 BUSY = 500 * MS  # ns; told to clients that are turned away before the module
@@ -145,7 +146,7 @@
         try:
             self.journal.taken(transaction)
         except JournalFull as error:
-            print(f"journal: {error}", file=sys.stderr)
+            log.warning("journal.full", what="message", error=str(error))
             return Offered(False, BUSY)
         now = self.scheduler.now()
         if transaction.front != "resp" and self._keyed(transaction) and self.held.delivered(transaction, now):
@@ -284,7 +285,7 @@
             try:
                 self.journal.attempt(transaction, now, member.zone)
             except JournalFull as error:  # what cannot be written down must not be sent
-                print(f"journal: {error}", file=sys.stderr)
+                log.warning("journal.full", what="attempt", error=str(error))
                 transaction.attempts += 1
                 self._not_sent(member, transaction, number)
                 continue
@@ -324,7 +325,7 @@
         if front is not None:
             front.answer(transaction)
         else:  # taken by a front that this process was started without: nobody can be told
-            print(f"{transaction.id}: no front {transaction.front!r} to answer it", file=sys.stderr)
+            log.warning("answer.no-front", message=transaction.id, front=transaction.front)
             self.answered(transaction)
 
     def answered(self, transaction: Transaction) -> None:
--- a/honeyhitch/lifecycle/cli.py
+++ b/honeyhitch/lifecycle/cli.py
@@ -9,7 +9,7 @@
 
 import click
 
-from honeyhitch import __version__
+from honeyhitch import __version__, logs
 from honeyhitch.lifecycle import config as configuration
 
 
@@ -21,11 +21,15 @@
 @main.command()
 @click.option("--config", "path", type=click.Path(), help="The JSON file; ROUTER_CONFIG names it otherwise.")
 @click.option("--operator", type=click.Path(), help="An operator's TOML file; or ROUTER_OPERATOR names it.")
-def serve(path: str | None, operator: str | None) -> None:
+@click.option("--log-format", type=click.Choice(logs.FORMATS), help="How events are written.")
+@click.option("--log-level", type=click.Choice(logs.LEVELS), help="From which level on.")
+def serve(path: str | None, operator: str | None, log_format: str | None, log_level: str | None) -> None:
     """Run one dispatcher in the foreground till SIGTERM; SIGHUP makes it read its configuration again."""
     from honeyhitch.lifecycle.serve import serve as run
 
-    run(_read(path, operator), lambda before: configuration.read(os.environ, path, operator, before))
+    config = _read(path, operator)
+    logs.setup(log_format or config.operator.log_format, log_level or config.operator.log_level)
+    run(config, lambda before: configuration.read(os.environ, path, operator, before))
 
 
 @main.command()
--- a/honeyhitch/lifecycle/config/operator.py
+++ b/honeyhitch/lifecycle/config/operator.py
@@ -6,8 +6,9 @@
 from pathlib import Path
 
 from honeyhitch import interface as api
+from honeyhitch import logs
 from honeyhitch.lifecycle.config import mqtt
-from honeyhitch.lifecycle.config.values import Table
+from honeyhitch.lifecycle.config.values import Table, pick
 from honeyhitch.setup import Address, ConfigError, Operator
 
 
@@ -24,8 +25,12 @@
     beside = Table(table.get("beside", dict, {}), "beside")
     addresses = {key: beside.maybe(key, str) for key in ("agent-check", "health")}
     beside.done()
+    log = Table(table.get("log", dict, {}), "log")
+    form = pick({name: name for name in logs.FORMATS}, log.get("format", str, "console"), "log.format")
+    level = pick({name: name for name in logs.LEVELS}, log.get("level", str, "info"), "log.level")
+    log.done()
     told_mqtt = table.maybe("mqtt", dict)
     table.done()
     parsed = {key: Address.parse(text, f"beside.{key}") if text else None for key, text in addresses.items()}
     setup = mqtt.setup(told_mqtt, name, settings) if told_mqtt is not None else None
-    return Operator(setup, parsed["agent-check"], parsed["health"])
+    return Operator(setup, parsed["agent-check"], parsed["health"], form, level)
--- a/honeyhitch/lifecycle/serve.py
+++ b/honeyhitch/lifecycle/serve.py
@@ -4,11 +4,11 @@
 
 import asyncio
 import signal
-import sys
 from collections.abc import Awaitable, Callable
 
 import uvloop
 
+from honeyhitch import logs
 from honeyhitch.core import Dispatcher
 from honeyhitch.lifecycle.config import FIXED_SOCKETS, Config, ConfigError
 from honeyhitch.lifecycle.signals import Stop, on_reload
@@ -23,6 +23,7 @@
 from honeyhitch.wire.drivers.tasks import LoopScheduler, Tasks
 from honeyhitch.wire.drivers.virtual_server import ServerSession, VirtualServer
 
+log = logs.get()
 ACCEPT_ON, SEND_ON, LEAVE_AT = 0.6, 2.8, 3.3  # seconds after SIGTERM; SIGKILL comes after 3.7 at the soonest
 BESIDE_SOCKETS = 16  # connections at once to the agent-check, and as many to health
 REDELIVERY = 600 * 10**9  # ns for which ids are remembered that a broker may hand in again
@@ -61,7 +62,7 @@
         carrier = HttpCarrier(self.dispatcher, self.scheduler, self.tasks, most_idle)
         self.discovery = Discovery(str(config.discovery), self.dispatcher, self.tasks)
         self.dispatcher.carriers["http"], self.dispatcher.fronts["resp"] = carrier, self.discovery
-        self.works: list[Callable[[], Awaitable[None]]] = [carrier.sweep]
+        self.works: list[Callable[[], Awaitable[None]]] = [carrier.sweep, self.tell_left_out]
         if config.operator.mqtt is not None:
             self._mqtt(config.operator.mqtt)
         self.servers: list[VirtualServer] = []
@@ -84,7 +85,7 @@
         try:
             dispatcher.news(dispatcher.pool.update(config.known, cached=True))
         except PoolError as error:
-            print(f"known: {error}", file=sys.stderr)
+            log.warning("known.unusable", error=str(error))
         dispatcher.resume()
         if listen:
             fields = resp.Fields(config.settings, dispatcher.pool.serves)
@@ -113,14 +114,14 @@
             new = read(self.config)
         except Exception as error:  # whatever is wrong with a file must not end a process that serves
             what = error if isinstance(error, ConfigError) else repr(error)
-            print(f"reload: {what}; the configuration stays as it was", file=sys.stderr)
+            log.error("reload.refused", error=str(what), kept="the configuration as it was")
             return
         if new.discovery != self.config.discovery:
-            print(f"reload: discovery moves from {self.config.discovery} to {new.discovery}", file=sys.stderr)
+            log.info("reload.discovery", before=str(self.config.discovery), now=str(new.discovery))
             self.discovery.move(str(new.discovery))
         for name in AT_START_ONLY:
             if getattr(new, name) != getattr(self.config, name):
-                print(f"reload: {name} differs and takes effect with a restart", file=sys.stderr)
+                log.warning("reload.needs-restart", setting=name, key=name)
         self.config = new
 
     def _listen(self, address: tuple[str, int], session: Callable[[], ServerSession], most: int) -> None:
@@ -149,6 +150,12 @@
                     return
             await asyncio.sleep(LOOK)
 
+    async def tell_left_out(self) -> None:
+        """Say from time to time which repeated events were left out of the log."""
+        while True:
+            await asyncio.sleep(logs.SPAN)
+            logs.flush()
+
     async def close(self) -> None:
         """Let go of everything at once, as a kill would."""
         self.dispatcher.taking = self.dispatcher.sending = False
@@ -156,6 +163,7 @@
             server.close()
         await self.tasks.stop()
         self.journal.close()
+        logs.flush(everything=True)
 
 
 async def run(config: Config, read: Callable[[Config], Config]) -> None:
--- a/honeyhitch/memory/journal.py
+++ b/honeyhitch/memory/journal.py
@@ -9,13 +9,14 @@
 import json
 import os
 import struct
-import sys
 import zlib
 from collections.abc import Callable, Iterator
 from pathlib import Path
 
+from honeyhitch import logs
 from honeyhitch.memory.transactions import Ending, Held, Transaction
 
+log = logs.get()
 HEAD = struct.Struct("<II")  # length and checksum of what follows
 SPLIT = struct.Struct("<I")  # length of the JSON in a record; the body follows it
 LARGEST = 1 << 20  # bytes in one record; a greater length is a torn one
@@ -169,7 +170,7 @@
         try:
             self._write(fields)
         except JournalFull as error:
-            print(f"journal: {error}", file=sys.stderr)
+            log.error("journal.failed", error=str(error))
 
     def _write(self, fields: dict[str, object], body: bytes = b"", share: float = WRITE_SHARE) -> None:
         record = pack(fields, body)
--- a/honeyhitch/setup.py
+++ b/honeyhitch/setup.py
@@ -72,3 +72,5 @@
     mqtt: MqttSetup | None = None
     agent_check: Address | None = None
     health: Address | None = None
+    log_format: str = "console"
+    log_level: str = "info"
--- a/honeyhitch/wire/drivers/broker.py
+++ b/honeyhitch/wire/drivers/broker.py
@@ -8,9 +8,9 @@
 
 import asyncio
 import socket
-import sys
 
 from honeyhitch import interface as api
+from honeyhitch import logs
 from honeyhitch.core import Call, Dispatcher, Result
 from honeyhitch.memory.buffer import Buffer
 from honeyhitch.memory.pool import PoolMember
@@ -22,6 +22,7 @@
 from honeyhitch.wire.mqtt import Outgoing, Packet, Session
 from honeyhitch.wire.resp import FieldError, Fields
 
+log = logs.get()
 GREETING = 5.0  # seconds to connect, and for the server's CONNACK
 BAD = 0x83  # PUBACK: implementation specific error
 MOST_REJECTED = 10_000  # ids of which a redelivery is told
@@ -101,7 +102,7 @@
         try:
             reply = messages.reply_to(packet)
         except FieldError as error:  # there is no place to answer
-            print(f"intake: {error}", file=sys.stderr)
+            log.warning("intake.unusable", error=str(error))
             self.intake.acknowledge(packet, BAD)
             return
         if name not in self.rejected:
@@ -132,7 +133,7 @@
                 return
             if ack is None or ack.reason >= 0x80:
                 told = "no acknowledgement" if ack is None else f"reason {ack.reason:#x}"
-                print(f"answer to {answer.topic}: {told}", file=sys.stderr)
+                log.warning("answer.unconfirmed", topic=answer.topic, told=told, key=answer.topic)
             if transaction is not None:
                 self.dispatcher.answered(transaction)
 
--- a/honeyhitch/wire/drivers/members.py
+++ b/honeyhitch/wire/drivers/members.py
@@ -4,11 +4,10 @@
 
 import asyncio
 import socket
-import sys
-import traceback
 from dataclasses import dataclass
 
 from honeyhitch import interface as api
+from honeyhitch import logs
 from honeyhitch.core import Call, Dispatcher, Result
 from honeyhitch.memory.buffer import Buffer
 from honeyhitch.memory.pool import PoolMember
@@ -16,6 +15,7 @@
 from honeyhitch.wire.drivers import sockets
 from honeyhitch.wire.drivers.tasks import LoopScheduler, Tasks
 
+log = logs.get()
 NS = 1_000_000_000
 IDLE_SHARE = 0.8  # of the time after which a member closes an idle connection
 SWEEP = 1.0  # seconds between looks at idle connections
@@ -107,7 +107,7 @@
         except (OSError, http1.HttpError):
             result = self._cut(call, progress, api.Outcome.RESET)
         except Exception:  # a fault of ours must not keep the slot for ever
-            traceback.print_exc(file=sys.stderr)
+            log.exception("call.fault", member=call.member.id, key=call.member.id)
             result = self._cut(call, progress, api.Outcome.RESET)
         finally:
             # Only once the connection is closed or free is the slot free, whatever happened.
--- a/honeyhitch/wire/drivers/tasks.py
+++ b/honeyhitch/wire/drivers/tasks.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import sys
 import time
-import traceback
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
+from honeyhitch import logs
+
+log = logs.get()
 NS = 1_000_000_000
 FIRST_PAUSE, MOST_PAUSE = 0.05, 2.0  # seconds between tries to reach something again
 
@@ -57,9 +58,8 @@
             try:
                 await work()
             except Exception as error:
-                print(
-                    f"{getattr(work, '__qualname__', work)}: {type(error).__name__}: {error}", file=sys.stderr
-                )
+                name = str(getattr(work, "__qualname__", work))
+                log.warning("work.again", work=name, error=f"{type(error).__name__}: {error}", key=name)
             if self.loop.time() - began > MOST_PAUSE:
                 pause = FIRST_PAUSE
             await asyncio.sleep(pause)
@@ -68,7 +68,7 @@
     def _done(self, task: asyncio.Task[None]) -> None:
         self.running.discard(task)
         if not task.cancelled() and (error := task.exception()) is not None:
-            traceback.print_exception(error, file=sys.stderr)
+            log.error("task.died", task=task.get_name(), exc_info=error)
 
     async def stop(self) -> None:
         """Cancel all that still run, and wait till they have let go of what they hold."""
--- a/honeyhitch/wire/drivers/virtual_server.py
+++ b/honeyhitch/wire/drivers/virtual_server.py
@@ -9,15 +9,16 @@
 import asyncio
 import contextlib
 import socket
-import sys
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
+from honeyhitch import logs
 from honeyhitch.memory.buffer import Buffer, Overflow
 from honeyhitch.wire.drivers import sockets
 from honeyhitch.wire.drivers.tasks import Tasks
 
+log = logs.get()
 BACKLOG = 1024
 PAUSE = 0.05  # seconds before accepting again when no descriptor was left
 PATIENCE = 2.0  # seconds for a first request, for the rest of a half one, and for replies to be read
@@ -85,7 +86,7 @@
             try:
                 sock, _ = await self.loop.sock_accept(self.listener)
             except OSError as error:  # no descriptor left: those in use will come free
-                print(f"accept: {error}", file=sys.stderr)
+                log.warning("accept.failed", error=str(error))
                 await asyncio.sleep(PAUSE)
                 continue
             # Closing it now would fail a request that may be on its way: it waits for a place instead, and
--- a/honeyhitch/wirehost.py
+++ b/honeyhitch/wirehost.py
@@ -6,16 +6,17 @@
 from __future__ import annotations
 
 import sys
-import traceback
 from collections.abc import Callable
 from typing import TextIO
 
 from honeyhitch import interface as api
+from honeyhitch import logs
 from honeyhitch.brain import Brain
 from honeyhitch.lifecycle.config.instance import Pairs
 from honeyhitch.lifecycle.config.values import decimal, pick, whole
 from honeyhitch.setup import ConfigError
 
+log = logs.get()
 OUTCOMES = {
     "pass": api.Outcome.DELIVERED,
     "fault": api.Outcome.ERROR,
@@ -224,7 +225,7 @@
                 for action in instance.brain.handle(now, events):
                     lines.append(self._action(name, action))
             except Exception as error:
-                traceback.print_exc(file=sys.stderr)
+                log.exception("module.fault", instance=name)
                 reason = f"{type(error).__name__}: {error}".replace("\n", " ")
                 lines.append(f"bug {name} {reason}")
         lines.append(f"ready {number}\n")
@@ -262,7 +263,7 @@
         if host.tick is not None:
             raise WireError("the input ended inside a batch, expected 'commit'")
     except (ConfigError, UnicodeDecodeError) as error:
-        print(f"line {number}: {error}", file=sys.stderr)
+        log.error("line.unusable", line=number, error=str(error))
         return 1
     return 0
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -86,6 +86,9 @@
         ),
         ('[beside]\nhealth = "x"', "beside.health: expected HOST:PORT"),
         ("[beside", "ROUTER_OPERATOR:"),
+        ('[log]\nformat = "xml"', "log.format: expected one of console, json"),
+        ('[log]\nlevel = "loud"', "log.level: expected one of debug"),
+        ("[log]\ncolour = true", "log.colour: no such key"),
     ],
 )
 def test_a_faulty_operators_file_is_named(tmp_path: Path, text: str, says: str) -> None:
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,120 @@
+"""Events: their two forms, the limit on what repeats, and silence while all goes well."""
+
+from __future__ import annotations
+
+import io
+import json
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+import structlog
+from click.testing import CliRunner
+
+from honeyhitch import logs
+from honeyhitch.lifecycle.cli import main
+
+from .program import Peer, play, started
+from .rig import row
+from .test_exchanges import raw
+from .test_program import ENQUEUE, receive
+
+
+@pytest.fixture(autouse=True)
+def as_before() -> Iterator[None]:
+    yield
+    logs.setup()
+
+
+def events(stream: io.StringIO) -> list[dict[str, object]]:
+    return [json.loads(line) for line in stream.getvalue().splitlines()]
+
+
+def test_an_event_has_named_fields_in_both_forms() -> None:
+    stream = io.StringIO()
+    logs.setup("json", "info", stream)
+    logs.get(part="core").warning("journal.full", what="attempt")
+    logs.get().debug("below.the.level")
+    (event,) = events(stream)
+    assert event.pop("timestamp")
+    assert event == {"event": "journal.full", "level": "warning", "part": "core", "what": "attempt"}
+    stream = io.StringIO()
+    logs.setup("console", "info", stream)
+    try:
+        raise RuntimeError("a fault")
+    except RuntimeError:
+        logs.get().exception("call.fault", member="one")
+    first = stream.getvalue().splitlines()[0]
+    assert "call.fault" in first and "member=one" in first and "RuntimeError: a fault" in stream.getvalue()
+
+
+@pytest.mark.parametrize(("form", "level"), [("xml", "info"), ("json", "loud")])
+def test_an_unknown_form_or_level_is_refused(form: str, level: str) -> None:
+    with pytest.raises(ValueError, match="expected one of"):
+        logs.setup(form, level)
+    told = CliRunner().invoke(main, ["serve", "--log-format", form, "--log-level", level])
+    assert told.exit_code == 2 and ("xml" in told.output or "loud" in told.output)
+
+
+def test_repeats_are_limited_by_name_and_key_and_counted() -> None:
+    now = [0.0]
+    limiter = logs.Limiter(lambda: now[0], burst=2, span=10.0)
+
+    def passes(name: str, key: str = "") -> bool:
+        try:
+            limiter(None, "info", {"event": name, "key": key})
+        except structlog.DropEvent:
+            return False
+        return True
+
+    assert [passes("a", "x") for _ in range(5)] == [True, True, False, False, False]
+    assert passes("a", "y") and passes("b", "x"), "each name and key has its own count"
+    now[0] = 10.0
+    assert limiter(None, "info", {"event": "a", "key": "x"}) == {"event": "a", "key": "x", "left_out": 3}
+    assert [passes("a", "x") for _ in range(2)] == [True, False]
+    now[0] = 20.0
+    assert limiter.overdue() == [("a", "x", 1)] and limiter.overdue() == []
+
+
+def test_the_table_of_keys_is_bounded() -> None:
+    limiter = logs.Limiter(lambda: 0.0)
+    for i in range(3 * logs.MOST_KEYS):
+        limiter(None, "info", {"event": "a", "key": str(i)})
+    assert len(limiter.heard) == logs.MOST_KEYS
+
+
+def test_what_was_left_out_is_told_at_the_end() -> None:
+    stream = io.StringIO()
+    logs.setup("json", "info", stream)
+    for _ in range(logs.BURST + 7):
+        logs.get().warning("accept.failed", error="no descriptor")
+    logs.flush(everything=True)
+    told = events(stream)
+    assert len(told) == logs.BURST + 1 and told[-1]["left_out"] == 7
+
+
+def test_nothing_is_logged_for_a_message_that_goes_well(tmp_path: Path) -> None:
+    stream = io.StringIO()
+    logs.setup("json", "debug", stream)
+
+    async def work() -> None:
+        agent, member, client = await Peer().start(), await Peer().start(), Peer()
+        members = [{**row("one", 1), "host_port": f"127.0.0.1:{member.port}"}]
+        async with started(tmp_path, agent.port, members) as port:
+            stream.truncate(0)
+            await client.dial(port)
+            assert client.now is not None
+            client.now[1].write(raw(ENQUEUE))
+            await receive(client, b"+OK\r\n")
+            reader, writer = await member.accepted()
+            await reader.readuntil(b"body")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            client.now[1].write(b"PING\r\n")
+            await receive(client, b"+PONG\r\n")
+            while b'"end"' not in (tmp_path / "state" / "journal").read_bytes():
+                client.now[1].write(b"PING\r\n")
+                await receive(client, b"+PONG\r\n")
+            # The scripted agent says nothing, which is the only thing worth an event here.
+            assert [one for one in events(stream) if one.get("work") != "Discovery.watch"] == []
+
+    play(work())
