Let two commands do a newcomer's set-up: make try and make test

Need: a first try took three shells and a list of pip commands.

The toy takes its ports as arguments.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+# The two commands of the README for newcomers, and what they stand on. VENV may name another environment.
+VENV ?= .venv
+PYTHON ?= python3
+
+.PHONY: env try test
+
+env: $(VENV)/.run
+
+$(VENV)/.run: requirements.txt
+	test -d $(VENV) || $(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip -q install --disable-pip-version-check -r requirements.txt
+	touch $@
+
+$(VENV)/.test: $(VENV)/.run requirements-dev.txt
+	$(VENV)/bin/pip -q install --disable-pip-version-check -r requirements-dev.txt
+	touch $@
+
+# Makes the environment, starts the toy and a dispatcher on free ports, hands a message in and shows its end.
+try: $(VENV)/.run
+	$(VENV)/bin/python example/try.py
+
+# Installs what the tests need and runs them.
+test: $(VENV)/.test
+	$(VENV)/bin/python -m pytest
--- a/example/toy.py
+++ b/example/toy.py
@@ -1,7 +1,8 @@
 """A toy partner and a toy discovery in one process, with which to try the dispatcher.
 
 It prints each message that reaches it and each notice, and turns every third call away with a wait of half a
-second, so that the module's waits can be seen. Start it with `python example/toy.py`.
+second, so that the module's waits can be seen. Start it with `python example/toy.py`; two numbers behind it
+are the ports of the discovery and of the partner.
 """
 
 from __future__ import annotations
@@ -11,7 +12,7 @@
 import json
 import sys
 
-DISCOVERY, PARTNER = 8500, 9001
+DISCOVERY, PARTNER = map(int, sys.argv[1:3]) if len(sys.argv) == 3 else (8500, 9001)
 MEMBERS = [
     {
         "id": "toy-1",
