--- a/honeyhitch/brain.py
+++ b/honeyhitch/brain.py
@@ -106,6 +106,7 @@
     def __init__(self, entry: api.Entry, lane: Lane) -> None:
         self.name, self.zone, self.lane, self.listed = entry.endpoint, entry.zone, lane, True
         self.calls, self.used_at = 0, -NEVER
+        self.room, self.shut = 0 if entry.gated else NEVER, 0  # calls it takes; no connection before then
         self.tallies = defaultdict[int, Tally](lambda: Tally(LONG_FADE))  # by class: one alone may fail here
 
 
@@ -230,6 +231,7 @@
         self.actions: list[api.Action] = []
         self.on: dict[type, Callable[..., object]] = {api.NewMessage: self._taken, api.ListNews: self._news}
         self.on |= {api.AttemptEnded: self._outcome, api.Withdrawn: self._drop, api.TimerFired: self._rang}
+        self.on[api.Room] = self._room
         if settings.must_ask:
             self._wake(0, self._act, api.Subscribe())
 
@@ -279,6 +281,28 @@
             if entry.status is api.Status.GONE:  # forgotten; its calls out still know it
                 del dest.endpoints[entry.endpoint]
 
+    def _room(self, event: api.Room) -> None:
+        """Handshakes are no attempts: one that fails tells of the lane, and a shut endpoint of its
+        messages.
+        """
+        dest = self.dests.get(event.destination)
+        endpoint = dest.endpoints.get(event.endpoint) if dest else None
+        if dest is None or endpoint is None:
+            return
+        endpoint.room, endpoint.shut, self.hot[dest] = event.calls, self.now + event.shut, None
+        if event.failed:
+            endpoint.lane.tight.note(self.now, True)
+            endpoint.lane.tally.note(self.now, True)
+            endpoint.lane.failed(self.now, Call(endpoint, self.now - event.took), False, 0)
+        for message in list(self.messages.values()) if event.shut else ():
+            if message.dest is dest and message.queued and self._hopeless(message):
+                self._finish(message)
+
+    def _hopeless(self, message: Message) -> bool:  # no connection is tried for as long as it lives
+        listed = [e for e in message.dest.endpoints.values() if e.listed]
+        shut = min((0 if e.room else e.shut for e in listed), default=0)
+        return shut > self.now and shut >= message.until() - self._reach(message)
+
     def _taken(self, event: api.NewMessage) -> None:
         dest = self.dests.setdefault(event.destination, Destination())
         message = Message(event, self.s.classes[event.cls], dest, self.now)
@@ -312,6 +336,8 @@
 
     def _queue(self, message: Message) -> None:
         message.dest.waiting.pop(message, None)
+        if self._hopeless(message):
+            return self._finish(message)
         if message.ran:  # a keyed message's window may close while it queues
             self._wake(message.until() - self._reach(message), self._expire, message)
         queue = message.dest.queues.setdefault((message.number, message.zone()), ([], []))
@@ -332,8 +358,8 @@
             self._finish(message) if self.now >= last else self._wake(last, self._expire, message)
 
     def _finish(self, message: Message) -> None:  # at once: a refusal where that is true
-        lanes = [e.lane for e in message.dest.endpoints.values() if e.listed]
-        opens = min((max(lane.wait_until, lane.trial_at) for lane in lanes), default=0)
+        listed = [e for e in message.dest.endpoints.values() if e.listed]
+        opens = min((max(e.lane.wait_until, e.lane.trial_at, e.shut) for e in listed), default=0)
         wait = min(max(LADDER[0], opens - self.now), self.s.max_retry_after) if self.s.retry_after else 0
         self.actions.append(api.Refuse(message.id, wait) if message.may_refuse() else api.Fail(message.id))
         self._end(message)
@@ -454,6 +480,7 @@
     def _endpoint(self, message: Message) -> tuple[Endpoint | None, int]:
         dest, zone, soonest = message.dest, message.zone(), NEVER
         ready: list[Endpoint] = []
+        bare: list[Endpoint] = []  # these would take it, but no connection is open
         for endpoint in dest.endpoints.values():
             lane = endpoint.lane
             if endpoint.listed and zone in (None, endpoint.zone):
@@ -461,9 +488,17 @@
                 share = SICK_SHARE if lane.out or lane.tally.share(self.now) >= BAD_SHARE else HEALTHY_SHARE
                 if dest.used >= max(1, int(self.s.slots * share)):
                     at = NEVER
-                elif at <= self.now:
+                elif at <= self.now and endpoint.calls < endpoint.room:
                     ready.append(endpoint)
+                elif at <= self.now:
+                    at = endpoint.shut if endpoint.shut > self.now else NEVER
+                    bare += [endpoint] if at == NEVER else []
                 soonest = min(soonest, at)
+        if bare and not ready:
+            wanted = min(bare, key=lambda e: self._rank(e, message))
+            paced = wanted.lane.out or wanted.lane.pace(self.now) < inf
+            queued = sum(len(queue) for pair in dest.queues.values() for queue in pair)
+            self.actions.append(api.Open(wanted.name, 1 if paced else min(queued, self.s.slots)))
         return (min(ready, key=lambda e: self._rank(e, message)) if ready else None), soonest
 
     def _rank(self, endpoint: Endpoint, message: Message) -> tuple[int, int, int]:
--- a/honeyhitch/core.py
+++ b/honeyhitch/core.py
@@ -56,6 +56,7 @@
     outcomes: list[tuple[api.Outcome, bool]]  # and whether nothing more is owed
     wait: int = 0
     told: dict[str, float] = field(default_factory=dict)
+    why: str = ""  # the name of a failure that outcomes do not tell apart
     stale: bool = False  # a connection kept from an earlier call broke before any answer
 
     @classmethod
@@ -104,6 +105,13 @@
         """Close idle connections to a member."""
 
 
+class Opener(Protocol):
+    """Opens connections to gated members ahead of calls; each change is reported to `Dispatcher.room`."""
+
+    def open(self, member: PoolMember, calls: int) -> None:
+        """Connections for so many more calls are wanted; as many are opened as may be."""
+
+
 class Front(Protocol):
     """Gives final answers to those who handed in."""
 
@@ -120,6 +128,7 @@
         self.s, self.pool, self.journal, self.scheduler = settings, pool, journal, scheduler
         self.brain, self.held = Brain(settings, seed), journal.held
         self.carriers: dict[str, Carrier] = {}
+        self.openers: dict[str, Opener] = {}
         self.fronts: dict[str, Front] = {}
         self.events: list[api.Event | Transaction] = []
         self.out: dict[str, Call] = {}  # calls out, by the id of each transaction in them
@@ -192,6 +201,10 @@
         """The pool changed."""
         self._add(news)
 
+    def room(self, room: api.Room) -> None:
+        """The connections to a gated member changed."""
+        self._add(room)
+
     def ended(self, call: Call, result: Result) -> None:
         """A call ended; its slot is free."""
         for i, (outcome, over) in enumerate(result.outcomes):
@@ -261,6 +274,9 @@
                 case api.Close(name):
                     if (member := self.pool.members.get(name)) is not None:
                         self.carriers[member.carrier].close_idle(member)
+                case api.Open(name, calls):
+                    if (member := self.pool.members.get(name)) is not None:
+                        self.openers[member.carrier].open(member, calls)
                 case api.Subscribe():
                     pass  # the watch is always on
         self._send_all(sends)
--- a/honeyhitch/interface.py
+++ b/honeyhitch/interface.py
@@ -167,6 +167,7 @@
     zone: int = 0
     scale: float = 1.0
     status: Status = Status.READY
+    gated: bool = False  # takes calls on open connections alone, of which `Room` tells
 
 
 @dataclass(frozen=True, slots=True)
@@ -210,6 +211,18 @@
     stale: bool = False  # a kept connection broke without a word: it tells of the connection alone
 
 
+@dataclass(frozen=True, slots=True)
+class Room:
+    """How many calls a gated endpoint's connections take, and how the latest try to open one ended."""
+
+    endpoint: str
+    destination: int
+    calls: int  # out at once, until told otherwise
+    failed: bool = False  # none came up, as in an outage: nothing ran, and no message was tried
+    took: int = 0  # until it failed
+    shut: int = 0  # time from now for which none will be opened, 0 if one may be
+
+
 @dataclass(frozen=True, slots=True)
 class Withdrawn:
     """Nobody wants the message any more."""
@@ -222,7 +235,7 @@
     """A timer that was asked for has come."""
 
 
-Event = ListNews | NewMessage | AttemptEnded | Withdrawn | TimerFired
+Event = ListNews | NewMessage | AttemptEnded | Room | Withdrawn | TimerFired
 
 
 @dataclass(frozen=True, slots=True)
@@ -276,4 +289,12 @@
     endpoint: str
 
 
-Action = Send | Cancel | Refuse | Fail | SetTimer | Subscribe | Close
+@dataclass(frozen=True, slots=True)
+class Open:
+    """Messages wait for a gated endpoint: connections for so many more calls are wanted."""
+
+    endpoint: str
+    calls: int
+
+
+Action = Send | Cancel | Refuse | Fail | SetTimer | Subscribe | Close | Open
--- a/honeyhitch/lifecycle/config/file.py
+++ b/honeyhitch/lifecycle/config/file.py
@@ -111,6 +111,8 @@
         limits=limits,
         known=known,
         settings=settings,
-        operator=read_operator(operator or environ.get("ROUTER_OPERATOR", ""), str(values["name"]), settings),
+        operator=read_operator(
+            operator or environ.get("ROUTER_OPERATOR", ""), str(values["name"]), settings, environ
+        ),
         words=first,
     )
--- a/honeyhitch/lifecycle/config/mqtt.py
+++ b/honeyhitch/lifecycle/config/mqtt.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 from honeyhitch import interface as api
+from honeyhitch.lifecycle.config import tls
 from honeyhitch.lifecycle.config.values import Table
 from honeyhitch.setup import Address, ConfigError, MqttMember, MqttSetup
 
@@ -13,7 +16,8 @@
     return text
 
 
-def setup(told: object, name: str, settings: api.Settings) -> MqttSetup:
+def setup(told: object, name: str, settings: api.Settings, environ: Mapping[str, str]) -> MqttSetup:
+    """The front, its session and the members behind the broker."""
     table = Table(told, "mqtt")
     members = []
     for i, row in enumerate(table.get("member", list, [])):
@@ -30,7 +34,7 @@
             raise ConfigError(f"{inner.at}.kind: not a kind in the settings: {member.kind!r}")
         inner.done()
         members.append(member)
-    password = table.maybe("password", str)
+    password, secure = table.maybe("password", str), table.maybe("tls", dict)
     setup = MqttSetup(
         broker=str(Address.parse(table.get("broker", str), "mqtt.broker")),
         intake=_topic(table.get("intake", str, "honeyhitch/intake"), "mqtt.intake", True),
@@ -40,6 +44,7 @@
         username=table.maybe("username", str),
         password=None if password is None else password.encode(),
         members=tuple(members),
+        tls=tls.broker(secure, environ) if secure is not None else None,
     )
     for key, value, least in (
         ("keep-alive", setup.keep_alive, 1),
--- a/honeyhitch/lifecycle/serve.py
+++ b/honeyhitch/lifecycle/serve.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import signal
 from collections.abc import Awaitable, Callable
+from random import Random
 
 import uvloop
 
@@ -13,11 +15,12 @@
 from honeyhitch.lifecycle.config import FIXED_SOCKETS, Config, ConfigError
 from honeyhitch.lifecycle.signals import Stop, on_reload
 from honeyhitch.memory.journal import Journal
-from honeyhitch.memory.pool import Pool, PoolError, PoolMember
+from honeyhitch.memory.pool import GATED, Pool, PoolError, PoolMember
 from honeyhitch.setup import MqttSetup
+from honeyhitch.tls.settings import TlsSetup
 from honeyhitch.wire import resp
 from honeyhitch.wire.agent_check import AgentSession, HealthSession
-from honeyhitch.wire.drivers.broker import MqttCarrier, MqttFront
+from honeyhitch.wire.drivers.broker import MqttCarrier, MqttFront, Way
 from honeyhitch.wire.drivers.discovery import Discovery
 from honeyhitch.wire.drivers.members import HttpCarrier
 from honeyhitch.wire.drivers.tasks import LoopScheduler, Tasks
@@ -32,8 +35,10 @@
 
 
 def budget(config: Config) -> tuple[int, int]:
-    """How many clients and how many idle connections to members there may be; with the calls out and what is
-    always open they stay under the limit of descriptors."""
+    """How many clients and how many idle connections to members there may be; with the calls out and what
+    is always open they stay under the limit of descriptors. Connections in a TLS handshake count as idle
+    ones.
+    """
     beside = config.operator
     others = BESIDE_SOCKETS * ((beside.agent_check is not None) + (beside.health is not None))
     left = config.limits.sockets - FIXED_SOCKETS - config.settings.slots - others
@@ -59,17 +64,48 @@
         pool = Pool(settings)
         self.dispatcher = Dispatcher(settings, config.seed, pool, self.journal, self.scheduler)
         self.most_clients, most_idle = budget(config)
-        carrier = HttpCarrier(self.dispatcher, self.scheduler, self.tasks, most_idle)
+        secure = config.operator.tls is not None  # then both carriers keep idle connections
+        most_plain = max(1, most_idle // 2) if secure else most_idle
+        carrier = HttpCarrier(self.dispatcher, self.scheduler, self.tasks, most_plain)
         self.discovery = Discovery(str(config.discovery), self.dispatcher, self.tasks)
         self.dispatcher.carriers["http"], self.dispatcher.fronts["resp"] = carrier, self.discovery
         self.works: list[Callable[[], Awaitable[None]]] = [carrier.sweep, self.tell_left_out]
+        self.look_at_files: Callable[[bool], Awaitable[None]] | None = None
+        way = self._tls(max(1, most_idle - most_plain))
         if config.operator.mqtt is not None:
-            self._mqtt(config.operator.mqtt)
+            self._mqtt(config.operator.mqtt, way)
         self.servers: list[VirtualServer] = []
 
-    def _mqtt(self, setup: MqttSetup) -> None:
-        front = MqttFront(setup, self.dispatcher, self.scheduler, self.tasks)
-        carrier = MqttCarrier(setup, self.dispatcher, self.scheduler, self.tasks)
+    def _tls(self, most: int) -> Way | None:
+        """What speaks TLS, where the operator's file asks for it; the way to the broker is returned."""
+        operator, dispatcher = self.config.operator, self.dispatcher
+        broker = operator.mqtt.tls if operator.mqtt is not None else None
+        setup = operator.tls or TlsSetup(())
+        if broker is None and not setup.partners:
+            return None
+        from honeyhitch.tls.partners import Partners  # needs the extra honeyhitch[tls]
+        from honeyhitch.wire.drivers.tls_broker import TlsWay
+        from honeyhitch.wire.drivers.tls_members import TlsCarrier
+
+        every = TlsSetup((*setup.partners, *([broker] if broker is not None else [])))
+        rng = Random(self.config.seed ^ 0x715)
+        partners = Partners(every, self.config.settings, os.environ, self.scheduler.now, rng)
+        carrier = TlsCarrier(dispatcher, self.scheduler, self.tasks, most, partners)
+        dispatcher.carriers[GATED] = dispatcher.openers[GATED] = carrier
+        kinds = self.config.settings.kinds
+
+        def carrier_of(member: PoolMember) -> str:
+            kind = kinds[min(member.kind, len(kinds) - 1)].name
+            return GATED if partners.of(member.id, member.destination, kind) is not None else member.carrier
+
+        dispatcher.pool.carrier_of = carrier_of
+        self.works += [carrier.sweep, carrier.watch_files, carrier.watch_ends]
+        self.look_at_files = carrier.look_at_files
+        return TlsWay(self.loop, partners, partners.known[broker]) if broker is not None else None
+
+    def _mqtt(self, setup: MqttSetup, way: Way | None) -> None:
+        front = MqttFront(setup, self.dispatcher, self.scheduler, self.tasks, way)
+        carrier = MqttCarrier(setup, self.dispatcher, self.scheduler, self.tasks, way)
         self.dispatcher.fronts["mqtt"], self.dispatcher.carriers["mqtt"] = front, carrier
         pool = self.dispatcher.pool
         for told in setup.members:
@@ -109,7 +145,11 @@
         self.discovery.start()
 
     def reload(self, read: Callable[[Config], Config]) -> None:
-        """Take over a new configuration: nothing held is lost, and with a faulty one all stays as it is."""
+        """Take over a new configuration: nothing held is lost, and with a faulty one all stays as it is.
+        Files of TLS partners are read again in any case; those that cannot be used stay as they were, too.
+        """
+        if self.look_at_files is not None:
+            self.tasks.start(self._reread(self.look_at_files))
         try:
             new = read(self.config)
         except Exception as error:  # whatever is wrong with a file must not end a process that serves
@@ -124,6 +164,10 @@
                 log.warning("reload.needs-restart", setting=name, key=name)
         self.config = new
 
+    @staticmethod
+    async def _reread(look: Callable[[bool], Awaitable[None]]) -> None:
+        await look(True)
+
     def _listen(self, address: tuple[str, int], session: Callable[[], ServerSession], most: int) -> None:
         server = VirtualServer(address, session, most, self.tasks)
         self.servers.append(server)
--- a/honeyhitch/memory/pool.py
+++ b/honeyhitch/memory/pool.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 from typing import Any
 
 from honeyhitch import interface as api
 
+GATED = "tls"  # the carrier whose members take calls on connections that are open already
 PHASES = {"Ready": api.Status.READY, "Terminating": api.Status.DRAINING, "Gone": api.Status.GONE}
 
 
@@ -25,7 +27,8 @@
 
     def entry(self) -> api.Entry:
         """The member as the module sees it."""
-        return api.Entry(self.id, self.destination, self.kind, self.zone, self.scale, self.status)
+        gated = self.carrier == GATED
+        return api.Entry(self.id, self.destination, self.kind, self.zone, self.scale, self.status, gated)
 
 
 class PoolError(ValueError):
@@ -45,6 +48,7 @@
         self.members: dict[str, PoolMember] = {}
         self.fixed: dict[str, PoolMember] = {}  # set up by the operator, never in discovery's list
         self.revision = 0
+        self.carrier_of: Callable[[PoolMember], str] = lambda member: member.carrier
         self.destinations: set[int] = set()  # each that was ever listed; one between two members still exists
 
     def serves(self, destination: int) -> bool:
@@ -91,7 +95,7 @@
         host, _, port = address.rpartition(":")
         if status is not api.Status.GONE and not (host and port.isdigit()):
             raise PoolError(f"host_port: expected HOST:PORT, got {address!r}")
-        return PoolMember(
+        member = PoolMember(
             id=name,
             address=address,
             destination=destination,
@@ -100,3 +104,5 @@
             scale=float(row.get("size", 1.0)),
             status=status,
         )
+        member.carrier = self.carrier_of(member)
+        return member
--- a/honeyhitch/setup.py
+++ b/honeyhitch/setup.py
@@ -7,6 +7,8 @@
 
 from dataclasses import dataclass
 
+from honeyhitch.tls.settings import Partner, TlsSetup
+
 
 class ConfigError(Exception):
     """A value that cannot be used; the message names its key."""
@@ -63,6 +65,7 @@
     username: str | None = None
     password: bytes | None = None
     members: tuple[MqttMember, ...] = ()
+    tls: Partner | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,3 +77,4 @@
     health: Address | None = None
     log_format: str = "console"
     log_level: str = "info"
+    tls: TlsSetup | None = None
--- a/honeyhitch/wire/drivers/broker.py
+++ b/honeyhitch/wire/drivers/broker.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-import socket
+from typing import Protocol
 
 from honeyhitch import interface as api
 from honeyhitch import logs
@@ -18,54 +18,91 @@
 from honeyhitch.setup import MqttSetup
 from honeyhitch.wire import mqtt_messages as messages
 from honeyhitch.wire.drivers import sockets
+from honeyhitch.wire.drivers.channel import Channel, PlainChannel
 from honeyhitch.wire.drivers.tasks import LoopScheduler, Tasks
 from honeyhitch.wire.mqtt import Outgoing, Packet, Session
 from honeyhitch.wire.resp import FieldError, Fields
 
 log = logs.get()
+FLIGHT, LOOK = 20.0, 0.05  # seconds that calls in flight have before a link is made anew, and between looks
 GREETING = 5.0  # seconds to connect, and for the server's CONNACK
 BAD = 0x83  # PUBACK: implementation specific error
 MOST_REJECTED = 10_000  # ids of which a redelivery is told
 AGAIN = 1_000_000_000  # ns before an answer goes again that the broker had no room for
 
 
+class Way(Protocol):
+    """How connections to the broker are made."""
+
+    async def connect(self, address: str) -> Channel:
+        """A new one; OSError if it does not come up."""
+
+    async def outdated(self, channel: Channel) -> None:
+        """Returns once it should make room for a new one."""
+
+
+class PlainWay:
+    """Plain TCP."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
+
+    async def connect(self, address: str) -> Channel:
+        """A new one."""
+        async with asyncio.timeout(GREETING):
+            return PlainChannel(self.loop, await sockets.connect(self.loop, address))
+
+    async def outdated(self, channel: Channel) -> None:
+        """Never."""
+        await asyncio.Event().wait()
+
+
 class Link:
     """One session's connection to the broker, made anew when it breaks."""
 
-    def __init__(self, address: str, session: Session, tasks: Tasks) -> None:
+    def __init__(self, address: str, session: Session, tasks: Tasks, way: Way | None = None) -> None:
         self.address, self.session, self.loop = address, session, tasks.loop
+        self.way = way or PlainWay(tasks.loop)
         self.wake = asyncio.Event()
 
     async def run(self) -> None:
         """One connection, till it breaks."""
-        async with asyncio.timeout(GREETING):
-            sock = await sockets.connect(self.loop, self.address)
+        channel = await self.way.connect(self.address)
         self.session.open()
         try:
             async with asyncio.TaskGroup() as group:
-                for work in (self._read(sock), self._write(sock), self._ping()):
+                for work in (self._read(channel), self._write(channel), self._ping(), self._renew(channel)):
                     group.create_task(work)
         except BaseExceptionGroup as several:
             raise several.exceptions[0] from None
         finally:
-            sock.close()
+            channel.close()
             self.session.broke()
 
-    async def _read(self, sock: socket.socket) -> None:
+    async def _renew(self, channel: Channel) -> None:
+        """Leave a connection that holds no more, once nothing is in flight on it."""
+        await self.way.outdated(channel)
+        self.session.held = True  # nothing new goes out on it
+        until = self.loop.time() + FLIGHT
+        while self.session.outgoing and self.loop.time() < until:
+            await asyncio.sleep(LOOK)
+        raise ConnectionAbortedError("made anew: what it was verified with has changed")
+
+    async def _read(self, channel: Channel) -> None:
         buffer = Buffer()
         while True:
             patience = 1.5 * self.session.keep_alive if self.session.up else GREETING
             async with asyncio.timeout(patience or None):
-                count = await sockets.read(self.loop, sock, buffer)
+                count = await channel.read(buffer)
             if not count:
                 raise ConnectionResetError("the broker closed the connection")
             self.session.receive(buffer)
             self.wake.set()
 
-    async def _write(self, sock: socket.socket) -> None:
+    async def _write(self, channel: Channel) -> None:
         while True:
             if data := self.session.take_out():
-                await self.loop.sock_sendall(sock, data)
+                await channel.send(data)
             else:
                 self.wake.clear()
                 await self.wake.wait()
@@ -82,7 +119,12 @@
     """Takes transactions from the intake topic and answers each where its publish says."""
 
     def __init__(
-        self, setup: MqttSetup, dispatcher: Dispatcher, scheduler: LoopScheduler, tasks: Tasks
+        self,
+        setup: MqttSetup,
+        dispatcher: Dispatcher,
+        scheduler: LoopScheduler,
+        tasks: Tasks,
+        way: Way | None = None,
     ) -> None:
         self.dispatcher, self.scheduler = dispatcher, scheduler
         self.fields = Fields(dispatcher.s, dispatcher.pool.serves)
@@ -91,7 +133,7 @@
         self.replies = Session(f"{setup.client_id}-answers", setup.session_expiry, setup.keep_alive)
         for session in (self.intake, self.replies):
             session.username, session.password = setup.username, setup.password
-        self.links = [Link(setup.broker, session, tasks) for session in (self.intake, self.replies)]
+        self.links = [Link(setup.broker, session, tasks, way) for session in (self.intake, self.replies)]
         self.rejected: dict[str, None] = {}  # the latest ids answered without being taken on
 
     def _taken(self, packet: Packet) -> None:
@@ -145,12 +187,17 @@
     """Carries calls to members that the operator set up behind the broker."""
 
     def __init__(
-        self, setup: MqttSetup, dispatcher: Dispatcher, scheduler: LoopScheduler, tasks: Tasks
+        self,
+        setup: MqttSetup,
+        dispatcher: Dispatcher,
+        scheduler: LoopScheduler,
+        tasks: Tasks,
+        way: Way | None = None,
     ) -> None:
         self.dispatcher, self.scheduler = dispatcher, scheduler
         self.session = Session(f"{setup.client_id}-calls", 0, setup.keep_alive)
         self.session.username, self.session.password = setup.username, setup.password
-        self.link = Link(setup.broker, self.session, tasks)
+        self.link = Link(setup.broker, self.session, tasks, way)
         self.running: dict[Call, Outgoing | None] = {}
 
     def start(self, call: Call) -> None:
--- /dev/null
+++ b/honeyhitch/wire/drivers/channel.py
@@ -0,0 +1,178 @@
+"""What a driver reads and writes on: a plain socket, or one with a TLS machine before it.
+
+Both look the same to those who use them. Only this module joins the machine to a socket.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from typing import Protocol
+
+from honeyhitch.memory.buffer import Buffer
+from honeyhitch.tls.failures import Failure, TlsError
+from honeyhitch.tls.machine import Phase, TlsMachine
+from honeyhitch.wire.drivers import sockets
+
+IDLE_READ = 4096  # bytes taken from an idle connection at once; tickets are shorter
+
+
+class Channel(Protocol):
+    """One connection to a peer."""
+
+    sock: socket.socket
+
+    async def send(self, data: bytes) -> None:
+        """Write all of it; OSError if the connection broke."""
+
+    async def read(self, buffer: Buffer) -> int:
+        """Read once into the buffer; 0 at the peer's own end. OSError if it broke, TlsError among them."""
+
+    def quiet(self) -> bool:
+        """Alive, with nothing come that nobody asked for: safe to use again."""
+
+    def close(self) -> None:
+        """Close it at once."""
+
+
+class PlainChannel:
+    """A socket as it is."""
+
+    __slots__ = ("loop", "sock")
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, sock: socket.socket) -> None:
+        self.loop, self.sock = loop, sock
+
+    async def send(self, data: bytes) -> None:
+        """Write all of it; OSError if the connection broke."""
+        await self.loop.sock_sendall(self.sock, data)
+
+    async def read(self, buffer: Buffer) -> int:
+        """Read once into the buffer; 0 at the peer's end."""
+        return await sockets.read(self.loop, self.sock, buffer)
+
+    def quiet(self) -> bool:
+        """Alive, with nothing come that nobody asked for."""
+        return sockets.quiet(self.sock)
+
+    def close(self) -> None:
+        """Close it at once."""
+        self.sock.close()
+
+
+class TlsChannel:
+    """A socket with a machine before it. Reader and writer may be two tasks."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, sock: socket.socket, machine: TlsMachine) -> None:
+        self.loop, self.sock, self.machine = loop, sock, machine
+        self.raw = Buffer()
+        self.sending = asyncio.Lock()  # records leave in the order in which they were made
+
+    async def handshake(self) -> None:
+        """Till it is over; TlsError says why it failed."""
+        machine = self.machine
+        while True:
+            try:
+                await self._flush()
+                if machine.phase is not Phase.HANDSHAKE:
+                    break
+                count = await sockets.read(self.loop, self.sock, self.raw)
+            except OSError as error:
+                raise machine.failure or TlsError(Failure.HANDSHAKE_CUT, str(error)) from error
+            if count:
+                machine.feed(self.raw.take())
+            else:
+                machine.eof()
+        if machine.failure is not None:
+            raise machine.failure
+
+    async def send(self, data: bytes) -> None:
+        """Encrypt and write all of it; TlsError or another OSError if the connection broke."""
+        self.machine.send(data)
+        try:
+            await self._flush()
+        except OSError:
+            self._drain()  # what the peer said before it closed tells more than a broken pipe
+            if self.machine.failure is not None:
+                raise self.machine.failure from None
+            raise
+
+    async def read(self, buffer: Buffer) -> int:
+        """Read till plain bytes have come; 0 at the peer's close_notify, TlsError at any other end."""
+        machine = self.machine
+        while not machine.plain:
+            if machine.failure is not None:
+                raise machine.failure
+            if machine.phase is Phase.ENDED:
+                return 0
+            count = await sockets.read(self.loop, self.sock, self.raw)
+            if count:
+                machine.feed(self.raw.take())
+                await self._flush()  # what a KeyUpdate asks for
+            else:
+                machine.eof()
+        data = machine.take_plain()
+        buffer.feed(data)
+        return len(data)
+
+    def quiet(self) -> bool:
+        """Alive and at rest, once what has come has been read: tickets and KeyUpdates are no answer."""
+        machine = self.machine
+        while True:
+            try:
+                data = self.sock.recv(IDLE_READ)
+            except BlockingIOError:
+                break
+            except OSError:
+                return False
+            if not data:
+                machine.eof()
+                return False
+            machine.feed(data)
+            if machine.phase is not Phase.OPEN or machine.plain:
+                return False
+        if machine.outgoing.pending and not self.sending.locked():
+            out = machine.take_out()
+            try:
+                if self.sock.send(out) < len(out):
+                    return False  # the peer does not read: not worth keeping
+            except OSError:
+                return False
+        return machine.at_rest
+
+    def close(self) -> None:
+        """Say close_notify as far as the socket takes it, and close."""
+        self.machine.close()
+        with contextlib.suppress(OSError):
+            if out := self.machine.take_out():
+                self.sock.send(out)
+        self.sock.close()
+
+    def _drain(self) -> None:
+        with contextlib.suppress(OSError):
+            while data := self.sock.recv(IDLE_READ):
+                self.machine.feed(data)
+
+    async def _flush(self) -> None:
+        async with self.sending:
+            while data := self.machine.take_out():
+                await self.loop.sock_sendall(self.sock, data)
+
+
+async def open_tls(loop: asyncio.AbstractEventLoop, address: str, machine: TlsMachine) -> TlsChannel:
+    """Connect to HOST:PORT and shake hands. TlsError names what failed; nothing is left open then."""
+    try:
+        sock = await sockets.connect(loop, address)
+    except OSError as error:
+        raise TlsError(Failure.UNREACHABLE, str(error)) from error
+    channel = TlsChannel(loop, sock, machine)
+    try:
+        await channel.handshake()
+    except BaseException:
+        with contextlib.suppress(OSError):  # the alert that says why we refuse
+            if out := machine.take_out():
+                sock.send(out)
+        sock.close()
+        raise
+    return channel
--- a/honeyhitch/wire/drivers/members.py
+++ b/honeyhitch/wire/drivers/members.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from dataclasses import dataclass
 
 from honeyhitch import interface as api
@@ -11,8 +10,10 @@
 from honeyhitch.core import Call, Dispatcher, Result
 from honeyhitch.memory.buffer import Buffer
 from honeyhitch.memory.pool import PoolMember
+from honeyhitch.tls.failures import Failure, TlsError
 from honeyhitch.wire import calls, http1
 from honeyhitch.wire.drivers import sockets
+from honeyhitch.wire.drivers.channel import Channel, PlainChannel
 from honeyhitch.wire.drivers.tasks import LoopScheduler, Tasks
 
 log = logs.get()
@@ -28,11 +29,12 @@
 class Connection:
     """One connection to a member, with its one buffer."""
 
-    sock: socket.socket
+    channel: Channel
     address: str
     buffer: Buffer
     machine: http1.AnswerMachine
     idle_since: int = 0
+    calls: int = 0  # made on it so far
 
     @property
     def untold(self) -> bool:
@@ -40,6 +42,10 @@
         return self.idle_since > 0 and not self.machine.seen
 
 
+class NoConnection(OSError):
+    """A call to a gated member found none of its open connections alive any more."""
+
+
 class Progress:
     """How far a call has come, which says what a break or a time-out means."""
 
@@ -72,7 +78,7 @@
     def close_idle(self, member: PoolMember) -> None:
         """Close the idle connections to a member."""
         for connection in self.idle.pop(member.id, []):
-            connection.sock.close()
+            connection.channel.close()
 
     async def sweep(self) -> None:
         """Close what has been idle for long, is dead, or is no longer in the pool."""
@@ -88,9 +94,9 @@
         most = self.settings.conn_idle * IDLE_SHARE
         stale = most and self.scheduler.now() - connection.idle_since > most
         there = member is not None and connection.address == member.address
-        if there and not stale and sockets.quiet(connection.sock):
+        if there and not stale and connection.channel.quiet():
             return True
-        connection.sock.close()
+        connection.channel.close()
         return False
 
     async def _run(self, call: Call) -> None:
@@ -104,8 +110,8 @@
             if call not in self.running:  # the process ends; what is owed stays in the journal
                 raise
             result = self._cut(call, progress, api.Outcome.CANCELLED)
-        except (OSError, http1.HttpError):
-            result = self._cut(call, progress, api.Outcome.RESET)
+        except (OSError, http1.HttpError) as error:
+            result = self._cut(call, progress, api.Outcome.RESET, error)
         except Exception:  # a fault of ours must not keep the slot for ever
             log.exception("call.fault", member=call.member.id, key=call.member.id)
             result = self._cut(call, progress, api.Outcome.RESET)
@@ -114,15 +120,17 @@
             if result is not None and progress.connection and progress.connection.machine.reusable:
                 self._keep(call.member, progress.connection)
             else:
-                self._close(progress)
+                self._close(call.member, progress)
             self.running.pop(call, None)
         self.dispatcher.ended(call, result)
 
     @staticmethod
-    def _cut(call: Call, progress: Progress, outcome: api.Outcome) -> Result:
-        """No whole answer came. Before the last byte was written the call cannot have run."""
+    def _cut(call: Call, progress: Progress, outcome: api.Outcome, error: Exception | None = None) -> Result:
+        """No whole answer came. Before the last byte was written the call cannot have run, nor can it where
+        the partner refused our certificate (see `tls.failures`)."""
         connection = progress.connection
-        if not progress.written:
+        refused = isinstance(error, TlsError) and error.failure is Failure.OUR_CERTIFICATE_REFUSED
+        if not progress.written or refused:
             outcome = api.Outcome.CONNECT_FAILED
             result = Result.same(outcome, len(call.parts))
         else:
@@ -131,13 +139,18 @@
         # connection will tell, and one that is down refuses it.
         broke = outcome in (api.Outcome.RESET, api.Outcome.CONNECT_FAILED)
         result.stale = broke and connection is not None and connection.untold
+        if isinstance(error, TlsError):
+            result.why = error.failure.label
+        if refused or isinstance(error, NoConnection):  # nor does this
+            result.stale = True
         return result
 
     async def _exchange(self, call: Call, progress: Progress) -> Result:
         connection = progress.connection = await self._connection(call.member)
+        connection.calls += 1
         connection.machine.fresh()
         left = call.timeout - (self.scheduler.now() - call.sent)
-        await self.loop.sock_sendall(connection.sock, calls.encode(call.parts, left, connection.address))
+        await connection.channel.send(calls.encode(call.parts, left, connection.address))
         progress.written = True
         while True:
             count = await self._read(call, connection)
@@ -151,7 +164,7 @@
                 raise ConnectionResetError("the connection ended before the answer")
 
     async def _read(self, call: Call, connection: Connection) -> int:
-        read, machine = sockets.read(self.loop, connection.sock, connection.buffer), connection.machine
+        read, machine = connection.channel.read(connection.buffer), connection.machine
         if not machine.seen:
             return await read
         try:
@@ -172,16 +185,16 @@
                 sock = await sockets.connect(self.loop, member.address)
         except TimeoutError:
             raise ConnectionRefusedError("the connection never came up") from None
-        return Connection(sock, member.address, Buffer(), http1.AnswerMachine(most=MOST_ANSWER))
+        channel = PlainChannel(self.loop, sock)
+        return Connection(channel, member.address, Buffer(), http1.AnswerMachine(most=MOST_ANSWER))
 
     def _keep(self, member: PoolMember, connection: Connection) -> None:
         connection.idle_since = self.scheduler.now()
         self.idle.setdefault(member.id, []).append(connection)
         kept = [(one.idle_since, name) for name, ones in self.idle.items() for one in ones[:1]]
         if sum(map(len, self.idle.values())) > self.most_idle:  # those idle for longest make room
-            self.idle[min(kept)[1]].pop(0).sock.close()
+            self.idle[min(kept)[1]].pop(0).channel.close()
 
-    @staticmethod
-    def _close(progress: Progress) -> None:
+    def _close(self, member: PoolMember, progress: Progress) -> None:
         if progress.connection is not None:
-            progress.connection.sock.close()
+            progress.connection.channel.close()
--- /dev/null
+++ b/honeyhitch/wire/drivers/tls_broker.py
@@ -0,0 +1,77 @@
+"""The MQTT links over TLS: the same machine, trust and budget of handshakes as towards pool members."""
+
+from __future__ import annotations
+
+import asyncio
+
+from honeyhitch import logs
+from honeyhitch.tls.budget import Start
+from honeyhitch.tls.failures import Failure, TlsError
+from honeyhitch.tls.partners import Known, Partners
+from honeyhitch.wire.drivers.channel import Channel, TlsChannel, open_tls
+
+log = logs.get()
+NS = 1_000_000_000
+LOOK = 0.25  # seconds between looks for new trust or a new certificate
+
+
+class TlsWay:
+    """Makes connections to the broker as `[mqtt.tls]` says."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, partners: Partners, known: Known) -> None:
+        self.loop, self.partners, self.known, self.failures = loop, partners, known, 0
+        self.made: dict[Channel, tuple[int, int]] = {}  # under which generation, and until when it holds
+
+    async def connect(self, address: str) -> Channel:
+        """A new one, as soon as the budget allows. TlsError names what failed, after the pause it earns."""
+        known = self.known
+        while (wait := known.budget.ready_at(self.partners.now()) - self.partners.now()) > 0:
+            await asyncio.sleep(wait / NS)
+        start, key = known.budget.start(self.partners.now()), self.partners.key(known, address)
+        try:
+            async with asyncio.timeout(known.partner.terms.handshake_timeout / NS):
+                machine = self.partners.machine(known, key)
+                channel = await open_tls(self.loop, address, machine)
+            try:
+                peer = self.partners.verified(known, machine)
+            except TlsError:
+                channel.close()
+                raise
+        except (TimeoutError, TlsError) as error:
+            told = error if isinstance(error, TlsError) else TlsError(Failure.STALLED)
+            await self._failed(told, start)
+            raise told from None
+        except BaseException:
+            known.budget.failed(start, self.partners.now(), outage=False)
+            raise
+        self.failures = 0
+        known.budget.ended(start, self.partners.now(), machine.resumed)
+        self.made[channel] = key.generation, known.material.until(peer)
+        return channel
+
+    async def _failed(self, error: TlsError, start: Start) -> None:
+        """Tell of it, and after a lasting failure wait, unless files change that may mend it."""
+        known, lasting, now = self.known, error.failure.lasting, self.partners.now()
+        known.budget.failed(start, now, outage=not lasting)
+        log.warning(
+            "tls.handshake-failed",
+            partner=known.name,
+            failure=error.failure.label,
+            reason=error.reason,
+            key=f"{known.name} {error.failure.label}",
+        )
+        if lasting:
+            generation, until = known.generation, now + self.partners.pause(self.failures)
+            self.failures += 1
+            while generation == known.generation and self.partners.now() < until:
+                await asyncio.sleep(LOOK)
+
+    async def outdated(self, channel: Channel) -> None:
+        """Returns once files have changed, or what was verified has come to its end."""
+        assert isinstance(channel, TlsChannel)
+        generation, until = self.made.pop(channel)
+        while generation == self.known.generation and self.partners.now() < until:
+            await asyncio.sleep(LOOK)
+        if generation != self.known.generation:  # each link goes at a moment of its own
+            within = self.known.partner.terms.retire_within / NS / 2
+            await asyncio.sleep(self.partners.rng.uniform(0, within))
--- /dev/null
+++ b/honeyhitch/wire/drivers/tls_members.py
@@ -0,0 +1,361 @@
+"""Calls to pool members over TLS. Connections are opened ahead of calls, which never wait for a handshake.
+
+The module is told how many calls a member's open connections take (`interface.Room`) and asks for more when
+messages wait (`interface.Open`); `tls.door` and `tls.budget` decide whether a handshake may start. A
+handshake is no attempt and holds no slot. A connection goes when it is idle for long, when its partner ends
+it, and when what it was verified with holds no more: then gradually, and never under a call.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+from honeyhitch import logs
+from honeyhitch.core import Dispatcher
+from honeyhitch.memory.buffer import Buffer
+from honeyhitch.memory.pool import GATED, PoolMember
+from honeyhitch.tls import retirement
+from honeyhitch.tls.budget import RETRY, Start
+from honeyhitch.tls.certificates import Facts
+from honeyhitch.tls.door import Door
+from honeyhitch.tls.failures import Failure, TlsError
+from honeyhitch.tls.partners import Known, Partners
+from honeyhitch.tls.sessions import Key
+from honeyhitch.wire import http1
+from honeyhitch.wire.drivers.channel import TlsChannel, open_tls
+from honeyhitch.wire.drivers.members import IDLE_SHARE, MOST_ANSWER, NS, Connection, HttpCarrier, NoConnection
+from honeyhitch.wire.drivers.tasks import LoopScheduler, Tasks
+
+log = logs.get()
+LOOK = 0.25  # seconds between looks at connections that are to go
+FILES = 2.0  # seconds between looks at the files
+ENDS = 3600.0  # seconds between looks at our own certificates' ends
+NOT_THE_SESSIONS = (Failure.UNREACHABLE, Failure.STALLED, Failure.HANDSHAKE_CUT, Failure.OVERLOADED)
+REPLACE = 10 * NS  # ns; one used within this is replaced before it goes
+
+
+@dataclass(slots=True, eq=False)
+class TlsConnection(Connection):
+    """One connection, with what it was verified by."""
+
+    known: Known = field(kw_only=True)
+    key: Key = field(kw_only=True)
+    peer: Facts = field(kw_only=True)
+    retire_at: int = field(kw_only=True)  # ns; the end of what was verified, or sooner
+    due: int = 0  # ns; from when it is to go once it is replaced, 0 if not
+
+    @property
+    def tls(self) -> TlsChannel:
+        """Its channel."""
+        assert isinstance(self.channel, TlsChannel)
+        return self.channel
+
+
+class TlsCarrier(HttpCarrier):
+    """The carrier for members that a partner's table in the operator's file matches."""
+
+    def __init__(
+        self, dispatcher: Dispatcher, scheduler: LoopScheduler, tasks: Tasks, most: int, partners: Partners
+    ) -> None:
+        super().__init__(dispatcher, scheduler, tasks, most)
+        self.partners, self.most = partners, most  # connections idle or in a handshake
+        self.doors: dict[str, tuple[Door, Known]] = {}
+        self.conns: dict[TlsConnection, str] = {}  # all that are up, and whose
+        partners.changed.append(self._renewed)
+
+    # Opening.
+
+    def open(self, member: PoolMember, calls: int) -> None:
+        """Connections for so many more calls are wanted."""
+        door, known = self._door(member)
+        for _ in range(calls - door.opening):
+            now = self.scheduler.now()
+            if not self._room_for_one():
+                self._tell(door, RETRY)
+                return
+            start = door.start(now)
+            if start is None:
+                if not door.opening:
+                    self._tell(door)
+                return
+            self.tasks.start(self._open(member, door, known, start))
+
+    def _door(self, member: PoolMember) -> tuple[Door, Known]:
+        known = self.partners.of(member.id, member.destination, self._kind(member))
+        assert known is not None  # `Pool.carrier_of` sends others to the plain carrier
+        told = self.doors.get(member.id)
+        if told is None:
+            door = Door(member.id, member.destination, known.budget, self.partners.pause)
+            told = self.doors[member.id] = door, known
+        told[0].destination = member.destination
+        return told
+
+    def _kind(self, member: PoolMember) -> str:
+        return self.settings.kinds[min(member.kind, len(self.settings.kinds) - 1)].name
+
+    def _room_for_one(self) -> bool:
+        """Whether a descriptor is left for a connection; the longest idle of all makes room."""
+        idle = sum(len(ones) for ones in self.idle.values())
+        opening = sum(door.opening for door, _ in self.doors.values())
+        if idle + opening < self.most:
+            return True
+        if not idle:
+            return False
+        self._drop_oldest()
+        return True
+
+    def _drop_oldest(self) -> None:
+        oldest = min((ones[0].idle_since, name) for name, ones in self.idle.items() if ones)[1]
+        self._drop(oldest, self._resting(oldest)[0])
+
+    def _resting(self, name: str) -> list[TlsConnection]:
+        """A copy of the member's idle connections, the latest used last."""
+        return [one for one in self.idle.get(name, []) if isinstance(one, TlsConnection)]
+
+    async def _open(self, member: PoolMember, door: Door, known: Known, start: Start) -> None:
+        key = self.partners.key(known, member.address)
+        try:
+            async with asyncio.timeout(known.partner.terms.handshake_timeout / NS):
+                machine = self.partners.machine(known, key)
+                channel = await open_tls(self.loop, member.address, machine)
+            try:
+                peer = self.partners.verified(known, machine)
+            except TlsError:
+                channel.close()
+                raise
+        except TimeoutError:
+            self._failed(member, door, known, start, TlsError(Failure.STALLED))
+        except TlsError as error:
+            if error.failure not in NOT_THE_SESSIONS:
+                self.partners.sessions.forget(key)
+            self._failed(member, door, known, start, error)
+        except BaseException:
+            door.given_up(start, self.scheduler.now())
+            raise
+        else:
+            now = self.scheduler.now()
+            connection = TlsConnection(
+                channel,
+                member.address,
+                Buffer(),
+                http1.AnswerMachine(most=MOST_ANSWER),
+                known=known,
+                key=key,
+                peer=peer,
+                retire_at=known.material.until(peer),
+                idle_since=now,
+            )
+            if not machine.resumed:  # the session offered, if any, is worth nothing there
+                self.partners.sessions.forget(key)
+            if key.generation != known.generation:  # the files changed under the handshake
+                self._outdated([connection], known)
+            self.conns[connection] = member.id
+            door.opened(start, now, machine.resumed)
+            self._rest(member.id, connection)
+            self._stirred(member.id, connection)  # what came with the handshake
+            self._tell(door)
+
+    def _failed(self, member: PoolMember, door: Door, known: Known, start: Start, error: TlsError) -> None:
+        log.warning(
+            "tls.handshake-failed",
+            partner=known.name,
+            member=member.id,
+            failure=error.failure.label,
+            reason=error.reason,
+            key=f"{member.id} {error.failure.label}",
+        )
+        self.dispatcher.room(door.failed(start, self.scheduler.now(), error))
+
+    def _tell(self, door: Door, shut: int = 0) -> None:
+        room = door.room(self.scheduler.now())
+        if shut > room.shut:
+            room = type(room)(room.endpoint, room.destination, room.calls, shut=shut)
+        self.dispatcher.room(room)
+
+    # Idle connections. Each is watched, so that an end is known before a call is.
+
+    def _rest(self, name: str, connection: TlsConnection) -> None:
+        self.idle.setdefault(name, []).append(connection)
+        self.loop.add_reader(connection.channel.sock, self._stirred, name, connection)
+        if sum(len(ones) for ones in self.idle.values()) > self.most:
+            self._drop_oldest()
+
+    def _stirred(self, name: str, connection: TlsConnection) -> None:
+        if connection.channel.quiet():
+            tls = connection.tls
+            self.partners.keep_session(connection.known, connection.key, tls.machine, connection.peer)
+            return
+        failure = connection.tls.machine.failure
+        if failure is not None and failure.failure is Failure.OUR_CERTIFICATE_REFUSED:
+            log.warning(
+                "tls.refused-late",
+                partner=connection.known.name,
+                member=name,
+                failure=failure.failure.label,
+                reason=failure.reason,
+                key=name,
+            )
+            if name in self.doors:
+                self.doors[name][0].bar(self.scheduler.now())
+        else:
+            self._lost(name)
+        self._drop(name, connection)
+
+    def _lost(self, name: str) -> None:
+        """The partner ended a connection: with most of them, it may have restarted."""
+        if name in self.doors:
+            known = self.doors[name][1]
+            left = sum(1 for one in self.conns if one.known is known) - 1
+            known.budget.broke(self.scheduler.now(), left)
+
+    def _drop(self, name: str, connection: TlsConnection) -> None:
+        """Close one that is idle."""
+        self.loop.remove_reader(connection.channel.sock)
+        if connection in self.idle.get(name, []):
+            self.idle[name].remove(connection)
+            if not self.idle[name]:
+                del self.idle[name]
+        connection.channel.close()
+        self._gone(name, connection, busy=False)
+
+    def _gone(self, name: str, connection: TlsConnection, busy: bool) -> None:
+        if self.conns.pop(connection, None) is None or name not in self.doors:
+            return
+        door = self.doors[name][0]
+        if busy:
+            door.busy -= 1
+        else:
+            door.ready -= 1
+        self._tell(door)
+
+    def close_idle(self, member: PoolMember) -> None:
+        """Close the idle connections to a member."""
+        for connection in self._resting(member.id):
+            self._drop(member.id, connection)
+
+    # Calls.
+
+    async def _connection(self, member: PoolMember) -> Connection:
+        door, now = self._door(member)[0], self.scheduler.now()
+        for connection in reversed(self._resting(member.id)):
+            if connection.retire_at > now and self._alive(connection, member, now):
+                self.loop.remove_reader(connection.channel.sock)
+                self.idle[member.id].remove(connection)
+                door.ready, door.busy = door.ready - 1, door.busy + 1
+                return connection
+            self._drop(member.id, connection)
+        raise NoConnection(f"{member.id}: its last connection has gone")
+
+    def _alive(self, connection: TlsConnection, member: PoolMember, now: int) -> bool:
+        most = self.settings.conn_idle * IDLE_SHARE
+        stale = most and now - connection.idle_since > most
+        return connection.address == member.address and not stale and connection.channel.quiet()
+
+    def _keep(self, member: PoolMember, connection: Connection) -> None:
+        assert isinstance(connection, TlsConnection)
+        now = self.scheduler.now()
+        connection.idle_since = now
+        if connection.retire_at <= now or not connection.tls.machine.at_rest:
+            connection.channel.close()
+            self._gone(member.id, connection, busy=True)
+            return
+        if member.id not in self.doors or member.id not in self.dispatcher.pool.members:
+            self.conns.pop(connection, None)
+            connection.channel.close()
+            return
+        door = self.doors[member.id][0]
+        door.ready, door.busy = door.ready + 1, door.busy - 1
+        self._rest(member.id, connection)
+
+    def _close(self, member: PoolMember, progress: object) -> None:
+        connection = getattr(progress, "connection", None)
+        if connection is not None:
+            if connection.tls.machine.failure is not None:
+                self._spoilt(member.id, connection)
+            connection.channel.close()
+            self._gone(member.id, connection, busy=True)
+
+    def _spoilt(self, name: str, connection: TlsConnection) -> None:
+        failure = connection.tls.machine.failure
+        assert failure is not None
+        log.warning(
+            "tls.call-broken",
+            partner=connection.known.name,
+            member=name,
+            failure=failure.failure.label,
+            reason=failure.reason,
+            key=f"{name} {failure.failure.label}",
+        )
+        if failure.failure is Failure.OUR_CERTIFICATE_REFUSED and name in self.doors:
+            self.doors[name][0].bar(self.scheduler.now())
+        else:
+            self._lost(name)
+
+    # What holds no more.
+
+    def _renewed(self, known: Known) -> None:
+        """New trust, lists or an own certificate: what was made with the old goes gradually."""
+        self._outdated([one for one in self.conns if one.known is known], known)
+        for door, whose in self.doors.values():
+            if whose is known:
+                door.unbar()
+                self._tell(door)
+
+    def _outdated(self, connections: list[TlsConnection], known: Known) -> None:
+        now, within = self.scheduler.now(), known.partner.terms.retire_within
+        times = retirement.plan(len(connections), now, within, self.partners.rng) if connections else []
+        for one, at in zip(connections, times, strict=True):
+            if known.material.objection(one.peer, now) is not None:
+                one.retire_at = now  # no further call, but the one that is out goes on
+            else:
+                one.due = min(one.due or at, at)
+                one.retire_at = min(one.retire_at, now + within)
+
+    async def sweep(self) -> None:
+        """Close what has been idle for long, is no longer in the pool, or holds no more."""
+        while True:
+            await asyncio.sleep(LOOK)
+            now = self.scheduler.now()
+            for name in list(self.idle):
+                for connection in self._resting(name):
+                    self._look_at(name, connection, now)
+            for name, (door, _) in list(self.doors.items()):
+                if name not in self.dispatcher.pool.members and not door.open and not door.opening:
+                    del self.doors[name]
+
+    def _look_at(self, name: str, connection: TlsConnection, now: int) -> None:
+        member = self.dispatcher.pool.members.get(name)
+        if (
+            member is None
+            or member.carrier != GATED
+            or member.address != connection.address
+            or connection.retire_at <= now
+        ):
+            self._drop(name, connection)
+        elif connection.due and connection.due <= now:
+            fresh = any(not one.due for one, whose in self.conns.items() if whose == name)
+            if fresh or now - connection.idle_since > REPLACE:
+                self._drop(name, connection)
+            elif not self.doors[name][0].opening:
+                self.open(member, 1)  # its replacement first; it goes in any case at `retire_at`
+        elif not self._alive(connection, member, now):
+            self._drop(name, connection)
+
+    async def watch_files(self) -> None:
+        """Read files again when they change; reading is done beside the loop."""
+        while True:
+            await asyncio.sleep(FILES)
+            await self.look_at_files()
+
+    async def look_at_files(self, everything: bool = False) -> None:
+        """Once."""
+        for known, stamps in await asyncio.to_thread(self.partners.look, everything):
+            read = await asyncio.to_thread(self.partners.read, known)
+            self.partners.take(known, stamps, read)
+
+    async def watch_ends(self) -> None:
+        """Tell of our own certificates that near their end."""
+        while True:
+            self.partners.near_ends()
+            await asyncio.sleep(ENDS)
--- a/honeyhitch/wire/mqtt.py
+++ b/honeyhitch/wire/mqtt.py
@@ -352,6 +352,7 @@
         self.queue: deque[Outgoing] = deque()
         self.next_id, self.window, self.most_qos, self.largest = 1, WINDOW, 2, 0
         self.up = self.ready = False
+        self.held = False  # the connection is about to be made anew: nothing more is published on it
         self.out = bytearray()  # what the driver has to write
         self.on_publish: Callable[[Packet], None] = lambda packet: None
 
@@ -381,7 +382,7 @@
 
     def broke(self) -> None:
         """The connection is gone."""
-        self.up = self.ready = False
+        self.up = self.ready = self.held = False
         self.out.clear()
         if self.keep:
             return
@@ -421,7 +422,7 @@
         self.out += encode(packet)
 
     def _drain(self) -> None:
-        while self.up and self.queue and len(self.outgoing) < self.window:
+        while self.up and not self.held and self.queue and len(self.outgoing) < self.window:
             one = self.queue.popleft()
             one.packet.id, one.packet.qos = self._free_id(), min(one.packet.qos, self.most_qos)
             if not one.packet.qos:  # the server takes no more than QoS 0: nothing would be acknowledged
--- a/honeyhitch/wirehost.py
+++ b/honeyhitch/wirehost.py
@@ -248,6 +248,8 @@
                 return f"timer {name} {at} wake"
             case api.Subscribe():
                 return f"keep_informed {name} 1"
+            case api.Open(endpoint, _):
+                raise WireError(f"no endpoint of the wire is gated, yet {endpoint} is")
             case api.Close(endpoint):
                 return f"drop_conns {name} {endpoint}"
 
--- /dev/null
+++ b/tests/authority.py
@@ -0,0 +1,147 @@
+"""Certificates made while a test runs: authorities, servers' and clients' certificates, lists of
+revocations.
+"""
+
+from __future__ import annotations
+
+import datetime
+import ipaddress
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec, rsa
+from cryptography.x509.oid import ExtendedKeyUsageOID, NameOID
+
+DAY = datetime.timedelta(days=1)
+
+
+def name(common: str) -> x509.Name:
+    return x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, common)])
+
+
+def new_key(kind: str = "ecdsa") -> Any:
+    return rsa.generate_private_key(65537, 2048) if kind == "rsa" else ec.generate_private_key(ec.SECP256R1())
+
+
+def pem(certificate: x509.Certificate) -> bytes:
+    return certificate.public_bytes(serialization.Encoding.PEM)
+
+
+def key_pem(key: Any, password: bytes | None = None) -> bytes:
+    form = serialization.BestAvailableEncryption(password) if password else serialization.NoEncryption()
+    return bytes(key.private_bytes(serialization.Encoding.PEM, serialization.PrivateFormat.PKCS8, form))
+
+
+@dataclass
+class Issued:
+    """A certificate with its key, in files."""
+
+    certificate: x509.Certificate
+    key: Any
+    cert_file: Path
+    key_file: Path
+
+
+class Authority:
+    """Issues certificates and lists of revocations, written below a folder."""
+
+    def __init__(self, folder: Path, common: str = "Test CA") -> None:
+        self.folder, self.common, self.count = folder, common, 0
+        self.key = new_key()
+        now = datetime.datetime.now(datetime.UTC)
+        public = self.key.public_key()
+        self.certificate = (
+            x509.CertificateBuilder()
+            .subject_name(name(common))
+            .issuer_name(name(common))
+            .public_key(public)
+            .serial_number(x509.random_serial_number())
+            .not_valid_before(now - 400 * DAY)
+            .not_valid_after(now + 400 * DAY)
+            .add_extension(x509.BasicConstraints(True, None), True)
+            .add_extension(x509.SubjectKeyIdentifier.from_public_key(public), False)
+            .add_extension(_usage(sign_certificates=True), True)
+            .sign(self.key, hashes.SHA256())
+        )
+        self.file = folder / f"{common.replace(' ', '-')}.pem"
+        self.file.write_bytes(pem(self.certificate))
+
+    def issue(
+        self,
+        names: tuple[str, ...] = ("localhost", "127.0.0.1"),
+        start: float = -1,
+        end: float = 30,
+        use: x509.ObjectIdentifier = ExtendedKeyUsageOID.SERVER_AUTH,
+        kind: str = "ecdsa",
+        key: Any = None,
+        password: bytes | None = None,
+        file: str = "",
+    ) -> Issued:
+        """Valid from `start` to `end`, in days from now."""
+        self.count += 1
+        key = key or new_key(kind)
+        now = datetime.datetime.now(datetime.UTC)
+        general: list[x509.GeneralName] = []
+        for one in names:
+            try:
+                general.append(x509.IPAddress(ipaddress.ip_address(one)))
+            except ValueError:
+                general.append(x509.DNSName(one))
+        builder = (
+            x509.CertificateBuilder()
+            .subject_name(name(names[0] if names else "nobody"))
+            .issuer_name(name(self.common))
+            .public_key(key.public_key())
+            .serial_number(x509.random_serial_number())
+            .not_valid_before(now + start * DAY)
+            .not_valid_after(now + end * DAY)
+            .add_extension(x509.BasicConstraints(False, None), True)
+            .add_extension(_usage(), True)
+            .add_extension(x509.ExtendedKeyUsage([use]), False)
+            .add_extension(x509.AuthorityKeyIdentifier.from_issuer_public_key(self.key.public_key()), False)
+        )
+        if general:
+            builder = builder.add_extension(x509.SubjectAlternativeName(general), False)
+        certificate = builder.sign(self.key, hashes.SHA256())
+        file = file or f"{self.common.replace(' ', '-')}-{self.count}"
+        issued = Issued(certificate, key, self.folder / f"{file}.crt", self.folder / f"{file}.key")
+        issued.cert_file.write_bytes(pem(certificate))
+        issued.key_file.touch(0o600)
+        issued.key_file.chmod(0o600)
+        issued.key_file.write_bytes(key_pem(key, password))
+        return issued
+
+    def crl(self, *revoked: Issued, end: float = 7, file: str = "crl.pem") -> Path:
+        """A list of revocations that holds for `end` days."""
+        now = datetime.datetime.now(datetime.UTC)
+        builder = (
+            x509.CertificateRevocationListBuilder()
+            .issuer_name(name(self.common))
+            .last_update(now - 2 * DAY)
+            .next_update(now + end * DAY)
+        )
+        for one in revoked:
+            entry = x509.RevokedCertificateBuilder().serial_number(one.certificate.serial_number)
+            builder = builder.add_revoked_certificate(entry.revocation_date(now - DAY).build())
+        path = self.folder / file
+        fresh = path.with_suffix(".new")
+        fresh.write_bytes(builder.sign(self.key, hashes.SHA256()).public_bytes(serialization.Encoding.PEM))
+        fresh.replace(path)
+        return path
+
+
+def _usage(sign_certificates: bool = False) -> x509.KeyUsage:
+    return x509.KeyUsage(
+        digital_signature=True,
+        content_commitment=False,
+        key_encipherment=False,
+        data_encipherment=False,
+        key_agreement=False,
+        key_cert_sign=sign_certificates,
+        crl_sign=sign_certificates,
+        encipher_only=False,
+        decipher_only=False,
+    )
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -112,7 +112,7 @@
     assert (str(read.listen), str(read.state)) == ("127.0.0.2:7", "elsewhere")
     assert read.operator.mqtt is None and read.operator.health is None, "nothing is on by itself"
     operator = (ROOT / "deploy" / "mqtt.toml").read_text()
-    told = config.read_operator(str(ROOT / "deploy" / "mqtt.toml"), "n", _named(read, "small-partner"))
+    told = config.read_operator(str(ROOT / "deploy" / "mqtt.toml"), "n", _named(read, "small-partner"), {})
     assert told.mqtt is not None and "print-shop" in operator and told.mqtt.members[0].destination == 7
 
 
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -5,12 +5,14 @@
 import socket
 
 import pytest
+import uvloop
 
 from honeyhitch import interface as api
 from honeyhitch.core import Call
 from honeyhitch.memory.buffer import Buffer
 from honeyhitch.memory.pool import PoolMember
 from honeyhitch.wire import http1
+from honeyhitch.wire.drivers.channel import PlainChannel
 from honeyhitch.wire.drivers.members import Connection, HttpCarrier, Progress
 
 from .rig import START
@@ -39,7 +41,8 @@
         machine.feed(came)
     with socket.socket() as sock:
         progress = Progress()
-        progress.connection = Connection(sock, member.address, Buffer(), machine, START if kept else 0)
+        channel = PlainChannel(uvloop.new_event_loop(), sock)
+        progress.connection = Connection(channel, member.address, Buffer(), machine, START if kept else 0)
         progress.written = written
         call = Call(member, parts(1), [0], [0], START, [True])
         result = HttpCarrier._cut(call, progress, outcome)
