--- a/honeyhitch/brain.py
+++ b/honeyhitch/brain.py
@@ -291,8 +291,9 @@
             return
         endpoint.room, endpoint.shut, self.hot[dest] = event.calls, self.now + event.shut, None
         if event.failed:
-            endpoint.lane.tight.note(self.now, True)
-            endpoint.lane.tally.note(self.now, True)
+            classes = [endpoint.tallies[number] for number in range(len(self.s.classes))]
+            for tally in (endpoint.lane.tight, endpoint.lane.tally, *classes):
+                tally.note(self.now, True)
             endpoint.lane.failed(self.now, Call(endpoint, self.now - event.took), False, 0)
         for message in list(self.messages.values()) if event.shut else ():
             if message.dest is dest and message.queued and self._hopeless(message):
--- a/honeyhitch/tls/failures.py
+++ b/honeyhitch/tls/failures.py
@@ -106,12 +106,17 @@
         (VERSIONS, Failure.NO_COMMON_VERSION),
         (CIPHERS, Failure.NO_COMMON_CIPHER),
         (WEAK, Failure.WEAK),
-        (("ALERT_UNRECOGNIZED_NAME",), Failure.NAME_UNKNOWN_THERE),
+        (("UNRECOGNIZED_NAME",), Failure.NAME_UNKNOWN_THERE),
         (("ALERT_INTERNAL_ERROR", "ALERT_USER_CANCELLED"), Failure.OVERLOADED),
     ):
         if reason.endswith(words):
             return TlsError(failure, reason)
-    return TlsError(Failure.HANDSHAKE_REFUSED if "ALERT" in reason else Failure.SPOILT, reason)
+    return TlsError(Failure.HANDSHAKE_REFUSED if _alert(reason) else Failure.SPOILT, reason)
+
+
+def _alert(reason: str) -> bool:
+    """Whether it names an alert that came; OpenSSL calls most of them so, and the rest by the version."""
+    return "ALERT" in reason or reason.startswith(("TLSV1_", "TLSV13_"))
 
 
 def of_connection(error: ssl.SSLError, answered: bool, version: str, own_certificate: bool) -> TlsError:
@@ -127,6 +132,6 @@
     ours = own_certificate or reason.endswith("ALERT_CERTIFICATE_REQUIRED")
     if ours and reason.endswith(CERTIFICATE_ALERTS) and not answered and version == "TLSv1.3":
         return TlsError(Failure.OUR_CERTIFICATE_REFUSED, reason)
-    if "ALERT" in reason:
+    if _alert(reason):
         return TlsError(Failure.ALERT, reason)
     return TlsError(Failure.SPOILT, reason)
--- a/honeyhitch/tls/machine.py
+++ b/honeyhitch/tls/machine.py
@@ -76,6 +76,7 @@
         self.phase = Phase.HANDSHAKE
         self.failure: TlsError | None = None
         self.plain, self.records = bytearray(), Records()
+        self.version = self.cipher = ""  # such as TLSv1.3, and the suite's name; empty before the end
         self.answered = False  # plain bytes have come
         self.news = True  # a ticket may have come since this was last set to False
         self._shake()
@@ -140,17 +141,6 @@
         """Whether the handshake took up an earlier session."""
         return bool(self.tls.session_reused)
 
-    @property
-    def version(self) -> str:
-        """Such as TLSv1.3; empty before it is agreed on."""
-        return self.tls.version() or ""
-
-    @property
-    def cipher(self) -> str:
-        """The name of the cipher suite."""
-        told = self.tls.cipher()
-        return told[0] if told else ""
-
     @property
     def peer(self) -> bytes:
         """The partner's own certificate in DER; it is the first handshake's if the session was resumed."""
@@ -176,6 +166,8 @@
             self._fail(TlsError(Failure.WRONG_NAME, str(error)))
         else:
             self.phase = Phase.OPEN
+            told = self.tls.cipher()  # a failure makes OpenSSL forget both
+            self.version, self.cipher = self.tls.version() or "", told[0] if told else ""
 
     def _read(self) -> None:
         try:
--- a/honeyhitch/tls/partners.py
+++ b/honeyhitch/tls/partners.py
@@ -102,7 +102,7 @@
             return TlsMachine(known.material.context, key.server_name, None, own)
 
     def verified(self, known: Known, machine: TlsMachine) -> Facts:
-        """Look at what OpenSSL does not: pins, and after a resumption time and revocation. Raises TlsError."""
+        """Look at what OpenSSL does not: pins, and time and revocation if resumed. Raises TlsError."""
         der = machine.peer
         peer = self.peers.get(der)
         if peer is None:
@@ -128,7 +128,7 @@
                 self.sessions.put(key, session, self.now(), known.material.until(peer))
 
     def pause(self, failures: int) -> int:
-        """How long to leave a partner alone after so many lasting failures in a row; ns, growing, jittered."""
+        """How long (ns) to leave a partner alone after so many lasting failures in a row; jittered."""
         return int(
             min(MOST_PAUSE, FIRST_PAUSE << min(failures, 10)) * self.rng.uniform(1 - SPREAD, 1 + SPREAD)
         )
--- a/honeyhitch/wire/drivers/channel.py
+++ b/honeyhitch/wire/drivers/channel.py
@@ -118,6 +118,10 @@
 
     def quiet(self) -> bool:
         """Alive and at rest, once what has come has been read: tickets and KeyUpdates are no answer."""
+        return self.alive() and self.machine.at_rest
+
+    def alive(self) -> bool:
+        """Open, with no plain bytes come that nobody asked for; a ticket may have come in part."""
         machine = self.machine
         while True:
             try:
@@ -139,7 +143,7 @@
                     return False  # the peer does not read: not worth keeping
             except OSError:
                 return False
-        return machine.at_rest
+        return True
 
     def close(self) -> None:
         """Say close_notify as far as the socket takes it, and close."""
--- a/honeyhitch/wire/drivers/tls_members.py
+++ b/honeyhitch/wire/drivers/tls_members.py
@@ -20,6 +20,7 @@
 from honeyhitch.tls.certificates import Facts
 from honeyhitch.tls.door import Door
 from honeyhitch.tls.failures import Failure, TlsError
+from honeyhitch.tls.machine import Phase
 from honeyhitch.tls.partners import Known, Partners
 from honeyhitch.tls.sessions import Key
 from honeyhitch.wire import http1
@@ -32,6 +33,7 @@
 FILES = 2.0  # seconds between looks at the files
 ENDS = 3600.0  # seconds between looks at our own certificates' ends
 NOT_THE_SESSIONS = (Failure.UNREACHABLE, Failure.STALLED, Failure.HANDSHAKE_CUT, Failure.OVERLOADED)
+HALT = 2 * NS  # ns that an idle connection has for the rest of a record
 REPLACE = 10 * NS  # ns; one used within this is replaced before it goes
 
 
@@ -182,9 +184,10 @@
             self._drop_oldest()
 
     def _stirred(self, name: str, connection: TlsConnection) -> None:
-        if connection.channel.quiet():
-            tls = connection.tls
-            self.partners.keep_session(connection.known, connection.key, tls.machine, connection.peer)
+        tls = connection.tls
+        if tls.alive():
+            if tls.machine.at_rest:
+                self.partners.keep_session(connection.known, connection.key, tls.machine, connection.peer)
             return
         failure = connection.tls.machine.failure
         if failure is not None and failure.failure is Failure.OUR_CERTIFICATE_REFUSED:
@@ -239,24 +242,26 @@
     async def _connection(self, member: PoolMember) -> Connection:
         door, now = self._door(member)[0], self.scheduler.now()
         for connection in reversed(self._resting(member.id)):
-            if connection.retire_at > now and self._alive(connection, member, now):
+            if connection.retire_at <= now or not self._alive(connection, member, now):
+                self._drop(member.id, connection)
+            elif connection.tls.machine.at_rest:
                 self.loop.remove_reader(connection.channel.sock)
                 self.idle[member.id].remove(connection)
                 door.ready, door.busy = door.ready - 1, door.busy + 1
                 return connection
-            self._drop(member.id, connection)
         raise NoConnection(f"{member.id}: its last connection has gone")
 
     def _alive(self, connection: TlsConnection, member: PoolMember, now: int) -> bool:
         most = self.settings.conn_idle * IDLE_SHARE
         stale = most and now - connection.idle_since > most
-        return connection.address == member.address and not stale and connection.channel.quiet()
+        return connection.address == member.address and not stale and connection.tls.alive()
 
     def _keep(self, member: PoolMember, connection: Connection) -> None:
         assert isinstance(connection, TlsConnection)
         now = self.scheduler.now()
         connection.idle_since = now
-        if connection.retire_at <= now or not connection.tls.machine.at_rest:
+        machine = connection.tls.machine
+        if connection.retire_at <= now or machine.phase is not Phase.OPEN or machine.plain:
             connection.channel.close()
             self._gone(member.id, connection, busy=True)
             return
@@ -339,9 +344,14 @@
                 self._drop(name, connection)
             elif not self.doors[name][0].opening:
                 self.open(member, 1)  # its replacement first; it goes in any case at `retire_at`
-        elif not self._alive(connection, member, now):
+        elif not self._alive(connection, member, now) or self._halting(connection, now):
             self._drop(name, connection)
 
+    @staticmethod
+    def _halting(connection: TlsConnection, now: int) -> bool:
+        """A record that was begun does not go on."""
+        return not connection.tls.machine.at_rest and now - connection.idle_since > HALT
+
     async def watch_files(self) -> None:
         """Read files again when they change; reading is done beside the loop."""
         while True:
--- /dev/null
+++ b/tests/agent.py
@@ -0,0 +1,60 @@
+"""A stand-in for the platform's agent: it lists members, keeps a watch open, and takes notices."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import re
+from typing import Any
+
+
+class Agent:
+    """It answers at once; `notices` are kept by the message's id, and a second one for an id is an error."""
+
+    def __init__(self, members: list[dict[str, Any]]) -> None:
+        self.members, self.notices, self.port, self.revision = members, dict[str, dict[str, Any]](), 0, 1
+        self.watches: list[asyncio.StreamWriter] = []
+        self.doubled: list[str] = []
+
+    async def start(self) -> Agent:
+        server = await asyncio.start_server(self._client, "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
+        return self
+
+    def list(self) -> bytes:
+        told = {"revision": self.revision, "complete": True, "members": self.members}
+        return json.dumps(told).encode() + b"\n"
+
+    def change(self, *members: dict[str, Any]) -> None:
+        """Tell every watch of a change."""
+        self.revision += 1
+        told = {"revision": self.revision, "complete": False, "members": list(members)}
+        line = json.dumps(told).encode() + b"\n"
+        for writer in self.watches:
+            writer.write(b"%x\r\n%s\r\n" % (len(line), line))
+
+    async def _client(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = re.search(rb"Content-Length: (\d+)", head)
+                body = await reader.readexactly(int(length[1])) if length else b""
+                if head.startswith(b"POST"):
+                    for line in body.splitlines():
+                        told = json.loads(line)
+                        if told["id"] in self.notices:
+                            self.doubled.append(told["id"])
+                        self.notices[told["id"]] = told
+                    writer.write(b"HTTP/1.1 204 No Content\r\n\r\n")
+                elif b"stream=1" in head:
+                    writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                    self.watches.append(writer)
+                    while True:
+                        await asyncio.sleep(2)
+                        writer.write(b"1\r\n\n\r\n")
+                        await writer.drain()
+                else:
+                    told = self.list()
+                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(told), told))
+        except (OSError, asyncio.IncompleteReadError):
+            writer.close()
--- a/tests/broker.py
+++ b/tests/broker.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import ssl
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -33,11 +34,12 @@
         self.partner: Callable[[Packet], Packet | None] | None = None  # acknowledges publishes to partner/...
         self.published: list[Packet] = []
         self.answers_held = False
+        self.secure: ssl.SSLContext | None = None  # plain TCP without one
         self.server: asyncio.Server | None = None
         self.port = 0
 
     async def start(self) -> None:
-        self.server = await asyncio.start_server(self._client, "127.0.0.1", self.port)
+        self.server = await asyncio.start_server(self._client, "127.0.0.1", self.port, ssl=self.secure)
         self.port = self.server.sockets[0].getsockname()[1]
 
     async def kill(self) -> None:
--- a/tests/program.py
+++ b/tests/program.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+import os
 from collections.abc import AsyncIterator, Coroutine
 from pathlib import Path
 from typing import Any
@@ -45,7 +46,7 @@
     """Run a test on uvloop; it fails rather than hangs."""
 
     async def bounded() -> None:
-        async with asyncio.timeout(60):
+        async with asyncio.timeout(float(os.environ.get("PLAY_TIMEOUT", "60"))):
             await work
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
@@ -90,10 +91,11 @@
     operator: str | None = None,
     port: int = 0,
     stopped: bool = False,
+    **told: Any,
 ) -> AsyncIterator[int]:
     """The program, ready to serve, on this port; it is cancelled at the end, as abruptly as a kill."""
     port = port or free_port()
-    path = write(folder, port, discovery, members, operator)
+    path = write(folder, port, discovery, members, operator, **told)
     task = asyncio.ensure_future(run(config.read({}, *path), lambda now: config.read({}, *path, now)))
     try:
         while True:
@@ -116,7 +118,12 @@
 
 
 def write(
-    folder: Path, port: int, discovery: int, members: list[dict[str, Any]], operator: str | None = None
+    folder: Path,
+    port: int,
+    discovery: int,
+    members: list[dict[str, Any]],
+    operator: str | None = None,
+    **more: Any,
 ) -> tuple[str, str | None]:
     """The configuration's files; their paths."""
     told = {
@@ -127,6 +134,7 @@
         "seed": "8c1f30d27a5be964",
         "known": {"revision": 1, "complete": True, "members": members},
         "settings": SETTINGS,
+        **more,
     }
     (folder / "config.json").write_text(json.dumps(told))
     if operator is not None:
--- /dev/null
+++ b/tests/test_tls_files.py
@@ -0,0 +1,222 @@
+"""What the operator's file and the files it names may get wrong, and the cache of sessions."""
+
+from __future__ import annotations
+
+import dataclasses
+import ssl
+import time
+from pathlib import Path
+from random import Random
+from types import SimpleNamespace
+from typing import Any, cast
+
+import pytest
+
+from honeyhitch.lifecycle import config
+from honeyhitch.tls.material import MaterialError, load
+from honeyhitch.tls.partners import Partners
+from honeyhitch.tls.sessions import Key, SessionCache
+from honeyhitch.tls.settings import Partner, Scope, Terms, TlsSetup
+
+from .authority import Authority
+from .program import write
+from .world import SECOND, settings
+
+
+@pytest.fixture(scope="module")
+def pki(tmp_path_factory: pytest.TempPathFactory) -> Authority:
+    return Authority(tmp_path_factory.mktemp("pki"))
+
+
+ONE = "[[tls.partner]]\ndest = 1\n"
+
+
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        ("[tls]", "tls.partner: at least one is needed"),
+        ("[[tls.partner]]", "tls.partner.0: expected exactly one of member, dest and kind"),
+        (ONE + 'kind = "small"', "tls.partner.0: expected exactly one of member, dest and kind"),
+        (ONE + ONE, "tls.partner.1.dest: 1 is matched by tls.partner.0, too"),
+        ('[[tls.partner]]\nkind = "tiny"', "tls.partner.0.kind: not a kind in the settings"),
+        ('[[tls.partner]]\ndest = "1"', "tls.partner.0.dest: expected int"),
+        ('[[tls.partner]]\nmember = ""', "tls.partner.0.member: must not be empty"),
+        (ONE + 'least-version = "1.1"', "tls.partner.0.least-version: expected one of 1.2, 1.3"),
+        (ONE + 'pins = ["abc"]', "tls.partner.0.pins.0: expected the SHA-256"),
+        (ONE + "pins = [3]", "tls.partner.0.pins.0: expected the SHA-256"),
+        (ONE + "handshakes = 0", "tls.partner.0.handshakes: expected at least 1"),
+        (ONE + "handshake-rate = 0", "tls.partner.0.handshake-rate: expected more than 0"),
+        (ONE + "handshake-rate = inf", "tls.partner.0.handshake-rate: expected more than 0"),
+        (ONE + "handshake-timeout = 0", "tls.partner.0.handshake-timeout: expected seconds above 0"),
+        (ONE + "retire-within = -1", "tls.partner.0.retire-within: expected seconds above 0"),
+        (ONE + "warn-days = -1", "tls.partner.0.warn-days: must not be negative"),
+        (ONE + 'server-name = "a b"', "tls.partner.0.server-name: expected a host name"),
+        (ONE + "verify = false", "tls.partner.0.verify: no such key"),
+        ("[tls]\nearly-data = true\n" + ONE, "tls.early-data: no such key"),
+        ("[tls]\nhandshakes = 0\n" + ONE, "tls.handshakes: expected at least 1"),
+        (ONE + 'certificate = "x"', "tls.partner.0.key: missing; certificate and key go together"),
+        (ONE + 'key = "x"', "tls.partner.0.certificate: missing"),
+        (ONE + 'ca = "/nowhere/ca.pem"', "tls.partner.0.ca: cannot read /nowhere/ca.pem"),
+        (ONE + 'ca = ""', "tls.partner.0.ca: must not be empty"),
+        ('[mqtt]\nbroker = "b:1"\n[mqtt.tls]\nca = "/nowhere"', "mqtt.tls.ca: cannot read /nowhere"),
+        ('[mqtt]\nbroker = "b:1"\n[mqtt.tls]\ndest = 1', "mqtt.tls.dest: no such key"),
+    ],
+)
+def test_each_mistake_in_the_operators_file_names_its_key(tmp_path: Path, text: str, says: str) -> None:
+    with pytest.raises(config.ConfigError) as error:
+        config.read({}, *write(tmp_path, 6379, 8500, [], text))
+    assert str(error.value).startswith(says), error.value
+
+
+def test_each_file_that_cannot_be_used_is_refused_with_key_and_file_named(
+    pki: Authority, tmp_path: Path
+) -> None:
+    good, other = pki.issue(), pki.issue()
+    late = pki.issue(start=-9, end=-1)
+    early = pki.issue(start=2)
+    locked = pki.issue(password=b"secret")
+    open_key = pki.issue()
+    open_key.key_file.chmod(0o640)
+    junk, empty = tmp_path / "junk.pem", tmp_path / "empty"
+    junk.write_bytes(b"-----BEGIN CERTIFICATE-----\nnot\n-----END CERTIFICATE-----\n")
+    empty.mkdir()
+
+    def own(cert: Any, key: Any, **more: Any) -> Terms:
+        return Terms(ca=pki.file, certificate=cert, key=key, **more)
+
+    for terms, key, file, says in (
+        (own(good.cert_file, other.key_file), "key", other.key_file, "does not belong"),
+        (own(good.cert_file, open_key.key_file), "key", open_key.key_file, "others can read"),
+        (own(late.cert_file, late.key_file), "certificate", late.cert_file, "has expired"),
+        (own(early.cert_file, early.key_file), "certificate", early.cert_file, "is not valid before"),
+        (own(junk, good.key_file), "certificate", junk, "no certificate in PEM"),
+        (own(good.cert_file, tmp_path / "none"), "key", tmp_path / "none", "cannot read"),
+        (own(locked.cert_file, locked.key_file), "key", locked.key_file, "cannot be read"),
+        (own(locked.cert_file, locked.key_file, key_password_env="NONE"), "key-password-env", "NONE", "no"),
+        (own(locked.cert_file, locked.key_file, key_password_env="WRONG"), "key", locked.key_file, "cannot"),
+        (Terms(ca=junk), "ca", junk, "no certificates in PEM"),
+        (Terms(ca=empty), "ca", empty, "no file in the folder"),
+        (Terms(ca=good.key_file), "ca", good.key_file, "no certificates in PEM"),
+        (Terms(ca=pki.file, crl=pki.file), "crl", pki.file, "no list of revocations"),
+    ):
+        with pytest.raises(MaterialError) as error:
+            load(terms, {"WRONG": "guess"}, time.time_ns())
+        assert str(error.value).startswith(f"{key}: ") and str(file) in str(error.value), error.value
+        assert says in str(error.value)
+    told = load(
+        own(locked.cert_file, locked.key_file, key_password_env="RIGHT"), {"RIGHT": "secret"}, time.time_ns()
+    )
+    assert told.own is not None and told.own.names == ("localhost", "127.0.0.1")
+
+
+def test_a_folder_of_roots_is_read_whole(pki: Authority, tmp_path: Path) -> None:
+    other = Authority(tmp_path, "Other CA")
+    folder = tmp_path / "roots"
+    folder.mkdir()
+    for i, file in enumerate((pki.file, other.file)):
+        (folder / f"{i}.pem").write_bytes(file.read_bytes())
+    told = load(Terms(ca=folder), {}, time.time_ns())
+    assert told.context.cert_store_stats()["x509_ca"] == 2
+    assert told.context.verify_mode is ssl.CERT_REQUIRED and told.context.check_hostname
+    assert load(Terms(), {}, time.time_ns()).context.verify_mode is ssl.CERT_REQUIRED
+
+
+def test_the_narrowest_partner_wins() -> None:
+    wide, middle, narrow = (
+        Partner(scope, value, Terms(handshakes=i))
+        for i, (scope, value) in enumerate(((Scope.KIND, "k"), (Scope.DEST, "7"), (Scope.MEMBER, "m")), 1)
+    )
+    setup = TlsSetup((wide, middle, narrow))
+    assert setup.partner_of("m", 7, "k") is narrow
+    assert setup.partner_of("n", 7, "k") is middle
+    assert setup.partner_of("n", 8, "k") is wide
+    assert setup.partner_of("n", 8, "j") is None
+
+
+def test_defaults_hold_for_each_partner_that_does_not_say_otherwise(pki: Authority, tmp_path: Path) -> None:
+    text = f'[tls]\nca = "{pki.file}"\nhandshakes = 7\n{ONE}[[tls.partner]]\ndest = 2\nhandshakes = 9\n'
+    told = config.read({}, *write(tmp_path, 6379, 8500, [], text)).operator.tls
+    assert told is not None
+    assert [one.terms.handshakes for one in told.partners] == [7, 9]
+    assert {one.terms.ca for one in told.partners} == {pki.file}
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.now = time.time_ns()
+
+
+def known_partners(terms: Terms, clock: Clock) -> Partners:
+    setup = TlsSetup((Partner(Scope.DEST, "1", terms),))
+    return Partners(setup, settings(), {}, lambda: clock.now, Random(1))
+
+
+def test_files_that_change_are_taken_whole_or_not_at_all(pki: Authority, tmp_path: Path) -> None:
+    first, second = pki.issue(), pki.issue()
+    cert, key = tmp_path / "own.crt", tmp_path / "own.key"
+    cert.write_bytes(first.cert_file.read_bytes())
+    key.touch(0o600)
+    key.write_bytes(first.key_file.read_bytes())
+    told = known_partners(Terms(ca=pki.file, certificate=cert, key=key), Clock())
+    known = told.of("m", 1, "")
+    assert known is not None and told.look() == []
+    taken: list[int] = []
+    told.changed.append(lambda one: taken.append(one.generation))
+
+    def look() -> list[bool]:
+        return [told.take(one, stamps, told.read(one)) for one, stamps in told.look()]
+
+    whole = second.cert_file.read_bytes()
+    for half in (b"", whole[: len(whole) // 2], whole):  # half written, and then without its key
+        cert.write_bytes(half)
+        assert look() == [False] and known.generation == 0 and known.refused
+        assert look() == [], "what has not changed is not read again"
+    key.write_bytes(second.key_file.read_bytes())
+    assert look() == [True] and taken == [1] and not known.refused
+    cert.write_bytes(whole)  # the same once more
+    assert look() == [False] and known.generation == 1
+    key.unlink()
+    assert look() == [False] and known.generation == 1 and "cannot read" in known.refused
+
+
+def test_the_end_of_a_certificate_is_told_once_a_day(pki: Authority, monkeypatch: pytest.MonkeyPatch) -> None:
+    soon = pki.issue(end=5)
+    clock, told = Clock(), list[dict[str, Any]]()
+    partners = known_partners(
+        Terms(ca=pki.file, certificate=soon.cert_file, key=soon.key_file, warn_days=14), clock
+    )
+    from honeyhitch.tls import partners as module
+
+    fake = SimpleNamespace(warning=lambda event, **fields: told.append({"event": event, **fields}))
+    monkeypatch.setattr(module, "log", fake)
+    for hours in (0, 1, 2, 25):
+        clock.now += hours * 3600 * SECOND
+        partners.near_ends()
+    assert len(told) == 2 and told[0]["whose"] == "own" and 4 < told[0]["days_left"] <= 5
+
+
+def test_a_session_is_kept_no_longer_than_what_was_verified_with_it() -> None:
+    def session(hint: int, ticket: bool = True) -> ssl.SSLSession:
+        return cast(
+            ssl.SSLSession, SimpleNamespace(has_ticket=ticket, ticket_lifetime_hint=hint, timeout=7200)
+        )
+
+    cache, key = SessionCache(most=3), Key("dest:1", "localhost", "127.0.0.1:1", 0)
+    now = 100 * SECOND
+    cache.put(key, session(300), now, now + 50 * SECOND)  # the certificate ends before the ticket
+    assert cache.get(key, now + 49 * SECOND) is not None
+    assert cache.get(key, now + 50 * SECOND) is None and len(cache) == 0
+    cache.put(key, session(300), now, now + 5000 * SECOND)
+    assert cache.get(key, now + 299 * SECOND) is not None and cache.get(key, now + 300 * SECOND) is None
+    cache.put(key, session(0), now, now - 1)
+    assert len(cache) == 0, "a certificate that has ended leaves nothing to resume"
+    cache.put(key, session(30 * 24 * 3600), now, 1 << 62)
+    assert cache.get(key, now + 8 * 24 * 3600 * SECOND) is None, "seven days at most (RFC 8446, 4.6.1)"
+    for i in range(9):
+        cache.put(dataclasses.replace(key, address=str(i)), session(300), now, 1 << 62)
+    assert len(cache) == 3
+    for field, value in (("server_name", "other"), ("generation", 1), ("partner", "dest:2")):
+        other = dataclasses.replace(key, address="8", **{field: value})
+        assert cache.get(other, now) is None
+    cache.drop_before("dest:1", 1)
+    assert len(cache) == 0
--- /dev/null
+++ b/tests/test_tls_machine.py
@@ -0,0 +1,437 @@
+"""The TLS machine against OpenSSL's server side, both in memory: outcomes, names of failures, any split."""
+
+from __future__ import annotations
+
+import socket
+import ssl
+import threading
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from random import Random
+
+import pytest
+from cryptography.x509.oid import ExtendedKeyUsageOID
+from hypothesis import given
+from hypothesis import strategies as st
+
+from honeyhitch import interface as api
+from honeyhitch.tls.failures import Failure, TlsError
+from honeyhitch.tls.machine import Phase, Records, TlsMachine
+from honeyhitch.tls.material import load
+from honeyhitch.tls.partners import Partners
+from honeyhitch.tls.settings import Partner, Scope, Terms, TlsSetup
+
+from .authority import Authority, Issued
+from .tls_partner import asking, server_context
+from .world import settings
+
+HELLO, ANSWER = b"POST / HTTP/1.1\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
+
+class Server:
+    """The other side, without a socket. What it says is kept as a tape, too."""
+
+    def __init__(self, context: ssl.SSLContext) -> None:
+        self.incoming, self.outgoing = ssl.MemoryBIO(), ssl.MemoryBIO()
+        self.tls = context.wrap_bio(self.incoming, self.outgoing, server_side=True)
+        self.up, self.got, self.error = False, b"", ""
+
+    def take(self, data: bytes) -> bytes:
+        """Feed it; what it says."""
+        if data:
+            self.incoming.write(data)
+        try:
+            if not self.up:
+                self.tls.do_handshake()
+                self.up = True
+            while more := self.tls.read(65536):
+                self.got += more
+        except ssl.SSLWantReadError:
+            pass
+        except ssl.SSLError as error:
+            self.error = str(error.reason)
+        return self.outgoing.read()
+
+
+def connect(machine: TlsMachine, server: Server, split: Callable[[bytes], list[bytes]] | None = None) -> None:
+    """Carry bytes between them till neither has more to say."""
+    while True:
+        sent = machine.take_out()
+        said = server.take(sent)
+        for piece in split(said) if split is not None else [said] if said else []:
+            machine.feed(piece)
+        if not sent and not said:
+            return
+
+
+@pytest.fixture(scope="module")
+def pki(tmp_path_factory: pytest.TempPathFactory) -> Authority:
+    return Authority(tmp_path_factory.mktemp("pki"))
+
+
+@pytest.fixture(scope="module")
+def server_cert(pki: Authority) -> Issued:
+    return pki.issue()
+
+
+def client(terms: Terms, name: str = "localhost", session: ssl.SSLSession | None = None) -> TlsMachine:
+    material = load(terms, {}, time.time_ns())
+    return TlsMachine(material.context, name, session, material.own is not None)
+
+
+@pytest.mark.parametrize("version", ["1.2", "1.3"])
+@pytest.mark.parametrize("kind", ["ecdsa", "rsa"])
+def test_both_versions_and_kinds_of_key(pki: Authority, version: str, kind: str) -> None:
+    server = Server(server_context(pki.issue(kind=kind), version, version))
+    machine = client(Terms(ca=pki.file))
+    connect(machine, server)
+    assert machine.phase is Phase.OPEN and machine.version == f"TLSv{version}" and machine.cipher
+    machine.send(HELLO)
+    connect(machine, server)
+    assert server.got == HELLO
+    server.tls.write(ANSWER)
+    machine.feed(server.outgoing.read())
+    assert machine.take_plain() == ANSWER and machine.at_rest
+    server.tls.write(b"x")
+    with pytest.raises(ssl.SSLWantReadError):
+        server.tls.unwrap()
+    machine.feed(server.outgoing.read())
+    assert machine.take_plain() == b"x" and machine.phase is Phase.ENDED and machine.failure is None
+    with pytest.raises(TlsError):
+        machine.send(HELLO)
+
+
+def test_names_are_matched_by_the_san_alone_dns_and_ip(pki: Authority) -> None:
+    for names, wanted, good in (
+        (("partner.example",), "partner.example", True),
+        (("*.partner.example",), "a.partner.example", True),
+        (("*.partner.example",), "a.b.partner.example", False),
+        (("127.0.0.1",), "127.0.0.1", True),
+        (("127.0.0.1",), "127.0.0.2", False),
+        (("partner.example",), "127.0.0.1", False),
+        ((), "nobody", False),
+    ):
+        machine = client(Terms(ca=pki.file), wanted)
+        connect(machine, Server(server_context(pki.issue(names))))
+        if good:
+            assert machine.phase is Phase.OPEN, (names, wanted)
+        else:
+            assert machine.failure is not None and machine.failure.failure is Failure.WRONG_NAME, wanted
+
+
+def cases(pki: Authority, folder: Path) -> Iterator[tuple[Failure, Terms, ssl.SSLContext]]:
+    terms = Terms(ca=pki.file)
+    other = Authority(folder, "Other CA")
+    yield Failure.UNTRUSTED, Terms(ca=other.file), server_context(pki.issue())
+    yield Failure.EXPIRED, terms, server_context(pki.issue(start=-9, end=-1))
+    yield Failure.NOT_YET_VALID, terms, server_context(pki.issue(start=1))
+    wrong = pki.issue(use=ExtendedKeyUsageOID.CLIENT_AUTH)
+    yield Failure.WRONG_USE, terms, server_context(wrong)
+    revoked = pki.issue()
+    crl = pki.crl(revoked, file="revoked.pem")
+    yield Failure.REVOKED, Terms(ca=pki.file, crl=crl), server_context(revoked)
+    stale = pki.crl(end=-1, file="stale.pem")
+    yield Failure.CRL_UNUSABLE, Terms(ca=pki.file, crl=stale), server_context(pki.issue())
+    foreign = other.crl(file="foreign.pem")
+    yield Failure.CRL_UNUSABLE, Terms(ca=pki.file, crl=foreign), server_context(pki.issue())
+    old = Terms(ca=pki.file, least_version="1.3")
+    yield Failure.NO_COMMON_VERSION, old, server_context(pki.issue(), "1.2", "1.2")
+    picky = server_context(pki.issue(), "1.2", "1.2")
+    picky.set_ciphers("AES128-SHA")
+    yield Failure.HANDSHAKE_REFUSED, terms, picky
+    strict = asking(server_context(pki.issue(), "1.2", "1.2"), pki.file)
+    yield Failure.HANDSHAKE_REFUSED, terms, strict
+    ours = other.issue(("us",), use=ExtendedKeyUsageOID.CLIENT_AUTH)
+    with_ours = Terms(ca=pki.file, certificate=ours.cert_file, key=ours.key_file)
+    yield Failure.OUR_CERTIFICATE_REFUSED, with_ours, strict
+
+
+def test_each_failure_has_its_name_and_nothing_falls_back(pki: Authority, tmp_path: Path) -> None:
+    for failure, terms, context in cases(pki, tmp_path):
+        machine, server = client(terms), Server(context)
+        connect(machine, server)
+        assert machine.phase is Phase.FAILED and machine.failure is not None, failure
+        assert machine.failure.failure is failure, (failure, machine.failure)
+        assert failure.lasting, "no outage: a trial storm must not probe it"
+        with pytest.raises(TlsError):
+            machine.send(HELLO)
+        assert server.got == b""
+
+
+@pytest.mark.parametrize(
+    ("garbage", "failure"),
+    [
+        (b"HTTP/1.1 400 Bad Request\r\n\r\n", Failure.NOT_TLS),
+        (b"220 smtp ready\r\n", Failure.NOT_TLS),
+        (b"\x16\x03\x03\xff\xff" + bytes(70000), Failure.NOT_TLS),
+        (b"\x15\x03\x03\x00\x02\x02\x50", Failure.OVERLOADED),
+        (b"\x15\x03\x03\x00\x02\x02\x70", Failure.NAME_UNKNOWN_THERE),
+        (b"\x17\x03\x03\x00\x02\x02\x50", Failure.SPOILT),
+    ],
+)
+def test_garbage_instead_of_a_handshake(pki: Authority, garbage: bytes, failure: Failure) -> None:
+    machine = client(Terms(ca=pki.file))
+    machine.feed(garbage)
+    assert machine.failure is not None and machine.failure.failure is failure, machine.failure
+    machine.feed(garbage)  # nothing counts behind an end
+    assert not machine.plain
+
+
+@pytest.mark.parametrize("version", ["1.2", "1.3"])
+def test_ends_and_garbage_on_an_open_connection(pki: Authority, server_cert: Issued, version: str) -> None:
+    def opened() -> tuple[TlsMachine, Server]:
+        machine, server = client(Terms(ca=pki.file)), Server(server_context(server_cert, version, version))
+        connect(machine, server)
+        return machine, server
+
+    machine, server = opened()
+    machine.eof()
+    assert machine.failure is not None and machine.failure.failure is Failure.TRUNCATED
+    machine, server = opened()
+    server.tls.write(b"part of an answer")
+    machine.feed(server.outgoing.read() + b"\x17\x03\x03\x00\x10" + bytes(16))
+    assert machine.take_plain() == b"part of an answer", "what came before the spoilt record is given"
+    assert machine.failure is not None and machine.failure.failure is Failure.SPOILT
+    machine, server = opened()
+    server.tls.write(b"x" * 20000)
+    data = server.outgoing.read()
+    machine.feed(data[:-1])
+    assert not machine.at_rest and not machine.records.whole
+    machine.take_plain()
+    machine.feed(data[-1:])
+    machine.take_plain()
+    assert machine.at_rest
+
+
+@pytest.mark.parametrize("own", [True, False])
+def test_a_late_refusal_of_our_certificate_proves_that_nothing_ran(
+    pki: Authority, tmp_path: Path, own: bool
+) -> None:
+    other = Authority(tmp_path, "Other CA")
+    ours = other.issue(("us",), use=ExtendedKeyUsageOID.CLIENT_AUTH)
+    terms = Terms(ca=pki.file, certificate=ours.cert_file, key=ours.key_file) if own else Terms(ca=pki.file)
+    server = Server(asking(server_context(pki.issue(), "1.3", "1.3"), pki.file))
+    machine = client(terms)
+    server_said = server.take(machine.take_out())
+    machine.feed(server_said)
+    assert machine.phase is Phase.OPEN, "our handshake is over before the server has looked"
+    machine.send(HELLO)
+    machine.feed(server.take(machine.take_out()))
+    assert machine.failure is not None and machine.failure.failure is Failure.OUR_CERTIFICATE_REFUSED
+    assert server.got == b""
+
+
+def test_a_certificate_alert_after_an_answer_proves_nothing(pki: Authority, server_cert: Issued) -> None:
+    from honeyhitch.tls import failures
+
+    error = ssl.SSLError(1, "")
+    error.reason = "TLSV1_ALERT_UNKNOWN_CA"
+    for answered, version, own, failure in (
+        (False, "TLSv1.3", True, Failure.OUR_CERTIFICATE_REFUSED),
+        (False, "TLSv1.3", False, Failure.ALERT),
+        (True, "TLSv1.3", True, Failure.ALERT),
+        (False, "TLSv1.2", True, Failure.ALERT),
+    ):
+        assert failures.of_connection(error, answered, version, own).failure is failure
+
+
+@pytest.mark.parametrize("version", ["1.2", "1.3"])
+def test_sessions_are_resumed_and_a_refusal_is_a_full_handshake(
+    pki: Authority, server_cert: Issued, version: str
+) -> None:
+    context = server_context(server_cert, version, version)
+    material = load(Terms(ca=pki.file), {}, time.time_ns())
+    first = TlsMachine(material.context, "localhost")
+    connect(first, Server(context))
+    assert not first.resumed and first.at_rest, "tickets that came are no answer"
+    session = first.session()
+    assert session is not None
+    second = TlsMachine(material.context, "localhost", session)
+    connect(second, Server(context))
+    assert second.resumed and second.peer == first.peer
+    third = TlsMachine(material.context, "localhost", session)
+    connect(third, Server(server_context(server_cert, version, version)))  # as after a restart
+    assert third.phase is Phase.OPEN and not third.resumed
+
+
+def test_a_server_that_wants_to_renegotiate_gets_no_second_handshake(
+    pki: Authority, server_cert: Issued
+) -> None:
+    material = load(Terms(ca=pki.file), {}, time.time_ns())
+    assert material.context.options & ssl.OP_NO_RENEGOTIATION
+    assert not material.context.post_handshake_auth
+    server = Server(server_context(server_cert, "1.3", "1.3"))
+    machine = TlsMachine(material.context, "localhost")
+    connect(machine, server)
+    with pytest.raises(ssl.SSLError, match="EXTENSION_NOT_RECEIVED"):  # it was never offered
+        server.tls.verify_client_post_handshake()
+
+
+@pytest.fixture(scope="module")
+def tape(pki: Authority, server_cert: Issued) -> tuple[Authority, Issued]:
+    return pki, server_cert
+
+
+SPLITS = st.lists(st.integers(1, 700), min_size=1, max_size=40)
+
+
+@given(sizes=SPLITS, version=st.sampled_from(["1.2", "1.3"]), end=st.sampled_from(["clean", "cut", "spoilt"]))
+def test_any_split_of_the_bytes_has_the_same_outcome(
+    tape: tuple[Authority, Issued], sizes: list[int], version: str, end: str
+) -> None:
+    pki, cert = tape
+
+    def split(data: bytes) -> list[bytes]:
+        pieces, at, i = [], 0, 0
+        while at < len(data):
+            pieces.append(data[at : at + sizes[i % len(sizes)]])
+            at, i = at + sizes[i % len(sizes)], i + 1
+        return pieces
+
+    server, machine = Server(server_context(cert, version, version)), client(Terms(ca=pki.file))
+    connect(machine, server, split)
+    assert machine.phase is Phase.OPEN and machine.at_rest
+    machine.send(HELLO)
+    connect(machine, server, split)
+    server.tls.write(ANSWER * 30)
+    data = server.outgoing.read()
+    if end == "clean":
+        with pytest.raises(ssl.SSLWantReadError):
+            server.tls.unwrap()
+        data += server.outgoing.read()
+    elif end == "spoilt":
+        data += b"\x17\x03\x03\x00\x20" + bytes(32)
+    for piece in split(data):
+        machine.feed(piece)
+    if end == "cut":
+        machine.eof()
+    assert machine.take_plain() == ANSWER * 30 and server.got == HELLO
+    told = machine.failure.failure if machine.failure is not None else None
+    assert told is {"clean": None, "cut": Failure.TRUNCATED, "spoilt": Failure.SPOILT}[end]
+
+
+@given(data=st.binary(max_size=3000), at=st.integers(0, 2000), opened=st.booleans())
+def test_no_bytes_make_the_machine_raise(
+    tape: tuple[Authority, Issued], data: bytes, at: int, opened: bool
+) -> None:
+    pki, cert = tape
+    server, machine = Server(server_context(cert)), client(Terms(ca=pki.file))
+    if opened:
+        connect(machine, server)
+    else:
+        machine.feed(server.take(machine.take_out())[:at])
+    machine.feed(data)
+    machine.eof()
+    assert machine.phase in (Phase.FAILED, Phase.ENDED) or not data
+    assert not machine.answered, "nothing that was not encrypted for us is ever taken for an answer"
+
+
+@given(lengths=st.lists(st.integers(0, 300), max_size=8), cut=st.integers(0, 2600), step=st.integers(1, 50))
+def test_the_frames_are_followed_through_any_split(lengths: list[int], cut: int, step: int) -> None:
+    data = b"".join(b"\x17\x03\x03" + length.to_bytes(2) + bytes(length) for length in lengths)[:cut]
+    ends, at = {0}, 0
+    for length in lengths:
+        at += 5 + length
+        ends.add(at)
+    records = Records()
+    for i in range(0, len(data), step):
+        records.feed(data[i : i + step])
+    assert records.whole == (len(data) in ends)
+
+
+def test_pins_and_revocations_are_looked_at_in_resumed_sessions_too(pki: Authority) -> None:
+    now = [time.time_ns()]
+    first, backup, stale = pki.issue(), pki.issue(), pki.issue()
+    pins = [load(Terms(certificate=i.cert_file, key=i.key_file), {}, now[0]) for i in (stale, backup, first)]
+    digests = [one.own.pin for one in pins if one.own is not None]
+    crl = pki.crl(file="in-service.pem")
+
+    def partners(*wanted: bytes) -> Partners:
+        terms = Terms(ca=pki.file, crl=crl, pins=wanted, server_name="localhost")
+        setup = TlsSetup((Partner(Scope.DEST, "1", terms),))
+        return Partners(setup, settings(), {}, lambda: now[0], Random(1))
+
+    def attempt(told: Partners, context: ssl.SSLContext) -> TlsMachine:
+        known = told.of("m", 1, "")
+        assert known is not None
+        key = told.key(known, "127.0.0.1:1")
+        machine = told.machine(known, key)
+        connect(machine, Server(context))
+        assert machine.failure is None, machine.failure
+        peer = told.verified(known, machine)
+        told.keep_session(known, key, machine, peer)
+        return machine
+
+    context = server_context(first)
+    with pytest.raises(TlsError) as error:
+        attempt(partners(digests[0], digests[1]), context)
+    assert error.value.failure is Failure.PIN_MISMATCH
+    told = partners(digests[0], digests[2])  # the first pin is stale, its backup is good
+    assert not attempt(told, context).resumed
+    assert attempt(told, context).resumed
+    known = told.of("m", 1, "")
+    assert known is not None and told.of("m", 2, "") is None
+    pki.crl(first, file="in-service.pem")
+    ((changed, stamps),) = told.look()
+    assert told.take(changed, stamps, told.read(changed)) and known.generation == 1
+    assert len(told.sessions) == 0, "what was verified under the old list is not resumed"
+    key = told.key(known, "127.0.0.1:1")
+    machine = told.machine(known, key)
+    connect(machine, Server(context))
+    assert machine.failure is not None and machine.failure.failure is Failure.REVOKED
+
+
+def test_the_settings_of_the_module_are_untouched() -> None:
+    assert api.Entry("e", 1).gated is False
+
+
+def test_key_updates_and_tickets_on_an_idle_connection_leave_it_at_rest(pki: Authority) -> None:
+    """The other side is tlslite-ng, which can ask for a new key when OpenSSL under Python cannot."""
+    from tlslite.api import HandshakeSettings, TLSConnection, X509CertChain, parsePEMKey
+    from tlslite.constants import KeyUpdateMessageType
+
+    issued = pki.issue()
+    chain = X509CertChain()
+    chain.parsePemList(issued.cert_file.read_text())
+    key = parsePEMKey(issued.key_file.read_text(), private=True)
+    ours, theirs = socket.socketpair()
+    got: list[bytes] = []
+
+    def serve() -> None:
+        wanted = HandshakeSettings()
+        wanted.minVersion = wanted.maxVersion = (3, 4)
+        wanted.ticketKeys, wanted.ticket_count = [bytes(32)], 2
+        server = TLSConnection(theirs)
+        server.handshakeServer(certChain=chain, privateKey=key, settings=wanted)
+        for _ in range(2):
+            for _ in server.send_keyupdate_request(KeyUpdateMessageType.update_requested):
+                pass
+        got.append(bytes(server.read(max=len(HELLO), min=len(HELLO))))
+        server.write(ANSWER)
+        server.close()
+
+    machine = client(Terms(ca=pki.file))
+    thread = threading.Thread(target=serve, daemon=True)
+    thread.start()
+    ours.settimeout(10)
+    shaken, answered = False, 0  # bytes that the peer's updates made us send
+    while machine.phase is Phase.HANDSHAKE or machine.session() is None or not answered:
+        out = machine.take_out()
+        answered += len(out) if machine.phase is Phase.OPEN and shaken else 0
+        shaken = machine.phase is Phase.OPEN
+        ours.sendall(out)
+        if not answered:
+            machine.feed(ours.recv(1))
+        assert machine.phase in (Phase.HANDSHAKE, Phase.OPEN) and not machine.plain
+    while not machine.records.whole:
+        machine.feed(ours.recv(1))
+    assert machine.at_rest and machine.session() is not None
+    machine.send(HELLO)
+    ours.sendall(machine.take_out())
+    while machine.phase is Phase.OPEN:
+        machine.feed(ours.recv(4096))
+    thread.join(30)
+    assert got == [HELLO] and machine.take_plain() == ANSWER and machine.phase is Phase.ENDED
+    ours.close()
+    theirs.close()
--- a/tests/test_tls_program.py
+++ b/tests/test_tls_program.py
@@ -5,20 +5,29 @@
 import asyncio
 import contextlib
 import json
+import os
+import signal
 from collections.abc import AsyncIterator
 from pathlib import Path
 from typing import Any
 
 import pytest
+from cryptography.x509.oid import ExtendedKeyUsageOID
 
 from honeyhitch import logs
+from honeyhitch.memory.journal import unpack
 
-from .authority import Authority
-from .program import Peer, play, started
+from .agent import Agent
+from .authority import Authority, Issued
+from .broker import Broker
+from .program import SETTINGS, Peer, free_port, play, started
 from .rig import row
-from .test_program import receive
-from .tls_partner import TlsPartner, server_context
+from .test_program import OPERATOR, Client, ended, receive
+from .tls_partner import OK, Session, TlsPartner, asking, server_context
 
+CLIENT = ExtendedKeyUsageOID.CLIENT_AUTH
+
+LISTED = {**SETTINGS, "weights": "rough"}  # the figure beside a member means calls a second
 PARTNER = '[[tls.partner]]\ndest = 1\nca = "{ca}"\nserver-name = "localhost"\n'
 
 
@@ -59,18 +68,23 @@
 
 @contextlib.asynccontextmanager
 async def running(
-    folder: Path, partners: list[TlsPartner], operator: str, port: int = 0
+    folder: Path, partners: list[TlsPartner], operator: str, port: int = 0, **told: Any
 ) -> AsyncIterator[tuple[int, Peer]]:
     """The program with each partner as a member of destination 1, and a client of it."""
-    agent, client = await Peer().start(), Peer()
-    members = [
-        {**row(f"p{i}", 1), "host_port": f"127.0.0.1:{partner.port}"} for i, partner in enumerate(partners)
-    ]
-    async with started(folder, agent.port, members, operator, port) as port:
+    client = Peer()
+    agent = await Agent(members_of(partners)).start()
+    told = {"settings": LISTED, **told}
+    async with started(folder, agent.port, agent.members, operator, port, **told) as port:
         await client.dial(port)
         yield port, client
 
 
+def members_of(partners: list[TlsPartner]) -> list[dict[str, Any]]:
+    return [
+        {**row(f"p{i}", 1), "host_port": f"127.0.0.1:{partner.port}"} for i, partner in enumerate(partners)
+    ]
+
+
 async def hand_in(client: Peer, name: str, left: int = 15000) -> None:
     assert client.now is not None
     fields = f"c=standard,t=studio,d={left},k=k-{name},dest=1"
@@ -109,3 +123,377 @@
         assert set(partner.applied.values()) == {1}
 
     play(work())
+
+
+@pytest.mark.parametrize("fault", ["split", "no-resumption", "restart"])
+def test_what_a_partner_may_do_costs_no_message(tmp_path: Path, authority: Authority, fault: str) -> None:
+    async def work() -> None:
+        issued = authority.issue()
+        partner = await TlsPartner(server_context(issued)).start()
+        if fault == "split":
+            partner.split = 1
+        if fault == "no-resumption":
+            partner.context.num_tickets = 0
+        async with running(tmp_path, [partner], PARTNER.format(ca=authority.file)) as (_, client):
+            for i in range(6):
+                await hand_in(client, f"m{i}")
+                if fault == "restart" and i in (2, 4):
+                    await until(lambda i=i: partner.applied[f"k-m{i}"])  # type: ignore[misc]
+                    await partner.stop()
+                    partner.context = server_context(issued)  # new ticket keys: all sessions are lost
+                    await partner.start()
+            await until(lambda: len(partner.applied) == 6)
+        assert set(partner.applied.values()) == {1}
+        assert not partner.resumed or fault != "no-resumption"
+
+    play(work())
+
+
+FAULTS = {
+    "wrong-name": {"names": ("other.example",)},
+    "expired": {"start": -9, "end": -1},
+    "not-yet-valid": {"start": 2},
+}
+
+
+@pytest.mark.parametrize("fault", [*FAULTS, "untrusted", "not-tls"])
+def test_a_lasting_failure_is_named_answered_at_once_and_not_probed_in_a_storm(
+    tmp_path: Path, authority: Authority, log: Log, fault: str
+) -> None:
+    async def work() -> None:
+        (tmp_path / "other").mkdir()
+        issuer = Authority(tmp_path / "other", "Other CA") if fault == "untrusted" else authority
+        partner = TlsPartner(server_context(issuer.issue(**FAULTS.get(fault, {}))))  # type: ignore[arg-type]
+        partner.before = b"220 hello\r\n" if fault == "not-tls" else b""
+        await partner.start()
+        agent, client = await Agent(members_of([partner])).start(), Peer()
+        operator = PARTNER.format(ca=authority.file)
+        async with started(tmp_path, agent.port, agent.members, operator, settings=LISTED) as port:
+            await client.dial(port)
+            for i in range(20):
+                await hand_in(client, f"m{i}", left=900)
+            await until(lambda: len(agent.notices) == 20)
+            told = list(agent.notices.values())
+            assert all(one["status"] == "deferred" and one["again_ms"] > 0 for one in told)
+            assert 1 <= partner.begun <= 4 and not partner.applied
+        named = log.events("tls.handshake-failed")
+        assert named and {one["failure"] for one in named} == {fault}
+        assert named[0]["member"] == "p0" and named[0]["partner"] == "dest:1"
+
+    play(work())
+
+
+def test_a_late_refusal_of_our_certificate_is_no_attempt_that_may_have_run(
+    tmp_path: Path, authority: Authority, log: Log
+) -> None:
+    async def work() -> None:
+        (tmp_path / "other").mkdir()
+        stranger = Authority(tmp_path / "other", "Other CA").issue(("us",), use=CLIENT)
+        ours = tmp_path / "ours.crt", tmp_path / "ours.key"
+        install(stranger, *ours)
+        issued = authority.issue()
+        partner = await TlsPartner(asking(server_context(issued, "1.3", "1.3"), authority.file)).start()
+        operator = PARTNER.format(ca=authority.file) + 'certificate = "{}"\nkey = "{}"\n'.format(*ours)
+        async with running(tmp_path, [partner], operator) as (_, client):
+            await hand_in(client, "m")
+            await until(lambda: log.events("tls.call-broken") or log.events("tls.refused-late"))
+            install(authority.issue(("us",), use=CLIENT), *ours)
+            os.kill(os.getpid(), signal.SIGHUP)
+            await until(lambda: partner.applied["k-m"])
+        assert partner.applied == {"k-m": 1}
+        told = log.events("tls.call-broken") + log.events("tls.refused-late")
+        assert {one["failure"] for one in told} == {"our-certificate-refused"}
+        records = [fields for fields, _, _ in unpack((tmp_path / "state" / "journal").read_bytes())]
+        tried = [fields for fields in records if fields["t"] == "attempt"]
+        never = [fields for fields in records if fields["t"] == "never"]
+        assert len(never) == len(tried) - 1, "each attempt but the last is known never to have run"
+
+    play(work())
+
+
+def install(issued: Issued, certificate: Path, key: Path) -> None:
+    """Replace our own certificate and key, each at one stroke but not both."""
+    for source, target in ((issued.cert_file, certificate), (issued.key_file, key)):
+        fresh = target.with_suffix(".new")
+        fresh.touch(0o600)
+        fresh.write_bytes(source.read_bytes())
+        fresh.replace(target)
+
+
+@pytest.mark.parametrize("step", ["accept", "hello", "flight"])
+def test_a_partner_that_stalls_in_the_handshake_holds_no_slot(
+    tmp_path: Path, authority: Authority, log: Log, step: str
+) -> None:
+    async def work() -> None:
+        mute = TlsPartner(server_context(authority.issue()))
+        mute.stall = step
+        await mute.start()
+        good = await TlsPartner(server_context(authority.issue())).start()
+        operator = PARTNER.format(ca=authority.file) + "handshake-timeout = 0.2\n"
+        async with running(tmp_path, [mute, good], operator) as (_, client):
+            for i in range(8):
+                await hand_in(client, f"m{i}")
+            await until(lambda: len(good.applied) == 8)
+        assert set(good.applied.values()) == {1}
+        stalled = {one["failure"] for one in log.events("tls.handshake-failed")}
+        assert stalled <= {"stalled"}
+        records = [fields for fields, _, _ in unpack((tmp_path / "state" / "journal").read_bytes())]
+        assert len([fields for fields in records if fields["t"] == "attempt"]) == 8, "no attempt was used up"
+
+    play(work())
+
+
+@pytest.mark.parametrize("case", ["same-ca", "overlap", "new-ca"])
+def test_a_partners_certificate_rotates_in_the_middle_of_a_clump(
+    tmp_path: Path, authority: Authority, log: Log, case: str
+) -> None:
+    async def work() -> None:
+        (tmp_path / "other").mkdir()
+        other = Authority(tmp_path / "other", "Other CA")
+        trust = tmp_path / "trust.pem"
+        both = authority.file.read_bytes() + other.file.read_bytes()
+        trust.write_bytes(both if case == "overlap" else authority.file.read_bytes())
+        partner = await TlsPartner(server_context(authority.issue())).start()
+        async with running(tmp_path, [partner], PARTNER.format(ca=trust)) as (_, client):
+            for i in range(30):
+                await hand_in(client, f"m{i}")
+                if i == 15:
+                    partner.context = server_context((authority if case == "same-ca" else other).issue())
+                    for session in list(partner.sessions)[::2]:  # some connections end with it
+                        session.writer.close()
+            if case == "new-ca":  # without an overlap nobody can trust it till its root is known
+                for session in list(partner.sessions):
+                    session.writer.close()
+                await hand_in(client, "late")
+                await until(lambda: log.events("tls.handshake-failed") or partner.applied["k-late"])
+                fresh = tmp_path / "trust.new"
+                fresh.write_bytes(both)
+                fresh.replace(trust)
+                os.kill(os.getpid(), signal.SIGHUP)
+                await until(lambda: partner.applied["k-late"])
+            await until(lambda: all(partner.applied[f"k-m{i}"] for i in range(30)))
+        assert set(partner.applied.values()) == {1}
+
+    play(work())
+
+
+def test_our_own_certificate_is_rotated_under_load_and_half_written_files_change_nothing(
+    tmp_path: Path, authority: Authority, log: Log
+) -> None:
+    async def work() -> None:
+        ours = tmp_path / "ours.crt", tmp_path / "ours.key"
+        first, second = (authority.issue(("us",), use=CLIENT) for _ in range(2))
+        install(first, *ours)
+        partner = await TlsPartner(asking(server_context(authority.issue()), authority.file)).start()
+        seen: list[int] = []
+
+        async def answer(session: Session, request: bytes) -> bytes:
+            seen.append(int(session.tls.getpeercert()["serialNumber"], 16))  # type: ignore[index]
+            return OK
+
+        partner.answer = answer
+        operator = PARTNER.format(ca=authority.file) + 'certificate = "{}"\nkey = "{}"\n'.format(*ours)
+        async with running(tmp_path, [partner], operator + "retire-within = 0.5\n") as (_, client):
+            await hand_in(client, "before")
+            await until(lambda: len(seen) == 1)
+            ours[0].write_bytes(second.cert_file.read_bytes())  # the key still is the old one's
+            os.kill(os.getpid(), signal.SIGHUP)
+            await until(lambda: log.events("tls.files-refused"))
+            await hand_in(client, "between")
+            await until(lambda: len(seen) == 2)
+            assert set(seen) == {first.certificate.serial_number}
+            install(second, *ours)
+            os.kill(os.getpid(), signal.SIGHUP)
+            i = 0
+            while seen[-1] != second.certificate.serial_number:
+                await hand_in(client, f"m{i}")
+                await until(lambda: partner.applied[f"k-m{i}"])  # noqa: B023
+                i += 1
+            await hand_in(client, "after")
+            await until(lambda: partner.applied["k-after"])
+        assert set(partner.applied.values()) == {1} and not log.events("tls.handshake-failed")
+        (refused,) = log.events("tls.files-refused")
+        assert "does not belong to the certificate" in refused["error"] and refused["partner"] == "dest:1"
+
+    play(work())
+
+
+def test_a_certificate_revoked_in_service_gets_no_further_call(
+    tmp_path: Path, authority: Authority, log: Log
+) -> None:
+    async def work() -> None:
+        issued, fresh = authority.issue(), authority.issue()
+        crl = authority.crl()
+        partner = await TlsPartner(server_context(issued)).start()
+        operator = PARTNER.format(ca=authority.file) + f'crl = "{crl}"\n'
+        async with running(tmp_path, [partner], operator) as (_, client):
+            await hand_in(client, "before")
+            await until(lambda: partner.applied["k-before"])
+            authority.crl(issued)
+            os.kill(os.getpid(), signal.SIGHUP)
+            await until(lambda: log.events("tls.files-taken"))
+            await hand_in(client, "after")
+            await until(lambda: log.events("tls.handshake-failed"))
+            assert not partner.applied["k-after"]
+            partner.context = server_context(fresh)
+            await until(lambda: partner.applied["k-after"])
+        assert {one["failure"] for one in log.events("tls.handshake-failed")} == {"revoked"}
+        assert set(partner.applied.values()) == {1}
+
+    play(work())
+
+
+def test_a_partner_back_cold_gets_a_clump_within_its_budget(tmp_path: Path, authority: Authority) -> None:
+    async def work() -> None:
+        many = {**LISTED, "caps": {**SETTINGS["caps"], "max-open": 300}}
+        issued = authority.issue()
+        partner = await TlsPartner(server_context(issued)).start()
+        partner.delay = 0.01
+        operator = PARTNER.format(ca=authority.file) + "handshakes = 3\nhandshake-rate = 20\n"
+        async with running(tmp_path, [partner], operator, settings=many) as (_, client):
+            await hand_in(client, "warm")
+            await until(lambda: partner.applied["k-warm"])
+            await partner.stop()
+            for i in range(200):
+                await hand_in(client, f"m{i}")
+            partner.context = server_context(issued)
+            partner.most = 0
+            partner.starts.clear()
+            await partner.start()
+            await until(lambda: len(partner.applied) >= 40)
+            assert partner.most <= 3
+            assert partner.most_in(1.0) <= 20
+        assert set(partner.applied.values()) == {1}
+
+    play(work())
+
+
+def test_a_kill_in_the_middle_of_handshakes_loses_and_doubles_nothing(
+    tmp_path: Path, authority: Authority
+) -> None:
+    async def work() -> None:
+        partner = TlsPartner(server_context(authority.issue()))
+        partner.stall = "flight"
+        await partner.start()
+        operator, port = PARTNER.format(ca=authority.file), free_port()
+        async with running(tmp_path, [partner], operator, port) as (_, client):
+            for i in range(5):
+                await hand_in(client, f"m{i}")
+            await until(lambda: partner.begun)
+        partner.stall = ""
+        async with running(tmp_path, [partner], operator, port):
+            await until(lambda: len(partner.applied) == 5)
+        assert set(partner.applied.values()) == {1}
+
+    play(work())
+
+
+def test_handshakes_stay_within_the_descriptors(tmp_path: Path, authority: Authority) -> None:
+    async def work() -> None:
+        partners = []
+        for _ in range(12):
+            partner = TlsPartner(server_context(authority.issue()))
+            partner.stall = "accept"
+            partners.append(await partner.start())
+        operator = PARTNER.format(ca=authority.file).replace("dest = 1", 'kind = "small"')
+        few = {"sockets": 60, "disk_mb": 3}
+        agent, client = await Peer().start(), Peer()
+        members = [
+            {**row(f"p{i}", i), "host_port": f"127.0.0.1:{one.port}"} for i, one in enumerate(partners)
+        ]
+        async with started(tmp_path, agent.port, members, operator, limits=few) as port:
+            await client.dial(port)
+            assert client.now is not None
+            for i in range(40):
+                fields = f"c=standard,t=studio,d=9000,k=k{i},dest={i % 12}"
+                parts = [b"ENQUEUE", b"0", b"m%d" % i, fields.encode(), b"body"]
+                client.now[1].write(b"*5\r\n" + b"".join(b"$%d\r\n%s\r\n" % (len(p), p) for p in parts))
+                await receive(client, b"+OK\r\n")
+            client.now[1].write(b"PING\r\n")
+            await receive(client, b"+PONG\r\n")
+            open_now = sum(len(one.sessions) for one in partners)
+            # 60 less what is always open, calls and clients: 2 idle or in a handshake for each carrier.
+            assert 1 <= open_now <= 3, open_now
+
+    play(work())
+
+
+def test_an_end_without_close_notify_spoils_only_what_is_framed_by_the_end(
+    tmp_path: Path, authority: Authority, log: Log
+) -> None:
+    async def work() -> None:
+        partner = TlsPartner(server_context(authority.issue()))
+        replies = [
+            b"HTTP/1.1 500 No\r\nConnection: close\r\n\r\nhalf of a bo",  # framed by the end
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok",  # whole by its length
+        ]
+
+        async def answer(session: Session, request: bytes) -> bytes | None:
+            session.tls.write(replies.pop(0))
+            await partner.flush(session)
+            return None  # the connection is closed without a word
+
+        partner.answer = answer
+        await partner.start()
+        async with running(tmp_path, [partner], PARTNER.format(ca=authority.file)) as (_, client):
+            await hand_in(client, "m")
+            await until(lambda: not replies)
+            while b'"end"' not in (tmp_path / "state" / "journal").read_bytes():
+                await asyncio.sleep(0.01)
+        (broken,) = log.events("tls.call-broken")
+        assert broken["failure"] == "truncated"
+
+    play(work())
+
+
+def test_the_broker_is_spoken_to_over_tls_and_its_link_is_made_anew(
+    tmp_path: Path, authority: Authority, log: Log
+) -> None:
+    async def work() -> None:
+        broker, agent = Broker(), await Peer().start()
+        broker.secure = server_context(authority.issue())
+        await broker.start()
+        ended(broker, {})
+        client = Client(asyncio.get_running_loop())
+        trust = tmp_path / "trust.pem"
+        trust.write_bytes(authority.file.read_bytes())
+        operator = OPERATOR.format(port=broker.port, dest=1)
+        operator += f'[mqtt.tls]\nca = "{trust}"\nserver-name = "localhost"\nretire-within = 0.2\n'
+        client.paho.tls_set(str(authority.file))
+        async with started(tmp_path, agent.port, [], operator):
+            await asyncio.to_thread(client.connect, broker.port)
+            await until(lambda: "n0-intake" in broker.kept and "client" in broker.kept)
+            client.hand_in("one", 1)
+            await client.until(1)
+            before = broker.kept["n0-calls"].writer
+            (tmp_path / "other").mkdir()
+            other = Authority(tmp_path / "other", "Other CA")
+            trust.write_bytes(trust.read_bytes() + other.file.read_bytes())
+            os.kill(os.getpid(), signal.SIGHUP)
+            await until(lambda: log.events("tls.files-taken"))
+            await until(lambda: broker.kept["n0-calls"].writer not in (before, None))
+            client.hand_in("two", 1)
+            await client.until(2)
+        client.paho.disconnect()
+        client.paho.loop_stop()
+        assert {name: [one["status"] for one in told] for name, told in client.answers.items()} == {
+            "one": ["delivered"],
+            "two": ["delivered"],
+        }
+
+    play(work())
+
+
+def test_a_broker_of_the_wrong_name_gets_nothing(tmp_path: Path, authority: Authority, log: Log) -> None:
+    async def work() -> None:
+        broker, agent = Broker(), await Peer().start()
+        broker.secure = server_context(authority.issue(("other.example",)))
+        await broker.start()
+        operator = OPERATOR.format(port=broker.port, dest=1)
+        operator += f'[mqtt.tls]\nca = "{authority.file}"\nserver-name = "localhost"\n'
+        async with started(tmp_path, agent.port, [], operator):
+            await until(lambda: len(log.events("tls.handshake-failed")) >= 3)
+        assert {one["failure"] for one in log.events("tls.handshake-failed")} == {"wrong-name"}
+        assert not broker.kept
+
+    play(work())
