--- a/honeyhitch/lifecycle/cli.py
+++ b/honeyhitch/lifecycle/cli.py
@@ -11,6 +11,7 @@
 
 from honeyhitch import __version__, logs
 from honeyhitch.lifecycle import config as configuration
+from honeyhitch.lifecycle.tls_commands import tls
 
 
 @click.group()
@@ -76,6 +77,9 @@
     sys.exit(0 if answer.startswith("+") else 1)
 
 
+main.add_command(tls)
+
+
 def _read(path: str | None, operator: str | None) -> configuration.Config:
     try:
         return configuration.read(os.environ, path, operator)
--- a/honeyhitch/lifecycle/config/operator.py
+++ b/honeyhitch/lifecycle/config/operator.py
@@ -5,25 +5,40 @@
 import tomllib
 from collections.abc import Mapping
 from pathlib import Path
+from typing import Any
 
 from honeyhitch import interface as api
 from honeyhitch import logs
 from honeyhitch.lifecycle.config import mqtt, tls
 from honeyhitch.lifecycle.config.values import Table, pick
 from honeyhitch.setup import Address, ConfigError, Operator
+from honeyhitch.tls.settings import Partner
 
 
-def read(path: str, name: str, settings: api.Settings, environ: Mapping[str, str]) -> Operator:
-    """The file at this path, or nothing where there is none."""
-    if not path:
-        return Operator()
+def read_tls(path: str, environ: Mapping[str, str]) -> list[Partner]:
+    """The partners of the file at this path alone, and the broker, for a look without an instance's
+    settings.
+    """
+    told = _toml(path)
+    found = list(tls.setup(told["tls"], None, environ).partners) if "tls" in told else []
+    broker = told.get("mqtt", {}).get("tls") if isinstance(told.get("mqtt"), dict) else None
+    return [*found, *([tls.broker(broker, environ)] if broker is not None else [])]
+
+
+def _toml(path: str) -> dict[str, Any]:
     try:
-        told = tomllib.loads(Path(path).read_text())
+        return tomllib.loads(Path(path).read_text())
     except OSError as error:
         raise ConfigError(f"ROUTER_OPERATOR: cannot read {path}: {error.strerror}") from error
     except ValueError as error:
         raise ConfigError(f"ROUTER_OPERATOR: {path} is not TOML: {error}") from error
-    table = Table(told, path)
+
+
+def read(path: str, name: str, settings: api.Settings, environ: Mapping[str, str]) -> Operator:
+    """The file at this path, or nothing where there is none."""
+    if not path:
+        return Operator()
+    table = Table(_toml(path), path)
     beside = Table(table.get("beside", dict, {}), "beside")
     addresses = {key: beside.maybe(key, str) for key in ("agent-check", "health")}
     beside.done()
--- a/honeyhitch/lifecycle/config/tls.py
+++ b/honeyhitch/lifecycle/config/tls.py
@@ -22,8 +22,10 @@
 SCOPES = (Scope.MEMBER, Scope.DEST, Scope.KIND)
 
 
-def setup(told: object, settings: api.Settings, environ: Mapping[str, str]) -> TlsSetup:
-    """`[tls]` with its partners; the defaults stand in `[tls]` itself."""
+def setup(told: object, settings: api.Settings | None, environ: Mapping[str, str]) -> TlsSetup:
+    """`[tls]` with its partners; the defaults stand in `[tls]` itself. Without settings no kind is known to
+    be wrong.
+    """
     table = Table(told, "tls")
     rows = table.get("partner", list, [])
     defaults = {key: table.left.pop(key) for key in KEYS if key in table.left}
@@ -64,7 +66,7 @@
         raise ConfigError(f"{at}.{error}") from error
 
 
-def _scope(table: Table, settings: api.Settings) -> tuple[Scope, str]:
+def _scope(table: Table, settings: api.Settings | None) -> tuple[Scope, str]:
     named = [scope for scope in SCOPES if scope.value in table.left]
     if len(named) != 1:
         raise ConfigError(f"{table.at}: expected exactly one of member, dest and kind")
@@ -72,7 +74,7 @@
     if scope is Scope.DEST:
         return scope, str(table.get("dest", int))
     value = table.get(scope.value, str)
-    kinds = [kind.name for kind in settings.kinds]
+    kinds = [kind.name for kind in settings.kinds] if settings is not None else [value]
     if scope is Scope.KIND and value not in kinds:
         raise ConfigError(f"{table.at}.kind: not a kind in the settings: {value!r}")
     if not value:
--- a/honeyhitch/tls/machine.py
+++ b/honeyhitch/tls/machine.py
@@ -146,6 +146,12 @@
         """The partner's own certificate in DER; it is the first handshake's if the session was resumed."""
         return self.tls.getpeercert(binary_form=True) or b""
 
+    def chain(self) -> list[bytes]:
+        """The verified chain in DER, the partner's own first; that one alone where Python does not tell."""
+        inner = getattr(self.tls, "_sslobj", None)
+        told = getattr(inner, "get_verified_chain", lambda: None)() or []
+        return [ssl.PEM_cert_to_DER_cert(one.public_bytes()) for one in told] or [self.peer]
+
     def session(self) -> ssl.SSLSession | None:
         """A session to resume later, if there is one by now: in TLS 1.3 it comes with a ticket of its own."""
         session = self.tls.session
--- /dev/null
+++ b/honeyhitch/wire/drivers/tls_probe.py
@@ -0,0 +1,66 @@
+"""Looks at a partner over TLS as the dispatcher would, without sending it a message: for `honeyhitch tls
+check`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+from honeyhitch.memory.buffer import Buffer
+from honeyhitch.tls.certificates import Facts, of_der
+from honeyhitch.tls.failures import Failure, TlsError
+from honeyhitch.tls.partners import Known, Partners
+from honeyhitch.wire.drivers.channel import open_tls
+
+NS = 1_000_000_000
+TICKETS = 0.5  # seconds that a server has to send a ticket, or to refuse our certificate
+
+
+@dataclass(slots=True)
+class Seen:
+    """What one address showed. `failure` is the name of what is wrong, empty if nothing is."""
+
+    partner: str
+    address: str
+    failure: str = ""
+    reason: str = ""
+    version: str = ""
+    cipher: str = ""
+    resumes: bool = False
+    chain: list[Facts] = field(default_factory=list)
+
+
+async def look(partners: Partners, known: Known, address: str) -> Seen:
+    """Two handshakes: the first in full, the second with the session that the first left."""
+    seen = Seen(known.name, address)
+    try:
+        for again in (False, True):
+            async with asyncio.timeout(known.partner.terms.handshake_timeout / NS + TICKETS):
+                await _once(partners, known, address, seen, again)
+    except TimeoutError:
+        seen.failure = Failure.STALLED.label
+    except TlsError as error:
+        seen.failure, seen.reason = error.failure.label, error.reason
+    return seen
+
+
+async def _once(partners: Partners, known: Known, address: str, seen: Seen, again: bool) -> None:
+    key = partners.key(known, address)
+    machine = partners.machine(known, key)
+    channel = await open_tls(asyncio.get_running_loop(), address, machine)
+    try:
+        peer = partners.verified(known, machine)
+        if again:
+            seen.resumes = machine.resumed
+            return
+        seen.version, seen.cipher = machine.version, machine.cipher
+        seen.chain = [of_der(der) for der in machine.chain()]
+        try:  # in TLS 1.3 tickets come now, or the refusal of our certificate
+            async with asyncio.timeout(TICKETS):
+                await channel.read(Buffer())
+        except TimeoutError:
+            pass
+        partners.keep_session(known, key, machine, peer)
+    finally:
+        channel.close()
