--- a/honeyhitch/lifecycle/tls_commands.py
+++ b/honeyhitch/lifecycle/tls_commands.py
@@ -53,7 +53,7 @@
     warn_days: int | None,
     as_json: bool,
 ) -> None:
-    """Say of each partner what its files hold and, with --connect, what it shows. Exit code 1 on a failure."""
+    """Say of each partner what its files hold and, with --connect, what it shows; exit 1 on a failure."""
     try:
         told = configuration.read_tls(operator, os.environ)
         config = configuration.read(os.environ, path, operator) if path else None
--- a/honeyhitch/tls/machine.py
+++ b/honeyhitch/tls/machine.py
@@ -41,6 +41,8 @@
     def feed(self, data: bytes) -> None:
         """Bytes as they came."""
         at, end = 0, len(data)
+        if not self.left and not self.head and end > HEADER and end == HEADER + (data[3] << 8 | data[4]):
+            return  # one whole record, as most come
         while at < end:
             if self.left:
                 step = min(self.left, end - at)
@@ -83,10 +85,10 @@
 
     def feed(self, data: bytes) -> None:
         """Bytes came from the peer. Look at `plain`, `phase` and `failure`, and send `take_out()`."""
-        for at in range(0, len(data), PIECE):
-            if self.phase in (Phase.ENDED, Phase.FAILED):
+        pieces = [data] if len(data) <= PIECE else [data[i : i + PIECE] for i in range(0, len(data), PIECE)]
+        for piece in pieces:
+            if self.phase is Phase.ENDED or self.phase is Phase.FAILED:
                 return  # nothing counts behind an end (RFC 8446, 6.1)
-            piece = data[at : at + PIECE]
             self.records.feed(piece)
             self.incoming.write(piece)
             if self.phase is Phase.HANDSHAKE:
@@ -180,6 +182,8 @@
             while data := self.tls.read(PIECE):
                 self.plain += data
                 self.answered = True
+                if not self.incoming.pending and not self.tls.pending():
+                    return  # as it is nearly always: asking once more would only raise
             self.phase = Phase.ENDED
         except ssl.SSLWantReadError:
             return
--- a/honeyhitch/tls/partners.py
+++ b/honeyhitch/tls/partners.py
@@ -121,8 +121,11 @@
 
     def keep_session(self, known: Known, key: Key, machine: TlsMachine, peer: Facts) -> None:
         """Remember the connection's session for the next one, if it has one and its terms still hold."""
-        if machine.news and known.partner.terms.resume and key.generation == known.generation:
-            machine.news = False
+        if not machine.news or not machine.at_rest:
+            return
+        machine.news = False
+        holds = known.partner.terms.resume and key.generation == known.generation
+        if holds and self.sessions.wants(key, self.now()):
             session = machine.session()
             if session is not None:
                 self.sessions.put(key, session, self.now(), known.material.until(peer))
--- a/honeyhitch/tls/sessions.py
+++ b/honeyhitch/tls/sessions.py
@@ -30,7 +30,9 @@
 @dataclass(slots=True)
 class _Kept:
     session: ssl.SSLSession
+    made: int
     until: int
+    given: int = 0  # times it was offered
 
 
 class SessionCache:
@@ -39,17 +41,25 @@
     def __init__(self, most: int = 4096) -> None:
         self.most = most
         self.kept: OrderedDict[Key, _Kept] = OrderedDict()
+        self.once: OrderedDict[Key, None] = OrderedDict()  # whose servers take a ticket once only
 
     def put(self, key: Key, session: ssl.SSLSession, now: int, until: int) -> None:
         """Keep a session, at most until then."""
         life = session.ticket_lifetime_hint if session.has_ticket else session.timeout
         until = min(until, now + MOST_LIFE, now + (life or session.timeout) * SECOND)
         if until > now:
-            self.kept[key] = _Kept(session, until)
+            self.kept[key] = _Kept(session, now, until)
             self.kept.move_to_end(key)
         while len(self.kept) > self.most:
             self.kept.popitem(last=False)
 
+    def wants(self, key: Key, now: int) -> bool:
+        """Whether a newer session is worth copying out of a connection, which takes OpenSSL as long as a
+        third of a handshake: there is none, half of its life is over, or the server takes each ticket once.
+        """
+        one = self.kept.get(key)
+        return one is None or now >= (one.made + one.until) // 2 or (one.given > 0 and key in self.once)
+
     def get(self, key: Key, now: int) -> ssl.SSLSession | None:
         """The session to resume, if one still holds."""
         one = self.kept.get(key)
@@ -59,11 +69,16 @@
             del self.kept[key]
             return None
         self.kept.move_to_end(key)
+        one.given += 1
         return one.session
 
     def forget(self, key: Key) -> None:
         """The server did not resume it, or it is no longer wanted."""
-        self.kept.pop(key, None)
+        one = self.kept.pop(key, None)
+        if one is not None and one.given > 1:  # it took it before: once may be all that it does
+            self.once[key] = None
+            if len(self.once) > self.most:
+                self.once.popitem(last=False)
 
     def drop_before(self, partner: str, generation: int) -> None:
         """Forget what was verified under an earlier generation of the partner's terms."""
--- a/honeyhitch/wire/drivers/channel.py
+++ b/honeyhitch/wire/drivers/channel.py
@@ -29,6 +29,9 @@
     async def read(self, buffer: Buffer) -> int:
         """Read once into the buffer; 0 at the peer's own end. OSError if it broke, TlsError among them."""
 
+    async def receive(self, buffer: Buffer) -> bytes:
+        """The same for one who takes all at once: the bytes, none at the peer's own end."""
+
     def quiet(self) -> bool:
         """Alive, with nothing come that nobody asked for: safe to use again."""
 
@@ -52,6 +55,10 @@
         """Read once into the buffer; 0 at the peer's end."""
         return await sockets.read(self.loop, self.sock, buffer)
 
+    async def receive(self, buffer: Buffer) -> bytes:
+        """The bytes of one read, by way of the buffer; none at the peer's end."""
+        return buffer.take() if await sockets.read(self.loop, self.sock, buffer) else b""
+
     def quiet(self) -> bool:
         """Alive, with nothing come that nobody asked for."""
         return sockets.quiet(self.sock)
@@ -67,7 +74,7 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, sock: socket.socket, machine: TlsMachine) -> None:
         self.loop, self.sock, self.machine = loop, sock, machine
         self.raw = Buffer()
-        self.sending = asyncio.Lock()  # records leave in the order in which they were made
+        self.sending = False  # records leave in the order in which they were made, by one task at a time
 
     async def handshake(self) -> None:
         """Till it is over; TlsError says why it failed."""
@@ -100,21 +107,26 @@
 
     async def read(self, buffer: Buffer) -> int:
         """Read till plain bytes have come; 0 at the peer's close_notify, TlsError at any other end."""
+        data = await self.receive(buffer)
+        buffer.feed(data)
+        return len(data)
+
+    async def receive(self, buffer: Buffer) -> bytes:
+        """The bytes of one read; none at the peer's close_notify, TlsError at any other end."""
         machine = self.machine
         while not machine.plain:
             if machine.failure is not None:
                 raise machine.failure
             if machine.phase is Phase.ENDED:
-                return 0
+                return b""
             count = await sockets.read(self.loop, self.sock, self.raw)
             if count:
                 machine.feed(self.raw.take())
-                await self._flush()  # what a KeyUpdate asks for
+                if machine.outgoing.pending:  # what a KeyUpdate asks for
+                    await self._flush()
             else:
                 machine.eof()
-        data = machine.take_plain()
-        buffer.feed(data)
-        return len(data)
+        return machine.take_plain()
 
     def quiet(self) -> bool:
         """Alive and at rest, once what has come has been read: tickets and KeyUpdates are no answer."""
@@ -136,7 +148,7 @@
             machine.feed(data)
             if machine.phase is not Phase.OPEN or machine.plain:
                 return False
-        if machine.outgoing.pending and not self.sending.locked():
+        if machine.outgoing.pending and not self.sending:
             out = machine.take_out()
             try:
                 if self.sock.send(out) < len(out):
@@ -159,9 +171,14 @@
                 self.machine.feed(data)
 
     async def _flush(self) -> None:
-        async with self.sending:
+        if self.sending:
+            return  # whoever sends takes this along
+        self.sending = True
+        try:
             while data := self.machine.take_out():
                 await self.loop.sock_sendall(self.sock, data)
+        finally:
+            self.sending = False
 
 
 async def open_tls(loop: asyncio.AbstractEventLoop, address: str, machine: TlsMachine) -> TlsChannel:
--- a/honeyhitch/wire/drivers/members.py
+++ b/honeyhitch/wire/drivers/members.py
@@ -153,18 +153,15 @@
         await connection.channel.send(calls.encode(call.parts, left, connection.address))
         progress.written = True
         while True:
-            count = await self._read(call, connection)
-            if count:
-                answer = connection.machine.feed(connection.buffer.take())
-            else:
-                answer = connection.machine.ended()
+            data = await self._read(call, connection)
+            answer = connection.machine.feed(data) if data else connection.machine.ended()
             if answer is not None:
                 return calls.read(answer, call.parts)
-            if not count:
+            if not data:
                 raise ConnectionResetError("the connection ended before the answer")
 
-    async def _read(self, call: Call, connection: Connection) -> int:
-        read, machine = connection.channel.read(connection.buffer), connection.machine
+    async def _read(self, call: Call, connection: Connection) -> bytes:
+        read, machine = connection.channel.receive(connection.buffer), connection.machine
         if not machine.seen:
             return await read
         try:
--- a/honeyhitch/wire/drivers/tls_members.py
+++ b/honeyhitch/wire/drivers/tls_members.py
@@ -33,6 +33,7 @@
 FILES = 2.0  # seconds between looks at the files
 ENDS = 3600.0  # seconds between looks at our own certificates' ends
 NOT_THE_SESSIONS = (Failure.UNREACHABLE, Failure.STALLED, Failure.HANDSHAKE_CUT, Failure.OVERLOADED)
+SOON = 0.01  # seconds for which an idle connection is not yet watched
 HALT = 2 * NS  # ns that an idle connection has for the rest of a record
 REPLACE = 10 * NS  # ns; one used within this is replaced before it goes
 
@@ -41,18 +42,14 @@
 class TlsConnection(Connection):
     """One connection, with what it was verified by."""
 
+    tls: TlsChannel = field(kw_only=True)  # the channel, by its own type
     known: Known = field(kw_only=True)
     key: Key = field(kw_only=True)
     peer: Facts = field(kw_only=True)
     retire_at: int = field(kw_only=True)  # ns; the end of what was verified, or sooner
+    watched: bool = False  # the loop tells when something comes on it
     due: int = 0  # ns; from when it is to go once it is replaced, 0 if not
 
-    @property
-    def tls(self) -> TlsChannel:
-        """Its channel."""
-        assert isinstance(self.channel, TlsChannel)
-        return self.channel
-
 
 class TlsCarrier(HttpCarrier):
     """The carrier for members that a partner's table in the operator's file matches."""
@@ -64,6 +61,9 @@
         self.partners, self.most = partners, most  # connections idle or in a handshake
         self.doors: dict[str, tuple[Door, Known]] = {}
         self.conns: dict[TlsConnection, str] = {}  # all that are up, and whose
+        self.unwatched: dict[TlsConnection, str] = {}  # idle for so short that nobody watches them yet
+        self.most_rest = self.settings.conn_idle * IDLE_SHARE
+        self.looking = False  # for those, soon
         partners.changed.append(self._renewed)
 
     # Opening.
@@ -142,6 +142,7 @@
                 member.address,
                 Buffer(),
                 http1.AnswerMachine(most=MOST_ANSWER),
+                tls=channel,
                 known=known,
                 key=key,
                 peer=peer,
@@ -155,7 +156,6 @@
             self.conns[connection] = member.id
             door.opened(start, now, machine.resumed)
             self._rest(member.id, connection)
-            self._stirred(member.id, connection)  # what came with the handshake
             self._tell(door)
 
     def _failed(self, member: PoolMember, door: Door, known: Known, start: Start, error: TlsError) -> None:
@@ -179,16 +179,38 @@
 
     def _rest(self, name: str, connection: TlsConnection) -> None:
         self.idle.setdefault(name, []).append(connection)
-        self.loop.add_reader(connection.channel.sock, self._stirred, name, connection)
-        if sum(len(ones) for ones in self.idle.values()) > self.most:
+        if not self.looking:
+            self.looking = True
+            self.loop.call_later(SOON, self._watch)
+        self.unwatched[connection] = name
+        self._stirred(name, connection)  # what came with the handshake or behind the answer
+        if sum(map(len, self.idle.values())) > self.most:
             self._drop_oldest()
 
+    def _watch(self) -> None:
+        """Those that the next call has not taken at once, as it does under load, are watched from now on."""
+        fresh, self.unwatched, self.looking = self.unwatched, {}, False
+        for connection, name in fresh.items():
+            connection.watched = True
+            self.loop.add_reader(connection.channel.sock, self._stirred, name, connection)
+            self._stirred(name, connection)
+
+    def _unwatch(self, connection: TlsConnection) -> None:
+        if connection.watched:
+            connection.watched = False
+            self.loop.remove_reader(connection.channel.sock)
+        self.unwatched.pop(connection, None)
+
     def _stirred(self, name: str, connection: TlsConnection) -> None:
         tls = connection.tls
         if tls.alive():
-            if tls.machine.at_rest:
+            if tls.machine.news:
                 self.partners.keep_session(connection.known, connection.key, tls.machine, connection.peer)
-            return
+        else:
+            self._ended(name, connection)
+
+    def _ended(self, name: str, connection: TlsConnection) -> None:
+        """The partner ended one that was idle, or said what nobody asked for."""
         failure = connection.tls.machine.failure
         if failure is not None and failure.failure is Failure.OUR_CERTIFICATE_REFUSED:
             log.warning(
@@ -214,7 +236,7 @@
 
     def _drop(self, name: str, connection: TlsConnection) -> None:
         """Close one that is idle."""
-        self.loop.remove_reader(connection.channel.sock)
+        self._unwatch(connection)
         if connection in self.idle.get(name, []):
             self.idle[name].remove(connection)
             if not self.idle[name]:
@@ -240,21 +262,27 @@
     # Calls.
 
     async def _connection(self, member: PoolMember) -> Connection:
-        door, now = self._door(member)[0], self.scheduler.now()
-        for connection in reversed(self._resting(member.id)):
-            if connection.retire_at <= now or not self._alive(connection, member, now):
+        now, idle = self.scheduler.now(), self.idle.get(member.id, [])
+        for connection in reversed(idle[:]):
+            assert isinstance(connection, TlsConnection)
+            if connection.retire_at <= now or not self._fresh(connection, member, now):
                 self._drop(member.id, connection)
+            elif not connection.tls.alive():
+                self._ended(member.id, connection)
             elif connection.tls.machine.at_rest:
-                self.loop.remove_reader(connection.channel.sock)
-                self.idle[member.id].remove(connection)
+                if connection.watched:
+                    self._unwatch(connection)
+                else:
+                    del self.unwatched[connection]
+                idle.remove(connection)
+                door = self.doors[member.id][0]
                 door.ready, door.busy = door.ready - 1, door.busy + 1
                 return connection
         raise NoConnection(f"{member.id}: its last connection has gone")
 
-    def _alive(self, connection: TlsConnection, member: PoolMember, now: int) -> bool:
-        most = self.settings.conn_idle * IDLE_SHARE
-        stale = most and now - connection.idle_since > most
-        return connection.address == member.address and not stale and connection.tls.alive()
+    def _fresh(self, connection: TlsConnection, member: PoolMember, now: int) -> bool:
+        stale = self.most_rest and now - connection.idle_since > self.most_rest
+        return connection.address == member.address and not stale
 
     def _keep(self, member: PoolMember, connection: Connection) -> None:
         assert isinstance(connection, TlsConnection)
@@ -344,8 +372,10 @@
                 self._drop(name, connection)
             elif not self.doors[name][0].opening:
                 self.open(member, 1)  # its replacement first; it goes in any case at `retire_at`
-        elif not self._alive(connection, member, now) or self._halting(connection, now):
+        elif not self._fresh(connection, member, now) or self._halting(connection, now):
             self._drop(name, connection)
+        elif not connection.tls.alive():
+            self._ended(name, connection)
 
     @staticmethod
     def _halting(connection: TlsConnection, now: int) -> bool:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -116,6 +116,12 @@
     assert told.mqtt is not None and "print-shop" in operator and told.mqtt.members[0].destination == 7
 
 
+def test_the_shipped_tls_file_is_sound(tmp_path: Path) -> None:
+    read = config.read({}, str(ROOT / "example" / "config.json"))
+    told = config.read_operator(str(ROOT / "deploy" / "tls.toml"), "n", _named(read, "partner"), {}).tls
+    assert told is not None and told.partners[0].terms.handshakes == 6
+
+
 def test_a_file_read_again_wins_over_a_variable_from_the_start_where_it_changed(tmp_path: Path) -> None:
     environ = {"ROUTER_DISCOVERY": "127.0.0.1:1"}
     path = write(tmp_path, 6379, 8500, [])
--- a/tests/test_tls_files.py
+++ b/tests/test_tls_files.py
@@ -220,3 +220,18 @@
         assert cache.get(other, now) is None
     cache.drop_before("dest:1", 1)
     assert len(cache) == 0
+
+
+def test_a_session_is_copied_anew_only_when_it_is_worth_it() -> None:
+    session = cast(ssl.SSLSession, SimpleNamespace(has_ticket=True, ticket_lifetime_hint=100, timeout=7200))
+    cache, key, now = SessionCache(), Key("dest:1", "localhost", "127.0.0.1:1", 0), 100 * SECOND
+    assert cache.wants(key, now)
+    cache.put(key, session, now, 1 << 62)
+    assert not cache.wants(key, now) and cache.wants(key, now + 50 * SECOND)
+    for _ in range(2):  # a server that takes a ticket once refuses the second use
+        cache.get(key, now)
+    cache.forget(key)
+    cache.put(key, session, now, 1 << 62)
+    assert not cache.wants(key, now)
+    cache.get(key, now)
+    assert cache.wants(key, now)
--- a/tests/test_tls_program.py
+++ b/tests/test_tls_program.py
@@ -7,6 +7,8 @@
 import json
 import os
 import signal
+import subprocess
+import sys
 from collections.abc import AsyncIterator
 from pathlib import Path
 from typing import Any
@@ -20,7 +22,7 @@
 from .agent import Agent
 from .authority import Authority, Issued
 from .broker import Broker
-from .program import SETTINGS, Peer, free_port, play, started
+from .program import SETTINGS, Peer, free_port, play, started, write
 from .rig import row
 from .test_program import OPERATOR, Client, ended, receive
 from .tls_partner import OK, Session, TlsPartner, asking, server_context
@@ -260,10 +262,10 @@
                 if i == 15:
                     partner.context = server_context((authority if case == "same-ca" else other).issue())
                     for session in list(partner.sessions)[::2]:  # some connections end with it
-                        session.writer.close()
+                        partner.end(session)
             if case == "new-ca":  # without an overlap nobody can trust it till its root is known
                 for session in list(partner.sessions):
-                    session.writer.close()
+                    partner.end(session)
                 await hand_in(client, "late")
                 await until(lambda: log.events("tls.handshake-failed") or partner.applied["k-late"])
                 fresh = tmp_path / "trust.new"
@@ -497,3 +499,61 @@
         assert not broker.kept
 
     play(work())
+
+
+def test_sigkill_to_the_process_in_the_middle_of_handshakes(tmp_path: Path, authority: Authority) -> None:
+    """A process of its own, killed while some messages have run, some wait, and handshakes are half done."""
+
+    async def work() -> None:
+        partner = await TlsPartner(server_context(authority.issue())).start()
+        agent, port = await Agent(members_of([partner])).start(), free_port()
+        config, operator = write(
+            tmp_path, port, agent.port, agent.members, PARTNER.format(ca=authority.file), settings=LISTED
+        )
+        command = [sys.executable, "-m", "honeyhitch", "serve", "--config", config]
+        command += ["--operator", str(operator)]
+
+        async def start() -> tuple[subprocess.Popen[bytes], Peer]:
+            program, client = subprocess.Popen(command), Peer()
+            while True:
+                with contextlib.suppress(OSError):
+                    await client.dial(port)
+                    return program, client
+                await asyncio.sleep(0.02)
+
+        program, client = await start()
+        try:
+            await hand_in(client, "ran")
+            await until(lambda: partner.applied["k-ran"])
+            partner.stall = "flight"
+            for session in list(partner.sessions):
+                session.writer.transport.abort()
+            begun = partner.begun
+            for i in range(6):
+                await hand_in(client, f"m{i}")
+            await until(lambda: partner.begun > begun)
+            program.send_signal(signal.SIGKILL)
+            program.wait()
+            partner.stall = ""
+            program, _ = await start()
+            await until(lambda: len(partner.applied) == 7)
+        finally:
+            program.kill()
+            program.wait()
+        assert set(partner.applied.values()) == {1} and not agent.notices
+
+    play(work())
+
+
+def test_a_partners_certificate_that_nears_its_end_is_told(
+    tmp_path: Path, authority: Authority, log: Log
+) -> None:
+    async def work() -> None:
+        partner = await TlsPartner(server_context(authority.issue(end=3))).start()
+        async with running(tmp_path, [partner], PARTNER.format(ca=authority.file)) as (_, client):
+            await hand_in(client, "m")
+            await until(lambda: partner.applied["k-m"])
+        (told,) = log.events("tls.certificate-ends")
+        assert (told["whose"], told["partner"]) == ("partner", "dest:1") and 2 < told["days_left"] <= 3
+
+    play(work())
--- a/tests/tls_partner.py
+++ b/tests/tls_partner.py
@@ -46,6 +46,7 @@
     outgoing: ssl.MemoryBIO
     resumed: bool = False
     requests: int = 0
+    over: bool = False  # by us: what still comes on it is not even read
     plain: bytearray = field(default_factory=bytearray)
 
 
@@ -80,6 +81,11 @@
             session.writer.transport.abort()
         self.sessions.clear()
 
+    def end(self, session: Session) -> None:
+        """Close a connection without a word once what was answered is out."""
+        session.over = True
+        session.writer.close()
+
     def most_in(self, window: float) -> float:
         """The greatest weight of handshakes that began within any such window (seconds)."""
         most = 0.0
@@ -155,7 +161,7 @@
     async def _serve(self, session: Session) -> None:
         while True:
             request = await self._request(session)
-            if request is None:
+            if request is None or session.over:
                 return
             session.requests += 1
             key = re.search(rb"Idempotency-Key: (\S+)", request)
