Begin undelivered messages: say what may be resent without being applied twice

Change: a module without I/O that gives a verdict, its reason and its end for a record's past: never ran, safe, keyed inside its window, released by a person, or told to come again.

Result: each case and each side of each edge is tested, and with hypothesis that no resend allowed can end after the window of its key; no measurement ran.

--- /dev/null
+++ b/tests/test_undelivered.py
@@ -0,0 +1,53 @@
+"""What may be sent again: each class, each past, each side of each edge, against a partner's own memory."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from honeyhitch import interface as api
+from honeyhitch.undelivered.eligibility import Past, Verdict, decide
+
+from .world import SECOND
+
+NOW, GRACE, LONGEST, WINDOW = 1000 * SECOND, 2 * SECOND, SECOND, 5 * SECOND
+SAFE, KEYED, UNSAFE = api.Effect.SAFE, api.Effect.KEYED, api.Effect.UNSAFE
+
+
+@pytest.mark.parametrize(
+    ("past", "verdict", "reason"),
+    [
+        (Past(SAFE), Verdict.RESEND, "never-ran"),
+        (Past(UNSAFE), Verdict.RESEND, "never-ran"),
+        (Past(SAFE, first_ran=NOW - 900 * SECOND), Verdict.RESEND, "safe"),
+        (Past(UNSAFE, first_ran=NOW - SECOND), Verdict.HOLD, "unsafe-may-have-run"),
+        (Past(UNSAFE, first_ran=NOW - SECOND, released=True), Verdict.RESEND, "released"),
+        (Past(KEYED, WINDOW, NOW - 4 * SECOND), Verdict.RESEND, "inside-window"),
+        (Past(KEYED, WINDOW, NOW - 4 * SECOND - 1), Verdict.HOLD, "window-over"),
+        (Past(KEYED, WINDOW, NOW + 1), Verdict.HOLD, "clock-stepped"),
+        (Past(KEYED, WINDOW, NOW - SECOND, same_group=False), Verdict.HOLD, "key-not-known-there"),
+        (Past(KEYED, WINDOW, NOW - 90 * SECOND, released=True), Verdict.RESEND, "released"),
+        (Past(SAFE, told_again=NOW - GRACE + 1), Verdict.WAIT, "told-to-come-again"),
+        (Past(SAFE, told_again=NOW - GRACE), Verdict.RESEND, "never-ran"),
+        (Past(UNSAFE, first_ran=1, released=True, told_again=NOW), Verdict.WAIT, "told-to-come-again"),
+    ],
+)
+def test_each_case(past: Past, verdict: Verdict, reason: str) -> None:
+    told = decide(past, NOW, GRACE, LONGEST)
+    assert (told.verdict, told.reason) == (verdict, reason)
+
+
+@given(
+    effect=st.sampled_from(list(api.Effect)),
+    ran_ago=st.none() | st.integers(0, 20 * SECOND),
+    takes=st.integers(0, LONGEST),
+)
+def test_no_resend_that_is_allowed_is_applied_twice(
+    effect: api.Effect, ran_ago: int | None, takes: int
+) -> None:
+    """The partner applied the first attempt, if it ran, and drops a repeat inside the window only."""
+    first = None if ran_ago is None else NOW - ran_ago
+    told = decide(Past(effect, WINDOW if effect is KEYED else 0, first), NOW, GRACE, LONGEST)
+    if told.verdict is Verdict.RESEND and first is not None and effect is not SAFE:
+        assert effect is KEYED and NOW + takes <= first + WINDOW
