Open verified connections in one place, and drop what was written twice or never read

Need: reading the change again showed the same steps three times (connect, shake hands in time, verify, close on a refusal), the look-up of a kind by number four times, two copies of the test for a connection idle too long, and fields that nobody read (Connection.calls, Start.over).

Change: wire/drivers/tls_open.py is the one way in for calls, the broker's links and the checker; Settings.kind, HttpCarrier._fresh, Table.choice and TlsCarrier._log and _blame stand for their copies. Behaviour, messages, checks and tests stay as they were.

--- a/honeyhitch/core.py
+++ b/honeyhitch/core.py
@@ -288,7 +288,7 @@
             groups.setdefault(send.endpoint, []).append(send)
         for name, group in groups.items():
             member = self.pool.members[name]
-            most = self.s.kinds[min(member.kind, len(self.s.kinds) - 1)].per_call
+            most = self.s.kind(member.kind).per_call
             for at in range(0, len(group), most):
                 self._send(member, group[at : at + most])
 
--- a/honeyhitch/interface.py
+++ b/honeyhitch/interface.py
@@ -156,6 +156,10 @@
         _need(0 <= self.over_share_worth <= 1, "over_share_worth", "must lie in 0 to 1")
         _need(all(rate >= 0 for rate in self.tenant_rates), "tenant_rates", "must not be negative")
 
+    def kind(self, number: int) -> Kind:
+        """The kind with this number; the last one for a number that is too high."""
+        return self.kinds[min(number, len(self.kinds) - 1)]
+
 
 @dataclass(frozen=True, slots=True)
 class Entry:
--- a/honeyhitch/lifecycle/config/operator.py
+++ b/honeyhitch/lifecycle/config/operator.py
@@ -10,7 +10,7 @@
 from honeyhitch import interface as api
 from honeyhitch import logs
 from honeyhitch.lifecycle.config import mqtt, tls
-from honeyhitch.lifecycle.config.values import Table, pick
+from honeyhitch.lifecycle.config.values import Table
 from honeyhitch.setup import Address, ConfigError, Operator
 from honeyhitch.tls.settings import Partner
 
@@ -43,8 +43,7 @@
     addresses = {key: beside.maybe(key, str) for key in ("agent-check", "health")}
     beside.done()
     log = Table(table.get("log", dict, {}), "log")
-    form = pick({name: name for name in logs.FORMATS}, log.get("format", str, "console"), "log.format")
-    level = pick({name: name for name in logs.LEVELS}, log.get("level", str, "info"), "log.level")
+    form, level = log.choice("format", logs.FORMATS, "console"), log.choice("level", logs.LEVELS, "info")
     log.done()
     told_tls = table.maybe("tls", dict)
     told_mqtt = table.maybe("mqtt", dict)
--- a/honeyhitch/lifecycle/config/tls.py
+++ b/honeyhitch/lifecycle/config/tls.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from honeyhitch import interface as api
-from honeyhitch.lifecycle.config.values import Table, pick
+from honeyhitch.lifecycle.config.values import Table
 from honeyhitch.setup import ConfigError
 from honeyhitch.tls.settings import Partner, Scope, Terms, TlsSetup
 
@@ -99,7 +99,6 @@
             )
         return int(seconds * SECOND)
 
-    versions = {"1.2": "1.2", "1.3": "1.3"}
     terms = Terms(
         server_name=_name(table),
         ca=path("ca"),
@@ -107,9 +106,7 @@
         certificate=path("certificate"),
         key=path("key"),
         key_password_env=table.get("key-password-env", str, ""),
-        least_version=pick(
-            versions, table.get("least-version", str, standard.least_version), f"{table.at}.least-version"
-        ),
+        least_version=table.choice("least-version", ("1.2", "1.3"), standard.least_version),
         pins=tuple(_pin(one, f"{table.at}.pins.{i}") for i, one in enumerate(table.get("pins", list, []))),
         resume=table.get("resume", bool, standard.resume),
         handshakes=table.get("handshakes", int, standard.handshakes),
--- a/honeyhitch/lifecycle/config/values.py
+++ b/honeyhitch/lifecycle/config/values.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import TypeVar
 
 from honeyhitch.setup import ConfigError
@@ -54,6 +55,10 @@
         """A value of this type, or None."""
         return self.get(name, form) if name in self.left else None
 
+    def choice(self, name: str, among: Iterable[str], default: str) -> str:
+        """One of these words."""
+        return pick({word: word for word in among}, self.get(name, str, default), f"{self.at}.{name}")
+
     def done(self) -> None:
         """Everything was asked for."""
         for name in self.left:
--- a/honeyhitch/lifecycle/serve.py
+++ b/honeyhitch/lifecycle/serve.py
@@ -5,8 +5,9 @@
 import asyncio
 import os
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from random import Random
+from typing import Any
 
 import uvloop
 
@@ -70,7 +71,7 @@
         self.discovery = Discovery(str(config.discovery), self.dispatcher, self.tasks)
         self.dispatcher.carriers["http"], self.dispatcher.fronts["resp"] = carrier, self.discovery
         self.works: list[Callable[[], Awaitable[None]]] = [carrier.sweep, self.tell_left_out]
-        self.look_at_files: Callable[[bool], Awaitable[None]] | None = None
+        self.look_at_files: Callable[[bool], Coroutine[Any, Any, None]] | None = None
         way = self._tls(max(1, most_idle - most_plain))
         if config.operator.mqtt is not None:
             self._mqtt(config.operator.mqtt, way)
@@ -92,10 +93,9 @@
         partners = Partners(every, self.config.settings, os.environ, self.scheduler.now, rng)
         carrier = TlsCarrier(dispatcher, self.scheduler, self.tasks, most, partners)
         dispatcher.carriers[GATED] = dispatcher.openers[GATED] = carrier
-        kinds = self.config.settings.kinds
 
         def carrier_of(member: PoolMember) -> str:
-            kind = kinds[min(member.kind, len(kinds) - 1)].name
+            kind = self.config.settings.kind(member.kind).name
             return GATED if partners.of(member.id, member.destination, kind) is not None else member.carrier
 
         dispatcher.pool.carrier_of = carrier_of
@@ -149,7 +149,7 @@
         Files of TLS partners are read again in any case; those that cannot be used stay as they were, too.
         """
         if self.look_at_files is not None:
-            self.tasks.start(self._reread(self.look_at_files))
+            self.tasks.start(self.look_at_files(True))
         try:
             new = read(self.config)
         except Exception as error:  # whatever is wrong with a file must not end a process that serves
@@ -164,10 +164,6 @@
                 log.warning("reload.needs-restart", setting=name, key=name)
         self.config = new
 
-    @staticmethod
-    async def _reread(look: Callable[[bool], Awaitable[None]]) -> None:
-        await look(True)
-
     def _listen(self, address: tuple[str, int], session: Callable[[], ServerSession], most: int) -> None:
         server = VirtualServer(address, session, most, self.tasks)
         self.servers.append(server)
--- a/honeyhitch/lifecycle/tls_commands.py
+++ b/honeyhitch/lifecycle/tls_commands.py
@@ -90,7 +90,7 @@
         raise click.ClickException(f"known: {error}") from error
     setup = TlsSetup(tuple(told))
     for member in pool.members.values():
-        kind = config.settings.kinds[min(member.kind, len(config.settings.kinds) - 1)].name
+        kind = config.settings.kind(member.kind).name
         partner = setup.partner_of(member.id, member.destination, kind)
         if partner is not None:
             found.append((partner, member.address))
--- a/honeyhitch/tls/budget.py
+++ b/honeyhitch/tls/budget.py
@@ -16,7 +16,6 @@
 
 from collections import deque
 from dataclasses import dataclass
-from math import inf
 
 SECOND = 10**9  # ns
 WINDOW, MARGIN = SECOND, 1.25  # ns; times as long as the window that the setting speaks of
@@ -31,7 +30,6 @@
 
     at: int
     weight: float = 1.0
-    over: bool = False
 
 
 class HandshakeBudget:
@@ -75,9 +73,7 @@
         share = self.share(now)
         if len(self.running) >= max(1, int(self.at_once * share)):
             return now + RETRY  # an end comes sooner, and the asker is told of it
-        rate = max(self.rate * share, self.rate * self.cold_share)
-        if rate == inf:
-            return now
+        rate = self.rate * max(share, self.cold_share)
         window = int(max(WINDOW, SECOND / rate) * MARGIN)
         while self.recent and self.recent[0].at <= now - max(window, int(SECOND / self._least() * MARGIN)):
             self.recent.popleft()
@@ -102,7 +98,7 @@
 
     def ended(self, one: Start, now: int, resumed: bool) -> None:
         """It came up."""
-        self._over(one)
+        self.running.discard(one)
         if resumed:
             one.weight = RESUMED
         if self.out:
@@ -112,12 +108,8 @@
         """It did not; `outage` if that says that the partner is down, and not that it or we are
         misconfigured.
         """
-        self._over(one)
-        self.out = self.out or outage
-
-    def _over(self, one: Start) -> None:
-        one.over = True
         self.running.discard(one)
+        self.out = self.out or outage
 
     def broke(self, now: int, left: int) -> None:
         """An open connection was lost unasked, and so many are left: most lost at once means a restart."""
--- a/honeyhitch/tls/partners.py
+++ b/honeyhitch/tls/partners.py
@@ -27,11 +27,7 @@
 log = logs.get()
 SECOND = 10**9  # ns
 DAY = 24 * 3600 * SECOND
-FIRST_PAUSE, MOST_PAUSE, SPREAD = (
-    SECOND,
-    60 * SECOND,
-    0.2,
-)  # ns, ns, share; between tries
+FIRST_PAUSE, MOST_PAUSE, SPREAD = SECOND, 60 * SECOND, 0.2  # ns, ns, share; between tries
 MOST_PEERS = 1024  # certificates whose facts are remembered, to spare reading them at each handshake
 
 
--- a/honeyhitch/wire/drivers/channel.py
+++ b/honeyhitch/wire/drivers/channel.py
@@ -191,9 +191,6 @@
     try:
         await channel.handshake()
     except BaseException:
-        with contextlib.suppress(OSError):  # the alert that says why we refuse
-            if out := machine.take_out():
-                sock.send(out)
-        sock.close()
+        channel.close()  # with the alert that says why we refuse
         raise
     return channel
--- a/honeyhitch/wire/drivers/members.py
+++ b/honeyhitch/wire/drivers/members.py
@@ -34,7 +34,6 @@
     buffer: Buffer
     machine: http1.AnswerMachine
     idle_since: int = 0
-    calls: int = 0  # made on it so far
 
     @property
     def untold(self) -> bool:
@@ -63,6 +62,7 @@
         self.dispatcher, self.scheduler, self.tasks = dispatcher, scheduler, tasks
         self.loop, self.settings = scheduler.loop, dispatcher.s
         self.most_idle = most_idle
+        self.most_rest = self.settings.conn_idle * IDLE_SHARE
         self.idle: dict[str, list[Connection]] = {}  # by member, the latest used last
         self.running: dict[Call, asyncio.Task[None]] = {}
 
@@ -90,11 +90,13 @@
                 if kept:
                     self.idle[name] = kept
 
+    def _fresh(self, connection: Connection, member: PoolMember | None) -> bool:
+        """Still the member's, and not idle for so long that it may be about to close it."""
+        stale = self.most_rest and self.scheduler.now() - connection.idle_since > self.most_rest
+        return member is not None and connection.address == member.address and not stale
+
     def _usable(self, connection: Connection, member: PoolMember | None) -> bool:
-        most = self.settings.conn_idle * IDLE_SHARE
-        stale = most and self.scheduler.now() - connection.idle_since > most
-        there = member is not None and connection.address == member.address
-        if there and not stale and connection.channel.quiet():
+        if self._fresh(connection, member) and connection.channel.quiet():
             return True
         connection.channel.close()
         return False
@@ -147,7 +149,6 @@
 
     async def _exchange(self, call: Call, progress: Progress) -> Result:
         connection = progress.connection = await self._connection(call.member)
-        connection.calls += 1
         connection.machine.fresh()
         left = call.timeout - (self.scheduler.now() - call.sent)
         await connection.channel.send(calls.encode(call.parts, left, connection.address))
--- a/honeyhitch/wire/drivers/tls_broker.py
+++ b/honeyhitch/wire/drivers/tls_broker.py
@@ -6,9 +6,10 @@
 
 from honeyhitch import logs
 from honeyhitch.tls.budget import Start
-from honeyhitch.tls.failures import Failure, TlsError
+from honeyhitch.tls.failures import TlsError
 from honeyhitch.tls.partners import Known, Partners
-from honeyhitch.wire.drivers.channel import Channel, TlsChannel, open_tls
+from honeyhitch.wire.drivers.channel import Channel, TlsChannel
+from honeyhitch.wire.drivers.tls_open import open_verified
 
 log = logs.get()
 NS = 1_000_000_000
@@ -27,27 +28,19 @@
         known = self.known
         while (wait := known.budget.ready_at(self.partners.now()) - self.partners.now()) > 0:
             await asyncio.sleep(wait / NS)
-        start, key = known.budget.start(self.partners.now()), self.partners.key(known, address)
+        start = known.budget.start(self.partners.now())
         try:
-            async with asyncio.timeout(known.partner.terms.handshake_timeout / NS):
-                machine = self.partners.machine(known, key)
-                channel = await open_tls(self.loop, address, machine)
-            try:
-                peer = self.partners.verified(known, machine)
-            except TlsError:
-                channel.close()
-                raise
-        except (TimeoutError, TlsError) as error:
-            told = error if isinstance(error, TlsError) else TlsError(Failure.STALLED)
-            await self._failed(told, start)
-            raise told from None
+            opened = await open_verified(self.loop, self.partners, known, address)
+        except TlsError as error:
+            await self._failed(error, start)
+            raise
         except BaseException:
             known.budget.failed(start, self.partners.now(), outage=False)
             raise
         self.failures = 0
-        known.budget.ended(start, self.partners.now(), machine.resumed)
-        self.made[channel] = key.generation, known.material.until(peer)
-        return channel
+        known.budget.ended(start, self.partners.now(), opened.channel.machine.resumed)
+        self.made[opened.channel] = opened.key.generation, known.material.until(opened.peer)
+        return opened.channel
 
     async def _failed(self, error: TlsError, start: Start) -> None:
         """Tell of it, and after a lasting failure wait, unless files change that may mend it."""
--- a/honeyhitch/wire/drivers/tls_members.py
+++ b/honeyhitch/wire/drivers/tls_members.py
@@ -24,9 +24,10 @@
 from honeyhitch.tls.partners import Known, Partners
 from honeyhitch.tls.sessions import Key
 from honeyhitch.wire import http1
-from honeyhitch.wire.drivers.channel import TlsChannel, open_tls
-from honeyhitch.wire.drivers.members import IDLE_SHARE, MOST_ANSWER, NS, Connection, HttpCarrier, NoConnection
+from honeyhitch.wire.drivers.channel import TlsChannel
+from honeyhitch.wire.drivers.members import MOST_ANSWER, NS, Connection, HttpCarrier, NoConnection, Progress
 from honeyhitch.wire.drivers.tasks import LoopScheduler, Tasks
+from honeyhitch.wire.drivers.tls_open import open_verified
 
 log = logs.get()
 LOOK = 0.25  # seconds between looks at connections that are to go
@@ -57,12 +58,11 @@
     def __init__(
         self, dispatcher: Dispatcher, scheduler: LoopScheduler, tasks: Tasks, most: int, partners: Partners
     ) -> None:
-        super().__init__(dispatcher, scheduler, tasks, most)
-        self.partners, self.most = partners, most  # connections idle or in a handshake
+        super().__init__(dispatcher, scheduler, tasks, most)  # connections idle or in a handshake
+        self.partners = partners
         self.doors: dict[str, tuple[Door, Known]] = {}
         self.conns: dict[TlsConnection, str] = {}  # all that are up, and whose
         self.unwatched: dict[TlsConnection, str] = {}  # idle for so short that nobody watches them yet
-        self.most_rest = self.settings.conn_idle * IDLE_SHARE
         self.looking = False  # for those, soon
         partners.changed.append(self._renewed)
 
@@ -84,7 +84,7 @@
             self.tasks.start(self._open(member, door, known, start))
 
     def _door(self, member: PoolMember) -> tuple[Door, Known]:
-        known = self.partners.of(member.id, member.destination, self._kind(member))
+        known = self.partners.of(member.id, member.destination, self.settings.kind(member.kind).name)
         assert known is not None  # `Pool.carrier_of` sends others to the plain carrier
         told = self.doors.get(member.id)
         if told is None:
@@ -93,14 +93,11 @@
         told[0].destination = member.destination
         return told
 
-    def _kind(self, member: PoolMember) -> str:
-        return self.settings.kinds[min(member.kind, len(self.settings.kinds) - 1)].name
-
     def _room_for_one(self) -> bool:
         """Whether a descriptor is left for a connection; the longest idle of all makes room."""
         idle = sum(len(ones) for ones in self.idle.values())
         opening = sum(door.opening for door, _ in self.doors.values())
-        if idle + opening < self.most:
+        if idle + opening < self.most_idle:
             return True
         if not idle:
             return False
@@ -118,16 +115,7 @@
     async def _open(self, member: PoolMember, door: Door, known: Known, start: Start) -> None:
         key = self.partners.key(known, member.address)
         try:
-            async with asyncio.timeout(known.partner.terms.handshake_timeout / NS):
-                machine = self.partners.machine(known, key)
-                channel = await open_tls(self.loop, member.address, machine)
-            try:
-                peer = self.partners.verified(known, machine)
-            except TlsError:
-                channel.close()
-                raise
-        except TimeoutError:
-            self._failed(member, door, known, start, TlsError(Failure.STALLED))
+            opened = await open_verified(self.loop, self.partners, known, member.address)
         except TlsError as error:
             if error.failure not in NOT_THE_SESSIONS:
                 self.partners.sessions.forget(key)
@@ -136,37 +124,30 @@
             door.given_up(start, self.scheduler.now())
             raise
         else:
-            now = self.scheduler.now()
+            now, resumed = self.scheduler.now(), opened.channel.machine.resumed
             connection = TlsConnection(
-                channel,
+                opened.channel,
                 member.address,
                 Buffer(),
                 http1.AnswerMachine(most=MOST_ANSWER),
-                tls=channel,
+                tls=opened.channel,
                 known=known,
                 key=key,
-                peer=peer,
-                retire_at=known.material.until(peer),
+                peer=opened.peer,
+                retire_at=known.material.until(opened.peer),
                 idle_since=now,
             )
-            if not machine.resumed:  # the session offered, if any, is worth nothing there
+            if not resumed:  # the session offered, if any, is worth nothing there
                 self.partners.sessions.forget(key)
             if key.generation != known.generation:  # the files changed under the handshake
                 self._outdated([connection], known)
             self.conns[connection] = member.id
-            door.opened(start, now, machine.resumed)
+            door.opened(start, now, resumed)
             self._rest(member.id, connection)
             self._tell(door)
 
     def _failed(self, member: PoolMember, door: Door, known: Known, start: Start, error: TlsError) -> None:
-        log.warning(
-            "tls.handshake-failed",
-            partner=known.name,
-            member=member.id,
-            failure=error.failure.label,
-            reason=error.reason,
-            key=f"{member.id} {error.failure.label}",
-        )
+        self._log("tls.handshake-failed", member.id, known, error, f"{member.id} {error.failure.label}")
         self.dispatcher.room(door.failed(start, self.scheduler.now(), error))
 
     def _tell(self, door: Door, shut: int = 0) -> None:
@@ -184,7 +165,7 @@
             self.loop.call_later(SOON, self._watch)
         self.unwatched[connection] = name
         self._stirred(name, connection)  # what came with the handshake or behind the answer
-        if sum(map(len, self.idle.values())) > self.most:
+        if sum(map(len, self.idle.values())) > self.most_idle:
             self._drop_oldest()
 
     def _watch(self) -> None:
@@ -213,20 +194,22 @@
         """The partner ended one that was idle, or said what nobody asked for."""
         failure = connection.tls.machine.failure
         if failure is not None and failure.failure is Failure.OUR_CERTIFICATE_REFUSED:
-            log.warning(
-                "tls.refused-late",
-                partner=connection.known.name,
-                member=name,
-                failure=failure.failure.label,
-                reason=failure.reason,
-                key=name,
-            )
-            if name in self.doors:
-                self.doors[name][0].bar(self.scheduler.now())
-        else:
-            self._lost(name)
+            self._log("tls.refused-late", name, connection.known, failure, name)
+        self._blame(name, failure)
         self._drop(name, connection)
 
+    def _blame(self, name: str, failure: TlsError | None) -> None:
+        """An open connection ended: the member refuses us, or has perhaps restarted."""
+        if failure is None or failure.failure is not Failure.OUR_CERTIFICATE_REFUSED:
+            self._lost(name)
+        elif name in self.doors:
+            self.doors[name][0].bar(self.scheduler.now())
+
+    @staticmethod
+    def _log(event: str, name: str, known: Known, error: TlsError, key: str) -> None:
+        failure = error.failure.label
+        log.warning(event, partner=known.name, member=name, failure=failure, reason=error.reason, key=key)
+
     def _lost(self, name: str) -> None:
         """The partner ended a connection: with most of them, it may have restarted."""
         if name in self.doors:
@@ -265,25 +248,18 @@
         now, idle = self.scheduler.now(), self.idle.get(member.id, [])
         for connection in reversed(idle[:]):
             assert isinstance(connection, TlsConnection)
-            if connection.retire_at <= now or not self._fresh(connection, member, now):
+            if connection.retire_at <= now or not self._fresh(connection, member):
                 self._drop(member.id, connection)
             elif not connection.tls.alive():
                 self._ended(member.id, connection)
             elif connection.tls.machine.at_rest:
-                if connection.watched:
-                    self._unwatch(connection)
-                else:
-                    del self.unwatched[connection]
+                self._unwatch(connection)
                 idle.remove(connection)
                 door = self.doors[member.id][0]
                 door.ready, door.busy = door.ready - 1, door.busy + 1
                 return connection
         raise NoConnection(f"{member.id}: its last connection has gone")
 
-    def _fresh(self, connection: TlsConnection, member: PoolMember, now: int) -> bool:
-        stale = self.most_rest and now - connection.idle_since > self.most_rest
-        return connection.address == member.address and not stale
-
     def _keep(self, member: PoolMember, connection: Connection) -> None:
         assert isinstance(connection, TlsConnection)
         now = self.scheduler.now()
@@ -301,29 +277,16 @@
         door.ready, door.busy = door.ready + 1, door.busy - 1
         self._rest(member.id, connection)
 
-    def _close(self, member: PoolMember, progress: object) -> None:
-        connection = getattr(progress, "connection", None)
-        if connection is not None:
-            if connection.tls.machine.failure is not None:
-                self._spoilt(member.id, connection)
+    def _close(self, member: PoolMember, progress: Progress) -> None:
+        connection, name = progress.connection, member.id
+        if isinstance(connection, TlsConnection):
+            if (failure := connection.tls.machine.failure) is not None:
+                self._log(
+                    "tls.call-broken", name, connection.known, failure, f"{name} {failure.failure.label}"
+                )
+                self._blame(name, failure)
             connection.channel.close()
-            self._gone(member.id, connection, busy=True)
-
-    def _spoilt(self, name: str, connection: TlsConnection) -> None:
-        failure = connection.tls.machine.failure
-        assert failure is not None
-        log.warning(
-            "tls.call-broken",
-            partner=connection.known.name,
-            member=name,
-            failure=failure.failure.label,
-            reason=failure.reason,
-            key=f"{name} {failure.failure.label}",
-        )
-        if failure.failure is Failure.OUR_CERTIFICATE_REFUSED and name in self.doors:
-            self.doors[name][0].bar(self.scheduler.now())
-        else:
-            self._lost(name)
+            self._gone(name, connection, busy=True)
 
     # What holds no more.
 
@@ -372,7 +335,7 @@
                 self._drop(name, connection)
             elif not self.doors[name][0].opening:
                 self.open(member, 1)  # its replacement first; it goes in any case at `retire_at`
-        elif not self._fresh(connection, member, now) or self._halting(connection, now):
+        elif not self._fresh(connection, member) or self._halting(connection, now):
             self._drop(name, connection)
         elif not connection.tls.alive():
             self._ended(name, connection)
--- a/honeyhitch/wire/drivers/tls_probe.py
+++ b/honeyhitch/wire/drivers/tls_probe.py
@@ -9,11 +9,10 @@
 
 from honeyhitch.memory.buffer import Buffer
 from honeyhitch.tls.certificates import Facts, of_der
-from honeyhitch.tls.failures import Failure, TlsError
+from honeyhitch.tls.failures import TlsError
 from honeyhitch.tls.partners import Known, Partners
-from honeyhitch.wire.drivers.channel import open_tls
+from honeyhitch.wire.drivers.tls_open import open_verified
 
-NS = 1_000_000_000
 TICKETS = 0.5  # seconds that a server has to send a ticket, or to refuse our certificate
 
 
@@ -36,21 +35,16 @@
     seen = Seen(known.name, address)
     try:
         for again in (False, True):
-            async with asyncio.timeout(known.partner.terms.handshake_timeout / NS + TICKETS):
-                await _once(partners, known, address, seen, again)
-    except TimeoutError:
-        seen.failure = Failure.STALLED.label
+            await _once(partners, known, address, seen, again)
     except TlsError as error:
         seen.failure, seen.reason = error.failure.label, error.reason
     return seen
 
 
 async def _once(partners: Partners, known: Known, address: str, seen: Seen, again: bool) -> None:
-    key = partners.key(known, address)
-    machine = partners.machine(known, key)
-    channel = await open_tls(asyncio.get_running_loop(), address, machine)
+    opened = await open_verified(asyncio.get_running_loop(), partners, known, address)
+    channel, machine = opened.channel, opened.channel.machine
     try:
-        peer = partners.verified(known, machine)
         if again:
             seen.resumes = machine.resumed
             return
@@ -61,6 +55,6 @@
                 await channel.read(Buffer())
         except TimeoutError:
             pass
-        partners.keep_session(known, key, machine, peer)
+        partners.keep_session(known, opened.key, machine, opened.peer)
     finally:
         channel.close()
