--- a/honeyhitch/core.py
+++ b/honeyhitch/core.py
@@ -16,7 +16,7 @@
 from honeyhitch.brain import Brain
 from honeyhitch.memory.journal import Journal, JournalFull
 from honeyhitch.memory.pool import Pool, PoolMember
-from honeyhitch.memory.transactions import Ending, Transaction
+from honeyhitch.memory.transactions import Ending, Transaction, Try
 
 log = logs.get()
 MS = 1_000_000  # ns
@@ -119,6 +119,13 @@
         """Send it; `Dispatcher.answered` is called once it has been sent."""
 
 
+class Keeper(Protocol):
+    """Keeps messages that ended undelivered; `Dispatcher.kept` is called once one is safe there."""
+
+    def keep(self, transaction: Transaction) -> None:
+        """Take it over when there is time; the journal holds it until then."""
+
+
 class Dispatcher:
     """One Brain, the transactions held, and the ports; all fronts share it."""
 
@@ -130,6 +137,7 @@
         self.carriers: dict[str, Carrier] = {}
         self.openers: dict[str, Opener] = {}
         self.fronts: dict[str, Front] = {}
+        self.keeper: Keeper | None = None
         self.events: list[api.Event | Transaction] = []
         self.out: dict[str, Call] = {}  # calls out, by the id of each transaction in them
         self.ticking, self.last_tick = False, 0
@@ -138,10 +146,20 @@
     # What comes in.
 
     def resume(self) -> None:
-        """After a start: give the module each owed transaction with its attempts so far."""
+        """After a start: give the module each owed transaction with its attempts so far, and the keeper what
+        it has not taken over yet.
+        """
+        unmoved = list(self.held.unmoved.values())
+        if unmoved and self.keeper is None:
+            log.warning("undelivered.off", waiting=len(unmoved))  # they stay for a start with a keeper
+        if self.keeper is not None:
+            for transaction in unmoved:
+                self.keeper.keep(transaction)
         for transaction in list(self.held.by_id.values()):
             if transaction.ending is not None:  # decided already; only its answer may not have been sent
                 self._answer(transaction)
+                if transaction.keep and not transaction.moved and self.keeper is not None:
+                    self.keeper.keep(transaction)
             else:
                 transaction.came_again = True  # its age is not that of this process
                 self._add(transaction)
@@ -152,6 +170,7 @@
             return Offered(True)
         if not self.taking or len(self.held) >= self.s.max_open:
             return Offered(False, BUSY)
+        transaction.came_at = self.scheduler.now()
         try:
             self.journal.taken(transaction)
         except JournalFull as error:
@@ -222,6 +241,10 @@
         self.out.pop(transaction.id, None)
         if outcome in NEVER_RAN:
             self.journal.never_ran(transaction, number)
+        if self.keeper is not None and outcome is not api.Outcome.DELIVERED:
+            took, wait = self.scheduler.now() - call.sent, result.wait
+            told = Try(number, call.member.id, call.sent, outcome.value, took, wait, result.why)
+            self.journal.outcome(transaction, told)
         over = over or transaction.id not in self.held.by_id or transaction.ending is not None
         if over and transaction.id in self.held.by_id and transaction.ending is None:
             if outcome is api.Outcome.DELIVERED:
@@ -299,7 +322,7 @@
             transaction = self.held.by_id[send.message]  # the module sends nothing that it ended
             number = transaction.attempts
             try:
-                self.journal.attempt(transaction, now, member.zone)
+                self.journal.attempt(transaction, now, member.zone, member.id)
             except JournalFull as error:  # what cannot be written down must not be sent
                 log.warning("journal.full", what="attempt", error=str(error))
                 transaction.attempts += 1
@@ -333,8 +356,15 @@
         if ending is Ending.OVER or (ending is Ending.DELIVERED and transaction.front == "resp"):
             self.journal.end(transaction, ending)
             return
-        self.journal.decided(transaction, ending, come_back)
+        keeper = self.keeper if ending is not Ending.DELIVERED else None
+        self.journal.decided(transaction, ending, come_back, keep=keeper is not None)
         self._answer(transaction)
+        if keeper is not None:
+            keeper.keep(transaction)
+
+    def kept(self, transaction: Transaction) -> None:
+        """The keeper has it, or has let it go."""
+        self.journal.kept(transaction)
 
     def _answer(self, transaction: Transaction) -> None:
         front = self.fronts.get(transaction.front)
--- a/honeyhitch/lifecycle/cli.py
+++ b/honeyhitch/lifecycle/cli.py
@@ -12,6 +12,7 @@
 from honeyhitch import __version__, logs
 from honeyhitch.lifecycle import config as configuration
 from honeyhitch.lifecycle.tls_commands import tls
+from honeyhitch.lifecycle.undelivered import undelivered
 
 
 @click.group()
@@ -78,6 +79,7 @@
 
 
 main.add_command(tls)
+main.add_command(undelivered)
 
 
 def _read(path: str | None, operator: str | None) -> configuration.Config:
--- a/honeyhitch/lifecycle/config/file.py
+++ b/honeyhitch/lifecycle/config/file.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from pathlib import Path
@@ -14,6 +15,7 @@
 from honeyhitch.setup import Address, ConfigError, Limits, Operator
 
 FIXED_SOCKETS = 32  # standard streams, loop, journal, listeners, discovery, broker, one just accepted
+MOST_SOCKET_PATH = 107  # bytes of a Unix-domain socket's path (unix(7))
 LEAST_ROOM = 16  # descriptors for calls, clients and idle connections together
 
 
@@ -102,17 +104,22 @@
     known = told.get("known") or {"revision": 0, "complete": True, "members": []}
     if not isinstance(known, dict):
         raise ConfigError("known: expected an object in discovery's form")
+    beside = read_operator(
+        operator or environ.get("ROUTER_OPERATOR", ""), str(values["name"]), settings, environ
+    )
+    state = Path(str(values["state"]))
+    if beside.control is not None and len(os.fsencode(beside.control.at(state))) > MOST_SOCKET_PATH:
+        at = beside.control.at(state)
+        raise ConfigError(f"control.path: over {MOST_SOCKET_PATH} bytes: {at}; give a shorter one")
     return Config(
         name=str(values["name"]),
         listen=Address.parse(values["listen"], "listen"),
         discovery=Address.parse(values["discovery"], "discovery"),
-        state=Path(str(values["state"])),
+        state=state,
         seed=_seed(told.get("seed", 0)),
         limits=limits,
         known=known,
         settings=settings,
-        operator=read_operator(
-            operator or environ.get("ROUTER_OPERATOR", ""), str(values["name"]), settings, environ
-        ),
+        operator=beside,
         words=first,
     )
--- a/honeyhitch/lifecycle/config/operator.py
+++ b/honeyhitch/lifecycle/config/operator.py
@@ -9,9 +9,9 @@
 
 from honeyhitch import interface as api
 from honeyhitch import logs
-from honeyhitch.lifecycle.config import mqtt, tls
+from honeyhitch.lifecycle.config import mqtt, tls, undelivered
 from honeyhitch.lifecycle.config.values import Table
-from honeyhitch.setup import Address, ConfigError, Operator
+from honeyhitch.setup import Address, ConfigError, Control, Operator
 from honeyhitch.tls.settings import Partner
 
 
@@ -47,8 +47,24 @@
     log.done()
     told_tls = table.maybe("tls", dict)
     told_mqtt = table.maybe("mqtt", dict)
+    control = _control(table.maybe("control", dict))
+    told_undelivered = table.maybe("undelivered", dict)
     table.done()
     parsed = {key: Address.parse(text, f"beside.{key}") if text else None for key, text in addresses.items()}
     setup = mqtt.setup(told_mqtt, name, settings, environ) if told_mqtt is not None else None
     partners = tls.setup(told_tls, settings, environ) if told_tls is not None else None
-    return Operator(setup, parsed["agent-check"], parsed["health"], form, level, partners)
+    kept = undelivered.setup(told_undelivered) if told_undelivered is not None else None
+    if kept is not None:  # it is looked at and cared for through the control socket
+        control = control or Control()
+    return Operator(setup, parsed["agent-check"], parsed["health"], form, level, partners, kept, control)
+
+
+def _control(told: object) -> Control | None:
+    if told is None:
+        return None
+    table = Table(told, "control")
+    path = table.maybe("path", str)
+    table.done()
+    if path is not None and not Path(path).is_absolute():
+        raise ConfigError(f"control.path: expected an absolute path, got {path!r}")
+    return Control(Path(path) if path is not None else None)
--- a/honeyhitch/lifecycle/serve.py
+++ b/honeyhitch/lifecycle/serve.py
@@ -7,29 +7,36 @@
 import signal
 from collections.abc import Awaitable, Callable, Coroutine
 from random import Random
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import uvloop
 
-from honeyhitch import logs
+from honeyhitch import __version__, logs
 from honeyhitch.core import Dispatcher
 from honeyhitch.lifecycle.config import FIXED_SOCKETS, Config, ConfigError
 from honeyhitch.lifecycle.signals import Stop, on_reload
 from honeyhitch.memory.journal import Journal
 from honeyhitch.memory.pool import GATED, Pool, PoolError, PoolMember
-from honeyhitch.setup import MqttSetup
+from honeyhitch.setup import Control, MqttSetup
 from honeyhitch.tls.settings import TlsSetup
+from honeyhitch.undelivered.settings import Undelivered
 from honeyhitch.wire import resp
 from honeyhitch.wire.agent_check import AgentSession, HealthSession
+from honeyhitch.wire.control import Asked, Verbs
 from honeyhitch.wire.drivers.broker import MqttCarrier, MqttFront, Way
+from honeyhitch.wire.drivers.control import ControlServer, ControlUnusable
 from honeyhitch.wire.drivers.discovery import Discovery
 from honeyhitch.wire.drivers.members import HttpCarrier
 from honeyhitch.wire.drivers.tasks import LoopScheduler, Tasks
 from honeyhitch.wire.drivers.virtual_server import ServerSession, VirtualServer
 
+if TYPE_CHECKING:
+    from honeyhitch.undelivered.keeping import Keeping
+
 log = logs.get()
 ACCEPT_ON, SEND_ON, LEAVE_AT = 0.6, 2.8, 3.3  # seconds after SIGTERM; SIGKILL comes after 3.7 at the soonest
 BESIDE_SOCKETS = 16  # connections at once to the agent-check, and as many to health
+CONTROL_FILES, STORE_FILES = 10, 10  # descriptors: a listener and its connections; database, log, lock
 REDELIVERY = 600 * 10**9  # ns for which ids are remembered that a broker may hand in again
 LOOK = 0.02  # seconds between looks at what is still out
 AT_START_ONLY = ("name", "listen", "state", "seed", "limits", "known", "settings", "operator")
@@ -42,6 +49,8 @@
     """
     beside = config.operator
     others = BESIDE_SOCKETS * ((beside.agent_check is not None) + (beside.health is not None))
+    others += CONTROL_FILES if beside.control is not None else 0
+    others += STORE_FILES if beside.undelivered is not None else 0
     left = config.limits.sockets - FIXED_SOCKETS - config.settings.slots - others
     most_idle = max(1, left // 4)
     return max(1, left - most_idle), most_idle
@@ -61,6 +70,7 @@
             config.limits.disk,
             self.scheduler.now,
             lambda ended: max(longest, REDELIVERY) if ended.front == "mqtt" else longest,
+            detailed=config.operator.undelivered is not None,
         )
         pool = Pool(settings)
         self.dispatcher = Dispatcher(settings, config.seed, pool, self.journal, self.scheduler)
@@ -76,6 +86,25 @@
         if config.operator.mqtt is not None:
             self._mqtt(config.operator.mqtt, way)
         self.servers: list[VirtualServer] = []
+        self.verbs = Verbs()
+        self.control: ControlServer | None = None
+        self.verbs.add("GET", "/state", self._state)
+        self.keeping: Keeping | None = None
+        if config.operator.undelivered is not None:
+            self._undelivered(config.operator.undelivered)
+
+    def _undelivered(self, setup: Undelivered) -> None:
+        from honeyhitch.undelivered.keeping import Keeping  # needs the extra honeyhitch[undelivered]
+        from honeyhitch.undelivered.verbs import register
+
+        self.keeping = Keeping(setup, self.config.state, self.dispatcher, self.scheduler, self.loop)
+        self.works.append(self.keeping.care)
+        register(self.verbs, self.keeping)
+
+    async def _state(self, asked: Asked) -> dict[str, Any]:
+        state = self.dispatcher.state()
+        told: dict[str, Any] = {"phase": state.phase.value, "held": state.held, "most": state.most}
+        return told | {"pid": os.getpid(), "name": self.config.name, "version": __version__}
 
     def _tls(self, most: int) -> Way | None:
         """What speaks TLS, where the operator's file asks for it; the way to the broker is returned."""
@@ -140,10 +169,20 @@
             self._listen(
                 (beside.health.host, beside.health.port), lambda: HealthSession(state), BESIDE_SOCKETS
             )
+        if beside.control is not None:
+            self._control(beside.control)
         for work in self.works:
             self.tasks.keep(work)
         self.discovery.start()
 
+    def _control(self, setup: Control) -> None:
+        try:
+            self.control = ControlServer(setup.at(self.config.state), self.verbs, self.tasks)
+        except ControlUnusable as error:  # messages are served all the same
+            log.error("control.unusable", error=str(error))
+            return
+        self.tasks.keep(self.control.accept)
+
     def reload(self, read: Callable[[Config], Config]) -> None:
         """Take over a new configuration: nothing held is lost, and with a faulty one all stays as it is.
         Files of TLS partners are read again in any case; those that cannot be used stay as they were, too.
@@ -201,7 +240,11 @@
         self.dispatcher.taking = self.dispatcher.sending = False
         for server in self.servers:
             server.close()
+        if self.control is not None:
+            self.control.close()
         await self.tasks.stop()
+        if self.keeping is not None:
+            await self.keeping.stop()
         self.journal.close()
         logs.flush(everything=True)
 
--- a/honeyhitch/memory/journal.py
+++ b/honeyhitch/memory/journal.py
@@ -11,10 +11,11 @@
 import struct
 import zlib
 from collections.abc import Callable, Iterator
+from dataclasses import astuple
 from pathlib import Path
 
 from honeyhitch import logs
-from honeyhitch.memory.transactions import Ending, Held, Transaction
+from honeyhitch.memory.transactions import Ending, Held, Transaction, Try
 
 log = logs.get()
 HEAD = struct.Struct("<II")  # length and checksum of what follows
@@ -58,11 +59,18 @@
     """The file, and the account of what it holds: `held` is what a replay would give."""
 
     def __init__(
-        self, folder: Path, disk: int, clock: Callable[[], int], remember: Callable[[Transaction], int]
+        self,
+        folder: Path,
+        disk: int,
+        clock: Callable[[], int],
+        remember: Callable[[Transaction], int],
+        detailed: bool = False,
     ) -> None:
         self.path, self.spare, self.disk = folder / "journal", folder / "journal.new", disk
         self.clock, self.remember, self.held = clock, remember, Held(disk // DISK_A_NAME)
+        self.detailed = detailed  # members, outcomes and times are written down for those who read them later
         self.live = 0  # bytes of the records that compaction would keep, roughly
+        self.waiting = 0  # and of these, what belongs to messages that only wait for the store
         self.sizes: dict[str, int] = {}
         self.spare.unlink(missing_ok=True)  # a compaction that was cut short; the old file still holds all
         self.fd = os.open(self.path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
@@ -80,23 +88,47 @@
         self._write(self._whole(transaction), transaction.body, TAKE_SHARE)
         self._hold(transaction)
 
-    def attempt(self, transaction: Transaction, at: int, zone: int) -> None:
+    def attempt(self, transaction: Transaction, at: int, zone: int, member: str = "") -> None:
         """Before the first byte of a call."""
         number = transaction.attempts
-        self._write({"t": "attempt", "id": transaction.id, "n": number, "at": at, "zone": zone})
+        fields: dict[str, object] = {"t": "attempt", "id": transaction.id, "n": number}
+        fields |= {"at": at, "zone": zone}
+        self._write(fields | ({"to": member} if self.detailed else {}))
         transaction.attempts += 1
         transaction.ran.append((number, at, zone))
+        if self.detailed:
+            transaction.tries.append(Try(number, member, at))
+
+    def outcome(self, transaction: Transaction, told: Try) -> None:
+        """How an attempt ended, for those who read it later; nothing that is decided rests on it."""
+        if self.detailed:
+            fields: dict[str, object] = {"t": "outcome", "id": transaction.id, "n": told.number}
+            self._note(fields | {"as": told.outcome, "took": told.took, "wait": told.wait, "why": told.why})
+            transaction.tries = [told if one.number == told.number else one for one in transaction.tries]
 
     def never_ran(self, transaction: Transaction, number: int) -> None:
         """The outcome of an attempt proves that it never ran; other outcomes change nothing."""
         self._note({"t": "never", "id": transaction.id, "n": number})
         transaction.ran = [ran for ran in transaction.ran if ran[0] != number]
 
-    def decided(self, transaction: Transaction, ending: Ending, come_back: int) -> None:
-        """Before a final answer is sent: from now on it is this one and no other."""
-        self._note({"t": "decided", "id": transaction.id, "as": ending.value, "back": come_back})
+    def decided(self, transaction: Transaction, ending: Ending, come_back: int, keep: bool = False) -> None:
+        """Before a final answer is sent: from now on it is this one and no other.
+
+        With `keep` the message stays here, also after its answer was sent, until `kept`.
+        """
+        fields: dict[str, object] = {"t": "decided", "id": transaction.id, "as": ending.value}
+        fields["back"] = come_back
+        if keep:
+            transaction.ended_at, transaction.keep = self.clock(), True
+            fields |= {"at": transaction.ended_at, "keep": True}
+        self._note(fields)
         transaction.ending, transaction.come_back = ending, come_back
 
+    def kept(self, transaction: Transaction) -> None:
+        """The store has it, or has let it go: it need not stay here for that any longer."""
+        self._note({"t": "kept", "id": transaction.id, "at": transaction.ended_at})
+        self._moved(transaction.id, transaction.ended_at)
+
     def end(self, transaction: Transaction, ending: Ending) -> None:
         """After the final answer was sent: nothing more is owed."""
         self._note({"t": "end", "id": transaction.id, "as": ending.value, "at": self.clock()})
@@ -106,13 +138,18 @@
 
     def _hold(self, transaction: Transaction) -> None:
         self.held.by_id[transaction.id] = transaction
-        self.sizes[transaction.id] = size = len(transaction.body) + 512  # with its later records
+        self.sizes[transaction.id] = size = self._room(transaction)
         self.live += size
 
     def _end(self, transaction: Transaction, ending: Ending, at: int) -> None:
         transaction.ending = ending
         self.held.by_id.pop(transaction.id, None)
-        self.live -= self.sizes.pop(transaction.id, 0)
+        size = self.sizes.pop(transaction.id, 0)
+        if transaction.keep and not transaction.moved:
+            self.held.unmoved[transaction.id, transaction.ended_at] = transaction
+            self.waiting += size
+        else:
+            self.live -= size
         until = at + self.remember(transaction)
         self.held.ended[transaction.id] = until
         first = transaction.first_ran()
@@ -122,13 +159,27 @@
             self.held.keys[self.held.key(transaction)] = (*first, until)
 
     @staticmethod
-    def _whole(transaction: Transaction) -> dict[str, object]:
+    def _room(transaction: Transaction) -> int:  # bytes, with its later records
+        return len(transaction.body) + 512
+
+    def _moved(self, name: str, at: int) -> None:
+        if (known := self.held.by_id.get(name)) is not None and known.ended_at == at and known.keep:
+            known.moved = True  # its answer is still to be sent
+        elif (left := self.held.unmoved.pop((name, at), None)) is not None:
+            left.moved = True
+            self.live, self.waiting = self.live - self._room(left), self.waiting - self._room(left)
+
+    def _whole(self, transaction: Transaction) -> dict[str, object]:
         fields: dict[str, object] = {
             name: getattr(transaction, name)
             for name in ("id", "cls", "destination", "deadline", "key", "tenant", "came_again", "front")
         }
         fields |= {"t": "taken", "reply": transaction.reply, "attempts": transaction.attempts}
         fields |= {"ran": transaction.ran, "back": transaction.come_back}
+        if transaction.keep or self.detailed:
+            fields |= {"came_at": transaction.came_at, "ended_at": transaction.ended_at}
+            fields |= {"keep": transaction.keep, "moved": transaction.moved}
+            fields["tries"] = [astuple(one) for one in transaction.tries]
         return fields | {"as": transaction.ending.value if transaction.ending else None}
 
     def _replay(self) -> None:
@@ -145,9 +196,18 @@
         if kind == "taken":
             ending, back = fields.pop("as"), fields.pop("back")
             ran = [(int(n), int(at), int(zone)) for n, at, zone in fields.pop("ran")]  # type: ignore[attr-defined]
+            tries, over = fields.pop("tries", ()), fields.pop("over", False)
             transaction = Transaction(body=body, ran=ran, **fields)  # type: ignore[arg-type]
+            transaction.tries = [Try(*told) for told in tries]  # type: ignore[attr-defined]
             transaction.ending, transaction.come_back = Ending(ending) if ending else None, int(str(back))
-            self._hold(transaction)
+            if over:  # answered: it only waits for the store
+                self.held.unmoved[transaction.id, transaction.ended_at] = transaction
+                self.live += self._room(transaction)
+                self.waiting += self._room(transaction)
+            else:
+                self._hold(transaction)
+        elif kind == "kept":
+            self._moved(str(fields["id"]), int(str(fields["at"])))
         elif kind == "past":
             self.held.ended.update(fields["ended"])  # type: ignore[call-overload]
             self.held.keys.update({key: tuple(row) for key, row in fields["keys"].items()})  # type: ignore[attr-defined]
@@ -156,10 +216,18 @@
             if kind == "attempt":
                 known.attempts = number + 1
                 known.ran.append((number, int(str(fields["at"])), int(str(fields["zone"]))))
+                if "to" in fields:
+                    known.tries.append(Try(number, str(fields["to"]), int(str(fields["at"]))))
+            elif kind == "outcome":
+                for one in known.tries:
+                    if one.number == number:
+                        one.outcome, one.why = str(fields["as"]), str(fields["why"])
+                        one.took, one.wait = int(str(fields["took"])), int(str(fields["wait"]))
             elif kind == "never":
                 known.ran = [ran for ran in known.ran if ran[0] != number]
             elif kind == "decided":
                 known.ending, known.come_back = Ending(fields["as"]), int(str(fields["back"]))
+                known.ended_at, known.keep = int(str(fields.get("at", 0))), bool(fields.get("keep", False))
             elif kind == "end":
                 self._end(known, Ending(fields["as"]), int(str(fields["at"])))
 
@@ -201,6 +269,8 @@
             for at in range(0, max(len(ended), len(keys)), PIECE)
         ]
         parts += [pack(self._whole(known), known.body) for known in self.held.by_id.values()]
+        late = self.held.unmoved.values()
+        parts += [pack(self._whole(known) | {"over": True}, known.body) for known in late]
         data = b"".join(parts)
         if len(data) >= self.size or self.size + len(data) + 4 * BLOCK > self.disk:
             return
--- a/honeyhitch/memory/transactions.py
+++ b/honeyhitch/memory/transactions.py
@@ -15,6 +15,19 @@
     OVER = "over"  # nobody waits for an answer
 
 
+@dataclass(slots=True)
+class Try:
+    """One attempt, as it is remembered where undelivered messages are kept. Times in nanoseconds."""
+
+    number: int
+    member: str
+    at: int  # Unix time
+    outcome: str = ""  # none as long as it is out, or if the process died meanwhile
+    took: int = 0
+    wait: int = 0  # told with it
+    why: str = ""  # the name of a failure that outcomes do not tell apart
+
+
 @dataclass(slots=True, eq=False)
 class Transaction:
     """One message, with what the journal must keep of it. Times are Unix times in nanoseconds."""
@@ -33,6 +46,11 @@
     ran: list[tuple[int, int, int]] = field(default_factory=list)  # attempt, when, zone: it may have run
     ending: Ending | None = None  # decided; the answer may still have to be sent
     come_back: int = 0  # with a reject: when to come again, nanoseconds
+    ended_at: int = 0  # when that was decided
+    came_at: int = 0  # when it was taken on; this and what follows is known where undelivered ones are kept
+    tries: list[Try] = field(default_factory=list)
+    keep: bool = False  # ended undelivered: it stays till the store has it
+    moved: bool = False  # the store has it
 
     def first_ran(self) -> tuple[int, int] | None:
         """When and in which zone it may have run first."""
@@ -44,6 +62,7 @@
 
     def __init__(self, most: int = 10_000) -> None:
         self.by_id: dict[str, Transaction] = {}
+        self.unmoved: dict[tuple[str, int], Transaction] = {}  # by id and end: answered, not in the store
         self.ended: dict[str, int] = {}  # id: remembered until
         self.keys: dict[str, tuple[int, int, int]] = {}  # delivered: first ran at, its zone, until
         self.most = most  # ids, and as many keys
--- a/honeyhitch/setup.py
+++ b/honeyhitch/setup.py
@@ -6,8 +6,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from pathlib import Path
 
 from honeyhitch.tls.settings import Partner, TlsSetup
+from honeyhitch.undelivered.settings import Undelivered
 
 
 class ConfigError(Exception):
@@ -68,6 +70,17 @@
     tls: Partner | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Control:
+    """The control socket."""
+
+    path: Path | None = None  # in the state folder where it is not set
+
+    def at(self, state: Path) -> Path:
+        """Where the socket is."""
+        return self.path if self.path is not None else state / "control.sock"
+
+
 @dataclass(frozen=True, slots=True)
 class Operator:
     """What an operator's file adds; nothing of it is on by itself."""
@@ -78,3 +91,5 @@
     log_format: str = "console"
     log_level: str = "info"
     tls: TlsSetup | None = None
+    undelivered: Undelivered | None = None
+    control: Control | None = None
--- /dev/null
+++ b/honeyhitch/undelivered/keeping.py
@@ -0,0 +1,88 @@
+"""Binds the store to a running dispatcher: the threads, the mover, and the care that comes round."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from honeyhitch import logs
+from honeyhitch.core import Dispatcher, Scheduler
+from honeyhitch.undelivered import operations
+from honeyhitch.undelivered.moving import Moving, tell_dropped
+from honeyhitch.undelivered.settings import Undelivered
+from honeyhitch.undelivered.store import Store
+from honeyhitch.undelivered.worker import Job, Worker
+
+log = logs.get()
+CARE = 600.0  # seconds between looks at what is over age
+PATIENCE = 2.0  # seconds for what is in the queues at the end
+READS = 64  # questions waiting at most
+
+
+class Busy(Exception):
+    """The queue to the store is full."""
+
+
+class Keeping:
+    """One store under a running dispatcher; a second thread reads, so that no question delays a write."""
+
+    def __init__(
+        self,
+        setup: Undelivered,
+        state: Path,
+        dispatcher: Dispatcher,
+        scheduler: Scheduler,
+        loop: asyncio.AbstractEventLoop,
+    ) -> None:
+        folder, limits, clock = setup.at(state), setup.limits, scheduler.now
+        self.loop = loop
+        post: Callable[[Callable[[], None]], object] = loop.call_soon_threadsafe
+        self.writer = Worker(lambda: Store(folder, limits, setup.compress_from, clock), post)
+        self.reader = Worker(lambda: Store(folder, limits, clock=clock, writes=False), post, READS)
+        self.moving = Moving(dispatcher.s, dispatcher.journal, scheduler, self.writer.submit, dispatcher.kept)
+        dispatcher.keeper = self.moving
+
+    async def ask(self, name: str, told: dict[str, Any], who: str) -> dict[str, Any]:
+        """Do an operation on the store (operations.py).
+
+        Raises Busy, OperationError, StoreError, sqlite3.Error.
+        """
+        worker = self.reader if name in operations.READS else self.writer
+        return dict(await self._done(worker, lambda store: operations.done(store, name, told, who)))
+
+    async def _done(self, worker: Worker, job: Job) -> Any:
+        waiter: asyncio.Future[Any] = self.loop.create_future()
+
+        def done(result: Any) -> None:
+            if waiter.done():  # whoever asked has gone away
+                return
+            if isinstance(result, Exception):
+                waiter.set_exception(result)
+            else:
+                waiter.set_result(result)
+
+        if not worker.submit(job, done):
+            raise Busy("the queue to the store is full")
+        return await waiter
+
+    async def care(self) -> None:
+        """Drop from time to time what is over age, also where nothing new comes."""
+
+        def job(store: Store) -> Any:
+            return store.make_room()
+
+        while True:
+            try:
+                tell_dropped(await self._done(self.writer, job))
+                await self._done(self.writer, Store.tidy)
+            except Exception as error:  # the store is opened again with the next job
+                log.error("undelivered.store-failed", error=str(error), key=str(error))
+            await asyncio.sleep(CARE)
+
+    async def stop(self) -> None:
+        """Write what is on its way, for a bounded time; the rest stays in the journal."""
+        await asyncio.gather(
+            *(asyncio.to_thread(worker.stop, PATIENCE) for worker in (self.writer, self.reader))
+        )
--- /dev/null
+++ b/honeyhitch/undelivered/records.py
@@ -0,0 +1,175 @@
+"""An undelivered message as it is kept, and the form under which it is sealed. No I/O."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+from honeyhitch import interface as api
+from honeyhitch.memory.transactions import Transaction, Try
+
+NEVER_RAN = frozenset(
+    one.value for one in (api.Outcome.REFUSED, api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT)
+)
+NOT_TRIED, LOST = "not-tried", "lost"  # reasons that are no outcomes: nothing was sent, or nobody saw the end
+
+
+class Standing(Enum):
+    """What has become of a record."""
+
+    KEPT = "kept"
+    SENDING = "sending"  # a resend is on its way
+    SETTLED = "settled"  # delivered since, or settled by a person
+    DISCARDED = "discarded"
+
+
+OPEN = (Standing.KEPT, Standing.SENDING)  # those that still ask for something
+
+
+@dataclass(slots=True)
+class Record:
+    """One undelivered message, whole. Times are Unix times in nanoseconds, spans nanoseconds."""
+
+    id: str
+    ended_at: int
+    came_at: int
+    deadline: int
+    destination: int
+    cls: str
+    effect: str
+    window: int  # in which a repeat with the key is dropped
+    zoned: bool  # and only within the zone of the first attempt
+    tenant: str
+    key: str
+    front: str
+    came_again: bool  # it was held over a restart
+    ending: str
+    reason: str  # the last outcome, or why there was none
+    come_back: int  # told to the client, 0 if nothing was
+    first_ran: int | None  # when it may first have run; None if it never ran
+    first_zone: int
+    tries: tuple[Try, ...]
+    body: bytes
+    seq: int = 0  # its place in the store
+    standing: Standing = Standing.KEPT
+    settled_by: str = ""
+    evidence: str = ""  # the partner's word that it was not applied, by which a person released it
+    resends: int = 0
+    resend_id: str = ""  # the latest one's
+    changed_at: int = 0
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether any attempt may have been applied."""
+        return self.first_ran is not None
+
+    @property
+    def unresolved(self) -> bool:
+        """It may have been applied, and nobody has said yet whether it was."""
+        return self.may_have_run and self.standing in OPEN
+
+    def public(self, body: bool = False) -> dict[str, Any]:
+        """As a program reads it; the body only where it is asked for."""
+        told: dict[str, Any] = {name: getattr(self, name) for name in PUBLIC}
+        told |= {"standing": self.standing.value, "may_have_run": self.may_have_run}
+        told["attempts"] = [
+            {
+                "number": one.number,
+                "member": one.member,
+                "at": one.at,
+                "outcome": one.outcome or LOST,
+                "took": one.took,
+                "wait": one.wait,
+                "why": one.why,
+                "may_have_run": one.outcome not in NEVER_RAN,
+            }
+            for one in self.tries
+        ]
+        if body:
+            try:
+                told["body"] = self.body.decode()
+            except UnicodeDecodeError:
+                told["body_hex"] = self.body.hex()
+        return told
+
+
+@dataclass(frozen=True, slots=True)
+class Kept:
+    """A record as it was read; `fault` says how it was altered on disk, if it was."""
+
+    record: Record
+    fault: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Dropped:
+    """Records that had to go."""
+
+    why: str  # "age" or "room"
+    may_have_run: bool
+    count: int
+    size: int
+    ids: tuple[str, ...]  # of the first few
+
+
+PUBLIC = (
+    "seq", "id", "key", "cls", "tenant", "destination", "front", "came_at", "deadline", "ended_at", "ending",
+    "reason", "come_back", "came_again", "effect", "window", "first_ran", "evidence", "settled_by", "resends",
+    "resend_id", "changed_at",
+)  # fmt: skip
+
+
+def of(transaction: Transaction, settings: api.Settings) -> Record:
+    """The record of a transaction that ended undelivered."""
+    cls = settings.classes[transaction.cls]
+    tenants = settings.tenant_names
+    first = transaction.first_ran()
+    return Record(
+        id=transaction.id,
+        ended_at=transaction.ended_at,
+        came_at=transaction.came_at,
+        deadline=transaction.deadline,
+        destination=transaction.destination,
+        cls=cls.name or str(transaction.cls),
+        effect=cls.effect.value,
+        window=cls.window,
+        zoned=cls.group is api.Group.ZONE,
+        tenant=tenants[transaction.tenant] if transaction.tenant < len(tenants) else str(transaction.tenant),
+        key=transaction.key,
+        front=transaction.front,
+        came_again=transaction.came_again,
+        ending=transaction.ending.value if transaction.ending else "",
+        reason=reason(transaction),
+        come_back=transaction.come_back,
+        first_ran=first[0] if first else None,
+        first_zone=first[1] if first else 0,
+        tries=tuple(transaction.tries),
+        body=transaction.body,
+        changed_at=transaction.ended_at,
+    )
+
+
+def reason(transaction: Transaction) -> str:
+    """Why it was not delivered, in a word."""
+    if not transaction.attempts:
+        return NOT_TRIED
+    return (transaction.tries[-1].outcome if transaction.tries else "") or LOST
+
+
+def pack_tries(tries: tuple[Try, ...]) -> str:
+    """The history as it is stored."""
+    rows = [[one.number, one.member, one.at, one.outcome, one.took, one.wait, one.why] for one in tries]
+    return json.dumps(rows, separators=(",", ":"))
+
+
+def unpack_tries(text: str) -> tuple[Try, ...]:
+    """The history from the store; ValueError or TypeError if it is none."""
+    return tuple(Try(*row) for row in json.loads(text))
+
+
+def canonical(columns: dict[str, Any], body: bytes) -> bytes:
+    """What is sealed: every column that a record has, by name, and the stored body behind its length."""
+    text = json.dumps(columns, separators=(",", ":"), sort_keys=True).encode()
+    return len(text).to_bytes(4, "big") + text + body
--- /dev/null
+++ b/honeyhitch/undelivered/verbs.py
@@ -0,0 +1,29 @@
+"""The store's operations as verbs of the control socket: POST /undelivered/NAME with their values as JSON."""
+
+from __future__ import annotations
+
+import sqlite3
+from http import HTTPStatus
+from typing import Any
+
+from honeyhitch.undelivered import operations
+from honeyhitch.undelivered.files import StoreError
+from honeyhitch.undelivered.keeping import Busy, Keeping
+from honeyhitch.wire.control import Asked, ControlError, Verbs
+
+PREFIX = "/undelivered/"
+
+
+def register(verbs: Verbs, keeping: Keeping) -> None:
+    """Add them all."""
+
+    async def do(asked: Asked) -> dict[str, Any]:
+        try:
+            return await keeping.ask(asked.path.removeprefix(PREFIX), asked.told, asked.who)
+        except operations.OperationError as error:
+            raise ControlError(HTTPStatus.BAD_REQUEST, str(error)) from error
+        except (Busy, StoreError, sqlite3.Error, OSError) as error:
+            raise ControlError(HTTPStatus.SERVICE_UNAVAILABLE, str(error)) from error
+
+    for name in (*operations.READS, *operations.WRITES):
+        verbs.add("POST", PREFIX + name, do)
--- /dev/null
+++ b/honeyhitch/wire/control.py
@@ -0,0 +1,133 @@
+"""The control socket's side of HTTP/1.1 with JSON (RFC 9112): requests from bytes, answers as bytes.
+
+A later part of the program adds verbs by registering a method, a path and a handler with `Verbs`.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any
+
+import httptools
+
+MOST_HEAD = 16_384  # bytes of a request's first line and headers
+MOST_BODY = 1 << 20  # bytes
+JSON = {"Content-Type": "application/json", "Cache-Control": "no-store"}
+
+
+class ControlError(Exception):
+    """A request that is answered with this status and these words."""
+
+    def __init__(self, status: HTTPStatus, why: str) -> None:
+        super().__init__(why)
+        self.status, self.why = status, why
+
+
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """One request: what is wanted, with which values, and by whom."""
+
+    method: str
+    path: str
+    told: dict[str, Any]
+    who: str = ""
+
+
+Handler = Callable[[Asked], Awaitable[dict[str, Any]]]
+
+
+class Verbs:
+    """What the control socket can do, by method and path."""
+
+    def __init__(self) -> None:
+        self.handlers: dict[str, dict[str, Handler]] = {}
+
+    def add(self, method: str, path: str, handler: Handler) -> None:
+        """From now on this path does that. ValueError if another part has taken it."""
+        known = self.handlers.setdefault(path, {})
+        if method in known:
+            raise ValueError(f"{method} {path}: is there already")
+        known[method] = handler
+
+    async def do(self, asked: Asked) -> dict[str, Any]:
+        """Have it done. Raises ControlError, and whatever the handler raises."""
+        known = self.handlers.get(asked.path)
+        if known is None:
+            raise ControlError(HTTPStatus.NOT_FOUND, f"{asked.path}: no such path")
+        handler = known.get(asked.method)
+        if handler is None:
+            raise ControlError(HTTPStatus.METHOD_NOT_ALLOWED, f"{asked.path}: expected {', '.join(known)}")
+        return await handler(asked)
+
+
+def answer(status: HTTPStatus, told: dict[str, Any], close: bool = False) -> bytes:
+    """One answer."""
+    body = json.dumps(told, separators=(",", ":")).encode() + b"\n"
+    lines = [f"HTTP/1.1 {status.value} {status.phrase}", *(f"{name}: {text}" for name, text in JSON.items())]
+    lines += [f"Content-Length: {len(body)}", *(["Connection: close"] if close else [])]
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+class ControlMachine:
+    """Reads one connection's requests; `asked` holds those that are whole, oldest first."""
+
+    def __init__(self, who: str) -> None:
+        self.who, self.asked, self.closing = who, list[Asked](), False
+        self.parser = httptools.HttpRequestParser(self)
+        self._fresh()
+
+    def _fresh(self) -> None:
+        self.url, self.pieces, self.head, self.size, self.length = b"", list[bytes](), 0, 0, 0
+
+    def feed(self, data: bytes) -> None:
+        """Take bytes. Raises ControlError, after which the connection is answered and closed."""
+        self.head += len(data)
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            raise self._broken(HTTPStatus.BAD_REQUEST, "upgrade: not offered") from None
+        except httptools.HttpParserCallbackError as error:
+            if isinstance(error.__context__, ControlError):
+                raise error.__context__ from None
+            raise self._broken(HTTPStatus.BAD_REQUEST, str(error)) from error
+        except httptools.HttpParserError as error:
+            raise self._broken(HTTPStatus.BAD_REQUEST, f"request: {error}") from error
+        if self.head - self.size > MOST_HEAD:
+            raise self._broken(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "request: its head is too long")
+
+    def _broken(self, status: HTTPStatus, why: str) -> ControlError:
+        self.closing = True
+        return ControlError(status, why)
+
+    # What the parser calls.
+
+    def on_url(self, url: bytes) -> None:
+        self.url += url
+        if len(self.url) > MOST_HEAD:
+            raise self._broken(HTTPStatus.REQUEST_URI_TOO_LONG, "request: its path is too long")
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if name.lower() == b"content-length" and value.isdigit() and int(value[:20]) > MOST_BODY:
+            raise self._broken(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, f"body: over {MOST_BODY} bytes")
+
+    def on_body(self, body: bytes) -> None:
+        self.size += len(body)
+        if self.size > MOST_BODY:
+            raise self._broken(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, f"body: over {MOST_BODY} bytes")
+        self.pieces.append(body)
+
+    def on_message_complete(self) -> None:
+        method = self.parser.get_method().decode("latin-1")
+        path = self.url.partition(b"?")[0].decode("latin-1")
+        text, self.closing = b"".join(self.pieces), not self.parser.should_keep_alive()
+        self._fresh()
+        try:
+            told = json.loads(text) if text else {}
+        except ValueError as error:
+            raise self._broken(HTTPStatus.BAD_REQUEST, f"body: is not JSON: {error}") from error
+        if not isinstance(told, dict):
+            raise self._broken(HTTPStatus.BAD_REQUEST, "body: expected an object")
+        self.asked.append(Asked(method, path, told, self.who))
--- /dev/null
+++ b/honeyhitch/wire/drivers/control.py
@@ -0,0 +1,133 @@
+"""The control socket: a Unix-domain socket (0600) that answers processes of the same user, and root."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import pwd
+import socket
+import struct
+from http import HTTPStatus
+from pathlib import Path
+
+from honeyhitch import logs
+from honeyhitch.memory.buffer import Buffer, Overflow
+from honeyhitch.wire import control
+from honeyhitch.wire.control import ControlError, Verbs
+from honeyhitch.wire.drivers import sockets
+from honeyhitch.wire.drivers.tasks import Tasks
+
+log = logs.get()
+MOST = 8  # connections at once
+IDLE = 30.0  # seconds a connection may say nothing
+PAUSE = 0.05  # seconds before accepting again when no descriptor was left
+CREDENTIALS = struct.Struct("3i")  # pid, uid, gid, as SO_PEERCRED gives them (unix(7))
+
+
+class ControlUnusable(Exception):
+    """The socket cannot be made; the message says why."""
+
+
+def peer(sock: socket.socket) -> int:
+    """The uid of who is at the other end."""
+    told = sock.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, CREDENTIALS.size)
+    return int(CREDENTIALS.unpack(told)[1])
+
+
+def name_of(uid: int) -> str:
+    """A user's name, or the number where there is none."""
+    try:
+        return pwd.getpwuid(uid).pw_name
+    except KeyError:
+        return str(uid)
+
+
+class ControlServer:
+    """One control socket and its connections."""
+
+    def __init__(self, path: Path, verbs: Verbs, tasks: Tasks) -> None:
+        self.path, self.verbs, self.tasks, self.loop = path, verbs, tasks, tasks.loop
+        self.open = 0
+        self.listener = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        self.listener.setblocking(False)
+        try:
+            self._bind()
+        except OSError as error:
+            self.listener.close()
+            raise ControlUnusable(f"{path}: {error.strerror or error}") from error
+
+    def _bind(self) -> None:
+        if self.path.is_socket():  # of a process that is gone, or of one that still serves
+            with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as trial, contextlib.suppress(OSError):
+                trial.connect(str(self.path))
+                raise ControlUnusable(f"{self.path}: another process answers there")
+            self.path.unlink(missing_ok=True)
+        before = os.umask(0o177)  # nobody else may connect, not even for a moment
+        try:
+            self.listener.bind(str(self.path))
+        finally:
+            os.umask(before)
+        self.listener.listen(MOST)
+
+    async def accept(self) -> None:
+        """Accept connections for ever."""
+        while True:
+            try:
+                sock, _ = await self.loop.sock_accept(self.listener)
+            except OSError as error:
+                log.warning("control.accept-failed", error=str(error))
+                await asyncio.sleep(PAUSE)
+                continue
+            sock.setblocking(False)
+            uid = peer(sock)
+            if uid not in (os.getuid(), 0):
+                log.warning("control.refused", uid=uid, key=str(uid))
+            if uid not in (os.getuid(), 0) or self.open >= MOST:
+                sock.close()
+                continue
+            self.open += 1
+            self.tasks.start(self._serve(sock, name_of(uid)))
+
+    async def _serve(self, sock: socket.socket, who: str) -> None:
+        machine, buffer = control.ControlMachine(who), Buffer()
+        try:
+            while not machine.closing:
+                async with asyncio.timeout(IDLE):
+                    if not await sockets.read(self.loop, sock, buffer):
+                        return
+                broken: ControlError | None = None
+                try:
+                    machine.feed(buffer.take())
+                except ControlError as error:
+                    broken = error
+                asked, machine.asked = machine.asked, []
+                for i, one in enumerate(asked):
+                    last = machine.closing and broken is None and i == len(asked) - 1
+                    await self.loop.sock_sendall(sock, await self._answer(one, last))
+                if broken is not None:
+                    await self.loop.sock_sendall(sock, _refused(broken, close=True))
+        except (OSError, Overflow, TimeoutError):
+            pass  # it went away, or says nothing
+        finally:
+            self.open -= 1
+            sock.close()
+
+    async def _answer(self, asked: control.Asked, close: bool) -> bytes:
+        try:
+            return control.answer(HTTPStatus.OK, await self.verbs.do(asked), close)
+        except ControlError as error:
+            return _refused(error, close)
+        except Exception as error:
+            log.error("control.failed", path=asked.path, exc_info=error)
+            why = f"{type(error).__name__}: {error}"
+            return control.answer(HTTPStatus.INTERNAL_SERVER_ERROR, {"error": why}, close)
+
+    def close(self) -> None:
+        """Stop listening, and take the socket away."""
+        self.listener.close()
+        self.path.unlink(missing_ok=True)
+
+
+def _refused(error: ControlError, close: bool) -> bytes:
+    return control.answer(error.status, {"error": error.why}, close)
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -63,7 +63,7 @@
     ) -> None:
         self.s = settings(**{**SETTINGS, **more})
         self.time = time or VirtualTime()
-        self.journal = Journal(folder, disk, self.time.now, lambda ended: 20 * SECOND)
+        self.journal = self.make_journal(folder, disk)
         self.calls: list[Call] = []
         self.answers: list[Transaction] = []
         self.confirm = True
@@ -72,9 +72,16 @@
             self.core.carriers[name] = self
         for name in ("resp", "mqtt"):
             self.core.fronts[name] = self
+        self.prepare()
         self.core.news(self.core.pool.update(LIST, cached=True))
         self.core.resume()
 
+    def make_journal(self, folder: Path, disk: int) -> Journal:
+        return Journal(folder, disk, self.time.now, lambda ended: 20 * SECOND)
+
+    def prepare(self) -> None:
+        """What a test adds before what the journal holds is taken up again."""
+
     def start(self, call: Call) -> None:
         self.calls.append(call)
 
--- /dev/null
+++ b/tests/test_undelivered_store.py
@@ -0,0 +1,503 @@
+"""The store: what is kept comes back whole, limits hold, and what was altered or is not ours is told."""
+
+from __future__ import annotations
+
+import itertools
+import json
+import os
+import sqlite3
+import stat
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from honeyhitch.memory.transactions import Try
+from honeyhitch.undelivered import files, operations, schema
+from honeyhitch.undelivered.filters import Filter, FilterError
+from honeyhitch.undelivered.records import Record, Standing
+from honeyhitch.undelivered.seal import Keys, SealError
+from honeyhitch.undelivered.settings import DAY, Limits
+from honeyhitch.undelivered.store import Store, StoreError
+
+from .rig import START
+from .world import SECOND
+
+names = itertools.count()
+
+
+def record(ran: bool = False, **more: Any) -> Record:
+    told: dict[str, Any] = {
+        "id": f"m{next(names)}", "ended_at": START, "came_at": START - SECOND, "deadline": START + SECOND,
+        "destination": 1, "cls": "standard", "effect": "keyed", "window": 5 * SECOND, "zoned": False,
+        "tenant": "studio", "key": "k", "front": "resp", "came_again": False, "ending": "failed",
+        "reason": "timeout", "come_back": 0, "first_ran": START if ran else None, "first_zone": 0,
+        "tries": (Try(0, "s-1", START, "timeout", SECOND, 0, ""),), "body": b"body",
+    }  # fmt: skip
+    return Record(**{**told, **more})
+
+
+def opened(folder: Path, **more: Any) -> Store:
+    return Store(folder, clock=lambda: START, **more)
+
+
+def test_a_record_comes_back_whole(tmp_path: Path) -> None:
+    store = opened(tmp_path)
+    made = [record(body=bytes(range(256))), record(ran=True, body=b"x" * 20_000), record(body=b"", key="")]
+    assert store.add(made) == []
+    store.close()
+    again = opened(tmp_path, writes=False)
+    for one in made:
+        kept = again.get(one.seq)
+        assert kept is not None and not kept.fault and kept.record == one
+    assert again.get(99) is None
+    (size,) = again.db.execute("SELECT length(body) FROM detail WHERE seq = 2").fetchone()
+    assert size < 200, "a body beyond the threshold is compressed"
+    assert again.count == 3 and again.size == store.size
+
+
+def test_files_are_for_their_owner_alone(tmp_path: Path) -> None:
+    store = opened(tmp_path / "inner")
+    store.add([record()])
+    assert stat.S_IMODE(os.stat(tmp_path / "inner").st_mode) == 0o700
+    for path in (tmp_path / "inner").iterdir():
+        assert stat.S_IMODE(path.stat().st_mode) & 0o077 == 0, path.name
+
+
+def test_kept_twice_is_kept_once(tmp_path: Path) -> None:
+    store, one = opened(tmp_path), record()
+    store.add([one])
+    store.add([one, record(id=one.id, ended_at=START + 1)])
+    assert store.count == 2 == store.counted(Filter(), ())[0]["count"]
+
+
+def test_a_transaction_that_breaks_leaves_all_as_it_was(tmp_path: Path) -> None:
+    store = opened(tmp_path)
+    store.add([record()])
+    before = store.count, store.size
+    with pytest.raises(ZeroDivisionError), store.at_once():
+        store.add([record(), record()])
+        1 / 0
+    assert (store.count, store.size) == before and len(store.page(Filter())) == 1
+
+
+# Limits.
+
+
+def test_room_is_made_with_settled_ones_first_and_what_may_have_run_last(tmp_path: Path) -> None:
+    store = opened(tmp_path, limits=Limits(count=4))
+    ran, never, settled = record(ran=True), record(), record(ran=True, standing=Standing.SETTLED)
+    sending = record(standing=Standing.SENDING)
+    store.add([ran, never, settled, sending])
+    assert [(one.why, one.may_have_run, one.ids) for one in store.add([record(ran=True)])] == [
+        ("room", True, (settled.id,))
+    ]
+    assert [one.ids for one in store.add([record(ran=True)])] == [(never.id,)]
+    newest = record()
+    assert [one.ids for one in store.add([newest])] == [(newest.id,)], (
+        "rather the new one than an open question"
+    )
+    assert [one.ids for one in store.add([record(ran=True)])] == [(ran.id,)]
+    assert {one.record.id for one in store.page(Filter())} >= {sending.id}
+    assert store.count == 4
+    told = {(one["why"], one["may_have_run"]): one["count"] for one in store.dropped()}
+    assert told == {("room", False): 2, ("room", True): 2}
+
+
+def test_bytes_are_bounded_and_counted_the_same_after_a_start(tmp_path: Path) -> None:
+    store = opened(tmp_path, limits=Limits(size=20_000), compress_from=1 << 30)
+    for _ in range(100):
+        store.add([record(body=os.urandom(500))])
+        assert store.size <= 20_000
+    assert 10 < store.count < 30
+    count, size = store.count, store.size
+    store.close()
+    again = opened(tmp_path, limits=Limits(size=20_000))
+    assert (again.count, again.size) == (count, size)
+
+
+def test_what_is_over_age_goes_but_not_a_resend_on_its_way(tmp_path: Path) -> None:
+    now = START
+    store = Store(tmp_path, Limits(age=10 * DAY), clock=lambda: now)
+    store.add(
+        [record(ran=True), record(), record(standing=Standing.SENDING), record(ended_at=START + 5 * DAY)]
+    )
+    now = START + 11 * DAY
+    dropped = store.make_room()
+    assert sorted((one.why, one.may_have_run, one.count) for one in dropped) == [
+        ("age", False, 1),
+        ("age", True, 1),
+    ]
+    assert [one.record.standing.value for one in store.page(Filter())] == ["sending", "kept"]
+
+
+def test_the_file_itself_is_bounded_too(tmp_path: Path) -> None:
+    """Where a page limit stands in for a full disk: the add fails whole, and works again with room."""
+    store = opened(tmp_path)
+    (pages,) = store.db.execute("PRAGMA page_count").fetchone()
+    store.db.execute(f"PRAGMA max_page_count={pages + 4}")
+    with pytest.raises(sqlite3.OperationalError, match="full"):
+        store.add([record(body=os.urandom(5000)) for _ in range(50)])
+    assert store.count == 0 and store.page(Filter()) == []
+    store.db.execute("PRAGMA max_page_count=100000")
+    store.add([record()])
+    assert store.count == 1
+
+
+# What is not ours, not whole, or in use.
+
+
+def test_a_second_writer_is_refused_and_a_reader_is_not(tmp_path: Path) -> None:
+    store = opened(tmp_path)
+    store.add([record()])
+    with pytest.raises(files.StoreInUse, match=f"process {os.getpid()} writes this store already"):
+        opened(tmp_path)
+    assert len(opened(tmp_path, writes=False).page(Filter())) == 1
+    store.close()
+    opened(tmp_path).close()
+
+
+def contents(folder: Path) -> dict[str, bytes]:
+    """Of what lasts; SQLite puts its shared memory beside a file that is only looked at, too."""
+    beside = (files.LOCK, f"{files.DATABASE}-shm", f"{files.DATABASE}-wal")
+    return {path.name: path.read_bytes() for path in folder.iterdir() if path.name not in beside}
+
+
+def test_a_newer_schema_is_refused_and_left_as_it_is(tmp_path: Path) -> None:
+    store = opened(tmp_path)
+    store.add([record()])
+    store.close()
+    db = sqlite3.connect(tmp_path / files.DATABASE)
+    db.execute(f"PRAGMA user_version={schema.VERSION + 1}")
+    db.execute("ALTER TABLE record ADD COLUMN more TEXT")
+    db.commit()
+    db.close()
+    before = contents(tmp_path)
+    for writes in (True, False):
+        with pytest.raises(StoreError, match="newer honeyhitch"):
+            opened(tmp_path, writes=writes)
+    assert contents(tmp_path) == before
+
+
+def test_a_file_of_someone_elses_is_refused_and_left_as_it_is(tmp_path: Path) -> None:
+    db = sqlite3.connect(tmp_path / files.DATABASE)
+    db.execute("CREATE TABLE mine (x)")
+    db.commit()
+    db.close()
+    before = contents(tmp_path)
+    with pytest.raises(StoreError, match="not a store"):
+        opened(tmp_path)
+    assert contents(tmp_path) == before
+
+
+def test_a_folder_that_cannot_be_written_is_told(tmp_path: Path) -> None:
+    (tmp_path / "file").write_text("")
+    with pytest.raises(StoreError, match="file/inner"):
+        opened(tmp_path / "file" / "inner")
+    with pytest.raises(StoreError, match="there is no store"):
+        opened(tmp_path, writes=False)
+
+
+def test_a_moved_file_is_noticed(tmp_path: Path) -> None:
+    store = opened(tmp_path)
+    assert store.there()
+    os.rename(tmp_path / files.DATABASE, tmp_path / "away")
+    assert not store.there()
+
+
+def test_cut_anywhere_it_is_refused_or_told_and_never_taken_for_whole(tmp_path: Path) -> None:
+    store = opened(tmp_path / "whole")
+    store.add([record(body=os.urandom(3000)) for _ in range(20)])
+    store.close()
+    data = (tmp_path / "whole" / files.DATABASE).read_bytes()
+    for at in range(0, len(data), 1024 + 512):
+        folder = tmp_path / f"cut{at}"
+        folder.mkdir()
+        (folder / files.KEYS).write_bytes((tmp_path / "whole" / files.KEYS).read_bytes())
+        (folder / files.KEYS).chmod(0o600)
+        (folder / files.DATABASE).write_bytes(data[:at])
+        assert at == 0 or found_fault(folder), f"cut at {at} of {len(data)}"
+
+
+def found_fault(folder: Path) -> bool:
+    try:
+        store = opened(folder)
+    except StoreError:
+        return True
+    try:
+        return bool(list(store.verify()))
+    except sqlite3.DatabaseError:
+        return True
+    finally:
+        store.close()
+
+
+def test_a_bit_flipped_in_any_record_is_shown_and_the_others_stay_good(tmp_path: Path) -> None:
+    """In each column of each table that is under seal."""
+    store = opened(tmp_path)
+    store.add([record(ran=True, body=b"x" * 600), record(), record()])
+    tables = {"record": "seq", "detail": "seq"}
+    for table, number in tables.items():
+        for _, column, *_ in store.db.execute(f"PRAGMA table_info({table})").fetchall():
+            if column == number:
+                continue
+            (old,) = store.db.execute(f"SELECT {column} FROM {table} WHERE seq = 1").fetchone()
+            for new in (flipped(old), None, "text", 1 << 40, b"\xff"):
+                if new == old:
+                    continue
+                try:
+                    store.db.execute(f"UPDATE {table} SET {column} = ? WHERE seq = 1", (new,))
+                except sqlite3.IntegrityError:
+                    continue
+                kept = store.get(1)
+                assert kept is not None and kept.fault, f"{table}.{column}: {old!r} became {new!r}"
+                assert "altered" in kept.fault or "key" in kept.fault
+                assert len([line for line in store.verify() if line.startswith("record 1 ")]) == 1
+                told = {"verb": "release", "filter": {"seq": "1"}, "why": "x"}
+                assert operations.done(store, "change", told, "me")["left"][0]["why"] == kept.fault
+                assert operations.done(store, "show", {"seq": 1}, "me")["record"]["intact"] is False
+            store.db.execute(f"UPDATE {table} SET {column} = ? WHERE seq = 1", (old,))
+            assert list(store.verify()) == []
+
+
+def flipped(value: Any) -> Any:
+    if isinstance(value, int):
+        return value ^ 1
+    if isinstance(value, str):
+        return chr(ord(value[0]) ^ 1) + value[1:] if value else "x"
+    return bytes([value[0] ^ 1]) + value[1:] if value else 1
+
+
+def test_a_bit_flipped_in_any_page_is_told_or_harmless(tmp_path: Path) -> None:
+    """No flipped bit makes a record read as something that was never kept."""
+    store = opened(tmp_path / "whole")
+    made = [record(ran=bool(i % 2), body=os.urandom(700), key=f"key-{i}") for i in range(12)]
+    store.add(made)
+    store.change(made[0], "me", "release", "the partner's letter of today")
+    store.close()
+    data = bytearray((tmp_path / "whole" / files.DATABASE).read_bytes())
+    good = {one.seq: one for one in made}
+    folder = tmp_path / "flipped"
+    folder.mkdir()
+    Keys.load(tmp_path / "whole" / files.KEYS).save(folder / files.KEYS)
+    told = 0
+    for at in range(0, len(data), 97):
+        data[at] ^= 1 << at % 8
+        for path in folder.glob(f"{files.DATABASE}*"):
+            path.unlink()
+        (folder / files.DATABASE).write_bytes(data)
+        told += found_fault(folder)
+        try:
+            reader = opened(folder, writes=False)
+            for kept in reader.all(Filter()):
+                assert kept.fault or kept.record == good[kept.record.seq], f"a flip at {at} went unseen"
+            reader.close()
+        except (StoreError, sqlite3.DatabaseError):
+            pass
+        data[at] ^= 1 << at % 8
+    assert told > 50
+
+
+# Keys.
+
+
+def test_a_key_file_that_others_may_read_or_that_is_none_is_refused(tmp_path: Path) -> None:
+    opened(tmp_path).close()
+    path = tmp_path / files.KEYS
+    path.chmod(0o640)
+    with pytest.raises(StoreError, match="mode must be 0600"):
+        opened(tmp_path)
+    path.chmod(0o600)
+    for text in ("", "{}", '{"keys": {}}', '{"keys": {"1": "00"}}', '{"keys": {"x": "00"}}', "[1]"):
+        path.write_text(text)
+        with pytest.raises(SealError, match=r"keys\.json"):
+            Keys.load(path)
+
+
+def test_with_its_key_lost_a_record_is_shown_as_unproved(tmp_path: Path) -> None:
+    store = opened(tmp_path)
+    store.add([record()])
+    store.close()
+    (tmp_path / files.KEYS).unlink()
+    again = opened(tmp_path)
+    again.add([record()])
+    assert [one.fault for one in again.page(Filter())] == ["sealed with key 1, which is not there", ""]
+
+
+def rekey(store: Store) -> int:
+    """All steps; how much could not be sealed anew."""
+    told: dict[str, Any] = {"step": "start"}
+    while told["step"]:
+        answer = operations.done(store, "rekey", told, "me")
+        told = {"step": answer["next"], "after": answer.get("after", 0)}
+    return int(answer["left"])
+
+
+def test_a_reader_follows_the_writers_new_key(tmp_path: Path) -> None:
+    store = opened(tmp_path)
+    store.add([record()])
+    reader = opened(tmp_path, writes=False)
+    assert rekey(store) == 0
+    assert [one.fault for one in reader.page(Filter())] == [""] and reader.audit()[0]["intact"]
+
+
+@pytest.mark.parametrize("broken_off", [None, 0, 1, 2, 3])
+def test_a_new_key_takes_over_whatever_moment_it_is_broken_off_at(
+    tmp_path: Path, broken_off: int | None
+) -> None:
+    store = opened(tmp_path)
+    store.add([record() for _ in range(500)])
+    store.change(store.page(Filter())[0].record, "me", "discard", "because")
+    if broken_off is not None:
+        steps = iter(range(100))
+        begin = store.at_once
+
+        def breaking() -> Any:
+            if next(steps) == broken_off:
+                raise KeyboardInterrupt
+            return begin()
+
+        store.at_once = breaking  # type: ignore[method-assign]
+        with pytest.raises(KeyboardInterrupt):
+            rekey(store)
+    else:
+        assert rekey(store) == 0
+    store.close()
+    again = opened(tmp_path)
+    assert list(again.verify()) == []
+    assert rekey(again) == 0 and list(again.verify()) == []
+    assert list(json.loads((tmp_path / files.KEYS).read_text())["keys"]) == [str(again.keys.current)]
+
+
+def test_the_old_key_stays_while_a_record_is_not_proved(tmp_path: Path) -> None:
+    store = opened(tmp_path)
+    store.add([record(), record()])
+    store.db.execute("UPDATE record SET tenant = 'other' WHERE seq = 1")
+    assert rekey(store) == 1 and sorted(store.keys.keys) == [1, 2]
+    assert [bool(one.fault) for one in store.page(Filter())] == [True, False]
+
+
+# What people ask.
+
+
+def test_filters_pages_and_counts(tmp_path: Path) -> None:
+    store = opened(tmp_path)
+    for i in range(250):
+        store.add(
+            [record(ran=i % 2 == 0, destination=i % 5, tenant=f"t{i % 3}", ended_at=START + i, id=f"n{i}")]
+        )
+    chosen = {"destination": "3", "may_have_run": "yes"}
+    seen: list[int] = []
+    told: dict[str, Any] = {"filter": chosen, "most": 10}
+    while True:
+        page = operations.done(store, "list", told, "me")
+        seen += [one["seq"] for one in page["records"]]
+        told["after"] = page["after"]
+        if not page["more"]:
+            break
+    assert len(seen) == 25 == len(set(seen)) and seen == sorted(seen)
+    newest = operations.done(store, "list", {"newest_first": True, "most": 2}, "me")
+    assert [one["id"] for one in newest["records"]] == ["n249", "n248"]
+    older = operations.done(store, "list", {"newest_first": True, "most": 2, "after": newest["after"]}, "me")
+    assert [one["id"] for one in older["records"]] == ["n247", "n246"]
+    between = {"since": str(START + 10), "until": str(START + 20)}
+    assert len(operations.done(store, "list", {"filter": between}, "me")["records"]) == 10
+    groups = operations.done(store, "stats", {"by": ["tenant"], "filter": chosen}, "me")["groups"]
+    assert sum(one["count"] for one in groups) == 25 and {one["tenant"] for one in groups} == {
+        "t0",
+        "t1",
+        "t2",
+    }
+
+
+@pytest.mark.parametrize(
+    ("name", "told", "error"),
+    [
+        ("list", {"most": 5000}, "most: expected a whole number of at most 1000, got 5000"),
+        ("list", {"after": -1}, "after: "),
+        ("list", {"filter": {"colour": "red"}}, "filter.colour: no such filter"),
+        (
+            "list",
+            {"filter": {"destination": "one"}},
+            "filter.destination: expected a whole number, got 'one'",
+        ),
+        ("list", {"filter": {"may_have_run": "1"}}, "filter.may_have_run: expected yes or no, got '1'"),
+        ("list", {"filter": {"standing": "lost"}}, "filter.standing: expected one of kept, sending, "),
+        ("list", {"filter": {"since": "9" * 30}}, "filter.since: expected a whole number"),
+        ("list", {"filter": ["x"]}, "filter: expected an object of texts"),
+        ("list", {"bodies": "yes"}, "bodies: expected true or false, got 'yes'"),
+        ("stats", {"by": ["body"]}, "by: expected some of "),
+        ("show", {"seq": 5}, "seq: there is no record 5"),
+        ("show", {"seq": True}, "seq: expected a whole number"),
+        ("change", {"verb": "eat", "why": "x"}, "verb: expected one of discard, settle, release, got 'eat'"),
+        ("change", {"verb": "discard"}, "why: expected a text of 1 to 1000 characters"),
+        ("change", {"verb": "discard", "why": " "}, "why: expected a text"),
+        (
+            "purge",
+            {"why": "x", "altered": True},
+            "filter.seq: expected the number of a record that was altered",
+        ),
+        ("eat", {}, "eat: no such operation"),
+    ],
+)
+def test_a_faulty_request_is_refused_with_its_field(
+    tmp_path: Path, name: str, told: dict[str, Any], error: str
+) -> None:
+    with pytest.raises(operations.OperationError) as refused:
+        operations.done(opened(tmp_path), name, told, "me")
+    assert str(refused.value).startswith(error)
+
+
+def test_a_filter_goes_to_words_and_back() -> None:
+    chosen = Filter(seq=3, cls="standard", may_have_run=False, since=5)
+    assert Filter.parse(chosen.words()) == chosen
+    with pytest.raises(FilterError, match="seq"):
+        Filter.parse({"seq": "³"})
+
+
+def test_each_change_is_audited_and_a_dry_run_changes_nothing(tmp_path: Path) -> None:
+    store = opened(tmp_path)
+    store.add([record(ran=True), record(), record(standing=Standing.SENDING)])
+    before = [one.record for one in store.page(Filter())]
+    told = {"verb": "release", "why": "letter 17 of the partner", "dry_run": True}
+    tried = operations.done(store, "change", told, "anna")
+    assert [one["seq"] for one in tried["done"]] == [1]
+    assert {one["seq"]: one["why"] for one in tried["left"]} == {
+        2: "it never ran: nothing has to be proved before it is sent",
+        3: "it is sending",
+    }
+    assert [one.record for one in store.page(Filter())] == before and store.audit() == []
+    assert operations.done(store, "change", told | {"dry_run": False}, "anna")["done"] == tried["done"]
+    assert operations.done(store, "change", told | {"dry_run": False}, "anna")["done"] == []
+    (row,) = operations.done(store, "show", {"seq": 1}, "x")["audit"]
+    assert (row["who"], row["what"], row["why"], row["intact"]) == ("anna", "release", told["why"], True)
+    operations.done(
+        store, "change", {"verb": "settle", "why": "seen in their books", "filter": {"seq": "1"}}, "bo"
+    )
+    settled = store.get(1)
+    assert settled is not None and settled.record.standing is Standing.SETTLED
+    assert settled.record.settled_by == "person:bo" and settled.record.evidence == "letter 17 of the partner"
+    store.db.execute("UPDATE audit SET who = 'nobody' WHERE number = 1")
+    assert list(store.verify()) == ["audit 1: altered since it was sealed"]
+
+
+def test_purge_takes_only_what_is_settled_or_discarded_or_one_altered(tmp_path: Path) -> None:
+    store = opened(tmp_path)
+    store.add([record() for _ in range(450)])
+    told = {"verb": "discard", "why": "a test", "filter": {}}
+    more = True
+    while more:
+        page = operations.done(store, "change", told, "me")
+        told["after"], more = page["after"], page["more"]
+    store.add([record()])
+    assert operations.done(store, "purge", {"why": "room", "dry_run": True}, "me")["count"] == 450
+    count, more = 0, True
+    while more:
+        page = operations.done(store, "purge", {"why": "room"}, "me")
+        count, more = count + page["count"], page["more"]
+    assert count == 450 and store.count == 1
+    store.db.execute("UPDATE record SET key = 'other'")
+    told = {"why": "it was altered", "altered": True, "filter": {"seq": "451"}}
+    assert operations.done(store, "purge", told, "me")["count"] == 1
+    assert store.count == 0 and store.size == 0
+    assert store.audit(451)[0]["what"] == "purge"
