Test the control socket and the commands on undelivered messages

Change: recorded exchanges for the control machine, whole and byte by byte; the program with a store, killed and started, with the store's folder blocked; the commands with and without a dispatcher. An offered upgrade is now left out instead of refused, as RFC 9110 says.

--- a/honeyhitch/wire/control.py
+++ b/honeyhitch/wire/control.py
@@ -87,8 +87,10 @@
         self.head += len(data)
         try:
             self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            raise self._broken(HTTPStatus.BAD_REQUEST, "upgrade: not offered") from None
+        except (
+            httptools.HttpParserUpgrade
+        ):  # not offered: the request is answered, and no other (RFC 9110, 7.8)
+            self.closing = True
         except httptools.HttpParserCallbackError as error:
             if isinstance(error.__context__, ControlError):
                 raise error.__context__ from None
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -18,7 +18,7 @@
 from honeyhitch.memory.buffer import Buffer
 from honeyhitch.memory.pool import Pool, PoolError, PoolMember
 from honeyhitch.memory.transactions import Ending, Transaction
-from honeyhitch.wire import agent_check, calls, discovery, http1, mqtt, mqtt_messages, notices, resp
+from honeyhitch.wire import agent_check, calls, control, discovery, http1, mqtt, mqtt_messages, notices, resp
 
 from .rig import SETTINGS, START
 from .world import settings
@@ -205,6 +205,30 @@
         yield self.session.opening + b"closes\n" * self.session.closing
 
 
+class Control:
+    """The control socket's side of a connection."""
+
+    def __init__(self, _: str) -> None:
+        self.machine = control.ControlMachine("me")
+
+    def feed(self, data: bytes) -> Out:
+        if self.machine.closing:
+            return
+        wrong = ""
+        try:
+            self.machine.feed(data)
+        except control.ControlError as error:
+            wrong = f"{error.status.value} {error.why}\n"
+        asked, self.machine.asked = self.machine.asked, []
+        for one in asked:
+            assert one.who == "me"
+            yield f"{one.method} {one.path} {json.dumps(one.told)}\n".encode()
+        yield wrong.encode()
+
+    def end(self) -> Out:
+        yield b"closing\n" * self.machine.closing
+
+
 class MqttTake:
     """A publish on the intake topic."""
 
@@ -236,8 +260,9 @@
     "mqtt": Mqtt,
     "mqtt-call": MqttCall,
     "mqtt-take": MqttTake,
+    "control": Control,
 }
-STREAMS = ("resp", "call", "watch", "health")  # a connection's bytes, which may come in any pieces
+STREAMS = ("resp", "call", "watch", "health", "control")  # a connection's bytes, which may come in any pieces
 FAULTS = (http1.HttpError, discovery.WatchError, mqtt.MqttError, PoolError, resp.FieldError)
 
 
--- /dev/null
+++ b/tests/test_undelivered_program.py
@@ -0,0 +1,270 @@
+"""The program with a store: a message fails, is kept, and is looked at through the control socket."""
+
+from __future__ import annotations
+
+import asyncio
+import csv
+import io
+import json
+import os
+import socket
+import stat
+from pathlib import Path
+from typing import Any
+
+from click.testing import CliRunner, Result
+
+from honeyhitch.lifecycle.cli import main
+from honeyhitch.undelivered.filters import Filter
+from honeyhitch.undelivered.store import Store
+from honeyhitch.wire.drivers.control_client import ControlClient, ControlRefused
+
+from .agent import Agent
+from .program import play, started
+from .rig import START, row
+from .test_undelivered_store import record
+
+OPERATOR = "[undelivered]\nmax-count = 1000\n"
+SETTLED = "the partner's books"
+
+
+def cli(folder: Path, *words: str, code: int = 0) -> str:
+    """A command's output, without a dispatcher being asked where none runs."""
+    told: Result = CliRunner().invoke(main, ["undelivered", *words], catch_exceptions=False)
+    assert told.exit_code == code, told.output
+    return told.stdout
+
+
+class Partner:
+    """A member that answers every call with this status."""
+
+    def __init__(self, status: int) -> None:
+        self.status, self.calls, self.port = status, 0, 0
+
+    async def start(self) -> Partner:
+        server = await asyncio.start_server(self._client, "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
+        return self
+
+    async def _client(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).lower()
+                length = int(head.partition(b"content-length: ")[2].partition(b"\r\n")[0])
+                await reader.readexactly(length)
+                self.calls += 1
+                writer.write(b"HTTP/1.1 %d Whatever\r\nContent-Length: 0\r\n\r\n" % self.status)
+        except (OSError, asyncio.IncompleteReadError):
+            writer.close()
+
+
+async def hand_in(port: int, name: str, left: int = 1500) -> None:
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    fields = f"c=standard,t=studio,d={left},dest=1,k=key-{name}"
+    parts = [b"ENQUEUE", b"0" * 16, name.encode(), fields.encode(), b"=1+1 \xc3\xa9"]
+    writer.write(b"*5\r\n" + b"".join(b"$%d\r\n%s\r\n" % (len(part), part) for part in parts))
+    assert (await reader.readline()).startswith(b"+")
+    writer.close()
+
+
+async def until(what: Any) -> Any:
+    while True:
+        found = await asyncio.to_thread(what)
+        if found:
+            return found
+        await asyncio.sleep(0.02)
+
+
+def test_a_message_that_fails_is_kept_and_shown_by_the_running_program(tmp_path: Path) -> None:
+    async def work() -> None:
+        partner = await Partner(500).start()
+        members = [{**row("s-1", 1), "host_port": f"127.0.0.1:{partner.port}"}]
+        agent = await Agent(members).start()
+        control = tmp_path / "state" / "control.sock"
+        async with started(tmp_path, agent.port, members, OPERATOR) as port:
+            assert stat.S_IMODE(os.stat(control).st_mode) == 0o600
+            await hand_in(port, "m1")
+            where = ["--config", str(tmp_path / "config.json"), "--operator", str(tmp_path / "operator.toml")]
+
+            def listed() -> Any:
+                return json.loads(cli(tmp_path, *where, "list", "--json"))["records"]
+
+            (one,) = await until(listed)
+            assert (one["id"], one["reason"], one["may_have_run"], one["intact"]) == (
+                "m1",
+                "error",
+                True,
+                True,
+            )
+            assert len(one["attempts"]) == partner.calls and one["attempts"][0]["member"] == "s-1"
+            await until(lambda: "m1" in agent.notices)
+            text = await asyncio.to_thread(cli, tmp_path, *where, "show", "m1")
+            assert "=1+1 é" in text and "s-1" in text and "error" in text
+            told = await asyncio.to_thread(cli, tmp_path, *where, "settle", "m1", "--why", SETTLED)
+            assert "settle 1 m1" in told
+            told = await asyncio.to_thread(cli, tmp_path, *where, "verify", "--json")
+            assert json.loads(told) == {"records": 1, "faults": []}
+            client = ControlClient(control)
+            state = await asyncio.to_thread(client.ask, "GET", "/state")
+            assert state["phase"] == "ready" and state["pid"] == os.getpid()
+            for method, path, body, error in (
+                ("GET", "/nothing", None, "/nothing: no such path"),
+                ("GET", "/undelivered/list", None, "/undelivered/list: expected POST"),
+                ("POST", "/undelivered/list", {"most": -1}, "most: expected a whole number"),
+            ):
+                try:
+                    await asyncio.to_thread(client.ask, method, path, body)
+                except ControlRefused as refused:
+                    assert str(refused).startswith(error)
+                else:
+                    raise AssertionError(f"{path} was not refused")
+            client.close()
+        assert not control.exists()
+        # The daemon is down: the same commands read the files.
+        (one,) = json.loads(await asyncio.to_thread(cli, tmp_path, *where, "list", "--json"))["records"]
+        assert one["standing"] == "settled" and one["settled_by"].startswith("person:")
+
+    play(work())
+
+
+def test_a_broken_request_is_answered_and_its_connection_closed(tmp_path: Path) -> None:
+    async def work() -> None:
+        agent = await Agent([]).start()
+        operator = f'[control]\npath = "{tmp_path}/c.sock"\n'
+        async with started(tmp_path, agent.port, [], operator):
+            reader, writer = await asyncio.open_unix_connection(str(tmp_path / "c.sock"))
+            writer.write(
+                b"GET /state HTTP/1.1\r\nHost: x\r\n\r\nPOST /x HTTP/1.1\r\nContent-Length: 1\r\n\r\n{"
+            )
+            answers = await reader.read()
+            assert answers.startswith(b"HTTP/1.1 200 OK\r\n") and b"HTTP/1.1 400 Bad Request" in answers
+            assert b"Connection: close" in answers and answers.count(b"HTTP/1.1 ") == 2
+            writer.close()
+
+    play(work())
+
+
+def test_a_store_that_cannot_be_opened_does_not_touch_live_traffic(tmp_path: Path) -> None:
+    async def work() -> None:
+        partner = await Partner(500).start()
+        members = [{**row("s-1", 1), "host_port": f"127.0.0.1:{partner.port}"}]
+        agent = await Agent(members).start()
+        (tmp_path / "file").write_text("in the way")
+        operator = f'[undelivered]\nfolder = "{tmp_path}/file"\n'
+        async with started(tmp_path, agent.port, members, operator) as port:
+            await hand_in(port, "m1")
+            await until(lambda: "m1" in agent.notices)
+            partner.status = 200
+            calls = partner.calls
+            await hand_in(port, "m2", left=15_000)
+            await until(lambda: partner.calls > calls)
+        os.unlink(tmp_path / "file")
+        async with started(tmp_path, agent.port, members, operator):
+            await until(lambda: (tmp_path / "file" / "undelivered.db").exists() and kept(tmp_path / "file"))
+        assert [one.id for one in kept(tmp_path / "file")] == ["m1"]
+
+    play(work())
+
+
+def kept(folder: Path) -> list[Any]:
+    try:
+        store = Store(folder, writes=False)
+    except Exception:
+        return []
+    try:
+        return [one.record for one in store.page(Filter())]
+    finally:
+        store.close()
+
+
+def filled(folder: Path, count: int = 120) -> list[str]:
+    store = Store(folder, clock=lambda: START)
+    store.add(
+        [record(ran=i % 2 == 0, tenant=f"t{i % 3}", destination=i % 4, body=b"=cmd()") for i in range(count)]
+    )
+    store.close()
+    return ["--store", str(folder)]
+
+
+def test_pages_tables_and_exports(tmp_path: Path) -> None:
+    where = filled(tmp_path / "s")
+    text = cli(tmp_path, *where, "list", "--limit", "10", "--dest", "2")
+    assert len(text.splitlines()) == 13 and "there may be more: --after 39" in text
+    assert cli(tmp_path, *where, "list", "--tenant", "nobody") == "none\n"
+    page = json.loads(cli(tmp_path, *where, "list", "--json", "--limit", "1000", "--never-ran"))
+    assert len(page["records"]) == 60 and not page["more"]
+    text = cli(tmp_path, *where, "stats", "--by", "tenant", "--by", "may_have_run", "--by", "day")
+    assert "120 of 100000 records" in text and text.count("2023-11-14") == 6
+    rows = list(csv.DictReader(io.StringIO(cli(tmp_path, *where, "export", "--tenant", "t1"))))
+    assert len(rows) == 40 and {one["body"] for one in rows} == {"'=cmd()"}, (
+        "no formula reaches a spreadsheet"
+    )
+    lines = cli(tmp_path, *where, "export", "--format", "jsonl").splitlines()
+    assert len(lines) == 120 and json.loads(lines[0])["body"] == "=cmd()"
+    out = tmp_path / "out.csv"
+    cli(tmp_path, *where, "export", "--output", str(out))
+    assert len(out.read_text().splitlines()) == 121
+    cli(tmp_path, *where, "export", "--output", str(out), code=1)
+    assert cli(tmp_path, *where, "list", "--since", "1h") == "none\n"
+    assert len(cli(tmp_path, *where, "list", "--until", "2023-11-15").splitlines()) > 40
+    cli(tmp_path, *where, "list", "--since", "soon", code=2)
+
+
+def test_changes_want_names_and_a_reason(tmp_path: Path) -> None:
+    where = filled(tmp_path / "s", 450)
+    cli(tmp_path, *where, "discard", "--why", "x", code=2)  # nothing chosen is not everything
+    cli(tmp_path, *where, "discard", "3", "--tenant", "t1", "--why", "x", code=2)
+    cli(tmp_path, *where, "discard", "3", code=2)
+    cli(tmp_path, *where, "show", "nobody", code=1)
+    assert "would discard 3" in cli(tmp_path, *where, "discard", "3", "--why", "x", "--dry-run")
+    assert "1 done, 0 left" in cli(tmp_path, *where, "discard", "3", "--why", "x")
+    assert "0 done, 1 left" in cli(tmp_path, *where, "discard", "3", "--why", "x", code=1)
+    told = cli(tmp_path, *where, "release", "--all", "--evidence", "letter of today")
+    assert "224 done, 226 left" in told
+    assert "150 were deleted" not in cli(tmp_path, *where, "purge", "--all", "--why", "old")
+    assert "449 done" in cli(tmp_path, *where, "discard", "--all", "--why", "the year is closed")
+    assert "449 would be deleted" in cli(tmp_path, *where, "purge", "--all", "--why", "old", "--dry-run")
+    assert "449 were deleted" in cli(tmp_path, *where, "purge", "--all", "--why", "old")
+    assert cli(tmp_path, *where, "list") == "none\n"
+    assert len(cli(tmp_path, *where, "audit").splitlines()) == 1 + 224 + 1 + 449 + 449
+    assert "sealed with key 2" in cli(tmp_path, *where, "rekey")
+    assert "0 records, 0 faults" in cli(tmp_path, *where, "verify")
+
+
+def test_verify_names_what_was_altered(tmp_path: Path) -> None:
+    where = filled(tmp_path / "s", 3)
+    store = Store(tmp_path / "s")
+    store.db.execute("UPDATE detail SET body = 'other' WHERE seq = 2")
+    store.close()
+    assert "record 2 (" in cli(tmp_path, *where, "verify", code=1)
+    assert "ALTERED" in cli(tmp_path, *where, "list")
+    assert "ALTERED ON DISK" in cli(tmp_path, *where, "show", "2")
+    assert "1 were deleted" in cli(tmp_path, *where, "purge", "2", "--altered", "--why", "seen")
+
+
+def test_a_store_in_use_is_told(tmp_path: Path) -> None:
+    where = filled(tmp_path / "s", 3)
+    store = Store(tmp_path / "s")
+    told = CliRunner().invoke(main, ["undelivered", *where, "discard", "1", "--why", "x"])
+    assert told.exit_code == 1 and "writes this store already" in told.output
+    store.close()
+    assert len(cli(tmp_path, *where, "list").splitlines()) == 5
+
+
+def test_a_socket_that_nobody_answers_is_taken_over_and_one_that_is_answered_is_not(tmp_path: Path) -> None:
+    async def work() -> None:
+        agent = await Agent([]).start()
+        operator = f'[control]\npath = "{tmp_path}/c.sock"\n'
+        with socket.socket(socket.AF_UNIX) as left:
+            left.bind(f"{tmp_path}/c.sock")
+        async with started(tmp_path, agent.port, [], operator):
+            state = await asyncio.to_thread(ControlClient(tmp_path / "c.sock").ask, "GET", "/state")
+            assert state["phase"] == "ready"
+            (tmp_path / "second").mkdir()
+            async with started(tmp_path / "second", agent.port, [], operator):
+                again = await asyncio.to_thread(ControlClient(tmp_path / "c.sock").ask, "GET", "/state")
+                assert again == state
+            again = await asyncio.to_thread(ControlClient(tmp_path / "c.sock").ask, "GET", "/state")
+            assert again == state, "the second one's end must not take the first one's socket away"
+
+    play(work())
