--- a/honeyhitch/brain.py
+++ b/honeyhitch/brain.py
@@ -30,6 +30,7 @@
 
 TABLE, TIGHT, CLUMP = 6, 0.1, 3 * SECOND  # instances with a connection each; share; traffic told at once
 MOST_TOGETHER, TOGETHER = 1024, 0.5  # messages in a call where none break; growth with a call that passes
+BEHIND = 1e-6  # x worth of what may wait: it goes last
 REACH = 0.5  # x mean latency; with less time left a message is given up
 ASK_GAP, ASK_MOST, AVOID_STEPS = 500 * MS, 8 * SECOND, 4  # ns, asking again; steps an endpoint is ranked by
 RESTING = (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED)  # after these it may still run: a key rests
@@ -62,7 +63,8 @@
         self.key = event.key if cls.in_order else None
         self.keyed, self.unsafe = cls.effect is Effect.KEYED, cls.effect is Effect.UNSAFE
         self.zoned = self.keyed and cls.group is api.Group.ZONE
-        self.deadline, self.worth = now + event.time_left, cls.worth
+        self.deadline, self.worth = now + event.time_left, cls.worth * (BEHIND if event.behind else 1)
+        self.behind = event.behind
         self.span = min(cls.aim + int(cls.aim_stretch * event.work), cls.deadline)
         began = self.deadline - cls.deadline if event.came_again else now  # little time left is no age
         self.aim = min(began + self.span, self.deadline)
@@ -209,7 +211,7 @@
 
 class Destination:
     def __init__(self) -> None:
-        self.queues: dict[tuple[int, int | None], tuple[Queue, Queue]] = {}  # in time, late
+        self.queues: dict[tuple[int, int | None, bool], tuple[Queue, Queue]] = {}  # in time, late
         self.endpoints: dict[str, Endpoint] = {}
         self.lane: Lane | None = None  # of the endpoint named last; all share it where limits are shared
         self.waiting: dict[Message, None] = {}  # on the ladder
@@ -248,6 +250,23 @@
             self.actions.append(api.SetTimer(self.timer_at))
         return self.actions
 
+    def condition(self, destination: int, now: int) -> api.Condition:
+        """How it stands, for those who hand in what may wait; nothing is decided here."""
+        dest = self.dests.get(destination) or Destination()
+        lanes = list({endpoint.lane: None for endpoint in dest.endpoints.values() if endpoint.listed})
+        well = [lane for lane in lanes if not lane.out and lane.tally.share(now) < RISKY_SHARE]
+        queues = [queue for key, queue in dest.queues.items() if not key[2]]
+        return api.Condition(
+            listed=bool(lanes),
+            sick=not well,
+            ramping=any(now - lane.back_at < self.s.cold for lane in lanes),
+            waits_until=min((lane.wait_until for lane in well), default=0),
+            queued=any(self._head(queue) is not None for queue in queues),
+            part=sum(lane.part() for lane in well),
+            last_send=max((lane.last_send for lane in lanes), default=0),
+            used=self.used,
+        )
+
     def _rang(self, _: object) -> None:  # also a timer that rang a moment early: it is set again
         self.timer_at = NEVER
 
@@ -308,7 +327,7 @@
     def _taken(self, event: api.NewMessage) -> None:
         dest = self.dests.setdefault(event.destination, Destination())
         message = Message(event, self.s.classes[event.cls], dest, self.now)
-        message.worth *= self._share(event.tenant) if self.s.tenant_rates else 1.0
+        message.worth *= self._share(event.tenant) if self.s.tenant_rates and not event.behind else 1.0
         self.messages[message.id] = message
         self._wake(message.deadline - self._reach(message), self._expire, message)
         if (message.attempts or message.ran) and not message.may_try(self.now, self.most):
@@ -342,7 +361,7 @@
             return self._finish(message)
         if message.ran:  # a keyed message's window may close while it queues
             self._wake(message.until() - self._reach(message), self._expire, message)
-        queue = message.dest.queues.setdefault((message.number, message.zone()), ([], []))
+        queue = message.dest.queues.setdefault((message.number, message.zone(), message.behind), ([], []))
         self.seq += 1
         heappush(queue[0], (message.aim, self.seq, message))
         message.queued, self.hot[message.dest] = True, None
@@ -521,7 +540,8 @@
                 and not lane.out
                 and (rider := self._head(queue)) is not None
             ):
-                if rider.zone() not in (None, endpoint.zone) or rider.cls is not message.cls:
+                alike = rider.cls is message.cls and rider.behind is message.behind
+                if not alike or rider.zone() not in (None, endpoint.zone):
                     break
                 call.left = call.size = call.left + 1
                 self._put(rider, call)
--- a/honeyhitch/core.py
+++ b/honeyhitch/core.py
@@ -16,7 +16,7 @@
 from honeyhitch.brain import Brain
 from honeyhitch.memory.journal import Journal, JournalFull
 from honeyhitch.memory.pool import Pool, PoolMember
-from honeyhitch.memory.transactions import Ending, Transaction, Try
+from honeyhitch.memory.transactions import RESEND, Ending, Transaction, Try
 
 log = logs.get()
 MS = 1_000_000  # ns
@@ -126,6 +126,36 @@
         """Take it over when there is time; the journal holds it until then."""
 
 
+class Came(Enum):
+    """What becomes of a transaction that comes, in view of what was resent."""
+
+    GO = "go"
+    WAIT = "wait"  # a resend of it is on its way; `Dispatcher.go_on` or `Dispatcher.conclude` follows
+    DONE = "done"  # a resend of it was delivered
+
+
+class Guard(Protocol):
+    """Keeps a client's copy and a resend from going out both."""
+
+    def came(self, transaction: Transaction) -> Came:
+        """A client's transaction was taken on, or taken up again after a start."""
+
+    def came_back(self, transaction: Transaction) -> None:
+        """A resend is in the journal after a start."""
+
+    def attempt_ended(self, transaction: Transaction, outcome: api.Outcome) -> None:
+        """One attempt of a transaction is over."""
+
+    def ended(self, transaction: Transaction) -> None:
+        """It was decided how a transaction ends, or it was withdrawn."""
+
+    def moved(self, transaction: Transaction) -> None:
+        """The keeper has it, or has let it go."""
+
+    def settles(self, transaction: Transaction) -> bool:
+        """Whether its delivery settles what is kept."""
+
+
 class Dispatcher:
     """One Brain, the transactions held, and the ports; all fronts share it."""
 
@@ -138,6 +168,7 @@
         self.openers: dict[str, Opener] = {}
         self.fronts: dict[str, Front] = {}
         self.keeper: Keeper | None = None
+        self.guard: Guard | None = None
         self.events: list[api.Event | Transaction] = []
         self.out: dict[str, Call] = {}  # calls out, by the id of each transaction in them
         self.ticking, self.last_tick = False, 0
@@ -155,14 +186,20 @@
         if self.keeper is not None:
             for transaction in unmoved:
                 self.keeper.keep(transaction)
-        for transaction in list(self.held.by_id.values()):
+        # Resends first: what came later may be a copy of one.
+        for transaction in sorted(self.held.by_id.values(), key=lambda one: one.front != RESEND):
             if transaction.ending is not None:  # decided already; only its answer may not have been sent
                 self._answer(transaction)
                 if transaction.keep and not transaction.moved and self.keeper is not None:
                     self.keeper.keep(transaction)
-            else:
+            elif transaction.front != RESEND:
                 transaction.came_again = True  # its age is not that of this process
-                self._add(transaction)
+                self._admit(transaction)
+            elif self.guard is not None:
+                self.guard.came_back(transaction)
+            else:  # the store, where it is missed, will take it for one that may have run
+                log.warning("undelivered.off", resend=transaction.id)
+                self.journal.end(transaction, Ending.OVER)
 
     def offer(self, transaction: Transaction) -> Offered:
         """Take a transaction on, or reject it at once; one that is held already is not taken twice."""
@@ -181,9 +218,40 @@
             # As the receiver would say of a repeat; the caller hears first that it was taken.
             self.scheduler.at(now, lambda: self._final(transaction.id, Ending.DELIVERED, 0))
         else:
-            self._add(transaction)
+            self._admit(transaction)
         return Offered(True)
 
+    def offer_resend(self, transaction: Transaction) -> bool:
+        """Write a resend down; it goes to the module by `go_on` once the store has claimed it."""
+        full = len(self.held) >= self.s.max_open
+        if full or not self.taking or transaction.id in self.held.by_id or transaction.id in self.held.ended:
+            return False
+        transaction.came_at = self.scheduler.now()
+        try:
+            self.journal.taken(transaction)
+        except JournalFull:
+            return False
+        return True
+
+    def _admit(self, transaction: Transaction) -> None:
+        match self.guard.came(transaction) if self.guard is not None else Came.GO:
+            case Came.GO:
+                self._add(transaction)
+            case Came.DONE:  # the caller hears first that it was taken
+                now = self.scheduler.now()
+                self.scheduler.at(now, lambda: self._final(transaction.id, Ending.DELIVERED, 0))
+
+    def go_on(self, transaction: Transaction) -> None:
+        """It need not wait any longer."""
+        if transaction.id in self.held.by_id and transaction.ending is None:
+            self._add(transaction)
+
+    def conclude(self, transaction: Transaction, ending: Ending, come_back: int = 0) -> None:
+        """It ends so; whatever the module still had in mind for it is left out."""
+        if transaction.id in self.held.by_id and transaction.ending is None:
+            self._conclude(transaction, ending, come_back)
+            self._add(api.Withdrawn(transaction.id))
+
     def _keyed(self, transaction: Transaction) -> bool:
         return bool(transaction.key) and self.s.classes[transaction.cls].effect is api.Effect.KEYED
 
@@ -191,6 +259,8 @@
         first = transaction.first_ran()
         if first is None and self._keyed(transaction):  # a copy must keep to the window of the first
             first = self.held.delivered(transaction, self.last_tick)
+        if transaction.past is not None:
+            first = min(first or transaction.past, transaction.past)
         return api.NewMessage(
             message=transaction.id,
             cls=transaction.cls,
@@ -201,6 +271,7 @@
             attempts=transaction.attempts,
             ran_at=first[0] if first else None,
             ran_zone=first[1] if first else 0,
+            behind=transaction.front == RESEND,
         )
 
     def withdraw(self, name: str) -> None:
@@ -209,6 +280,8 @@
         if transaction is not None and transaction.ending is None:
             self.journal.end(transaction, Ending.OVER)
             self._add(api.Withdrawn(name))
+            if self.guard is not None:
+                self.guard.ended(transaction)
 
     def state(self) -> State:
         """How it stands to new work."""
@@ -265,6 +338,8 @@
                 stale=result.stale,
             )
         )
+        if self.guard is not None:
+            self.guard.attempt_ended(transaction, outcome)
 
     # Rounds: events that come within one resolution are handled together, as in the simulator.
 
@@ -353,18 +428,26 @@
             self._conclude(transaction, ending, come_back)
 
     def _conclude(self, transaction: Transaction, ending: Ending, come_back: int) -> None:
-        if ending is Ending.OVER or (ending is Ending.DELIVERED and transaction.front == "resp"):
+        keep = transaction.front != RESEND and self.keeper is not None and ending is not Ending.OVER
+        if keep and ending is Ending.DELIVERED:
+            keep = self.guard is not None and self.guard.settles(transaction)
+        silent = ending is Ending.OVER or (ending is Ending.DELIVERED and transaction.front == "resp")
+        if keep or not silent:
+            self.journal.decided(transaction, ending, come_back, keep)
+        if silent:
             self.journal.end(transaction, ending)
-            return
-        keeper = self.keeper if ending is not Ending.DELIVERED else None
-        self.journal.decided(transaction, ending, come_back, keep=keeper is not None)
-        self._answer(transaction)
-        if keeper is not None:
-            keeper.keep(transaction)
+        else:
+            self._answer(transaction)
+        if keep and self.keeper is not None:
+            self.keeper.keep(transaction)
+        if self.guard is not None:
+            self.guard.ended(transaction)
 
     def kept(self, transaction: Transaction) -> None:
         """The keeper has it, or has let it go."""
         self.journal.kept(transaction)
+        if self.guard is not None:
+            self.guard.moved(transaction)
 
     def _answer(self, transaction: Transaction) -> None:
         front = self.fronts.get(transaction.front)
--- a/honeyhitch/interface.py
+++ b/honeyhitch/interface.py
@@ -197,6 +197,7 @@
     attempts: int = 0  # made before a restart of the process
     ran_at: int | None = None  # when an earlier attempt may first have run, if one may have
     ran_zone: int = 0  # and in which zone
+    behind: bool = False  # it goes only where nothing else wants to
 
 
 @dataclass(frozen=True, slots=True)
@@ -302,4 +303,18 @@
     calls: int
 
 
+@dataclass(frozen=True, slots=True)
+class Condition:
+    """How a destination stands, as the module sees it."""
+
+    listed: bool  # it has a member that may get something new
+    sick: bool  # no member is well: out, or many calls fail
+    ramping: bool  # a member came back and may be cold
+    waits_until: int  # told wait
+    queued: bool  # messages that are not behind others wait for it
+    part: float  # this instance's part of its capacity, in calls a second
+    last_send: int
+    used: int  # slots, of all destinations
+
+
 Action = Send | Cancel | Refuse | Fail | SetTimer | Subscribe | Close | Open
--- a/honeyhitch/lifecycle/config/operator.py
+++ b/honeyhitch/lifecycle/config/operator.py
@@ -53,7 +53,7 @@
     parsed = {key: Address.parse(text, f"beside.{key}") if text else None for key, text in addresses.items()}
     setup = mqtt.setup(told_mqtt, name, settings, environ) if told_mqtt is not None else None
     partners = tls.setup(told_tls, settings, environ) if told_tls is not None else None
-    kept = undelivered.setup(told_undelivered) if told_undelivered is not None else None
+    kept = undelivered.setup(told_undelivered, settings) if told_undelivered is not None else None
     if kept is not None:  # it is looked at and cared for through the control socket
         control = control or Control()
     return Operator(setup, parsed["agent-check"], parsed["health"], form, level, partners, kept, control)
--- a/honeyhitch/lifecycle/serve.py
+++ b/honeyhitch/lifecycle/serve.py
@@ -6,6 +6,7 @@
 import os
 import signal
 from collections.abc import Awaitable, Callable, Coroutine
+from dataclasses import replace
 from random import Random
 from typing import TYPE_CHECKING, Any
 
@@ -151,7 +152,11 @@
             dispatcher.news(dispatcher.pool.update(config.known, cached=True))
         except PoolError as error:
             log.warning("known.unusable", error=str(error))
-        dispatcher.resume()
+        if self.keeping is not None:  # what is handed in may be a copy of what is kept
+            dispatcher.taking = False
+            self.keeping.begin(self._resume)
+        else:
+            dispatcher.resume()
         if listen:
             fields = resp.Fields(config.settings, dispatcher.pool.serves)
             self._listen(
@@ -175,6 +180,22 @@
             self.tasks.keep(work)
         self.discovery.start()
 
+    def _take_rules(self, new: Config) -> Config:
+        """Rules for undelivered messages change at once; the rest of that table holds from a start on."""
+        told = new.operator.undelivered
+        if self.keeping is None or told is None or self.config.operator.undelivered is None:
+            return new
+        if told.rules != self.config.operator.undelivered.rules:
+            self.keeping.resending.swap(told.rules)
+            log.info("reload.rules", rules=len(told.rules))
+        beside = replace(self.config.operator.undelivered, rules=told.rules)
+        self.config = replace(self.config, operator=replace(self.config.operator, undelivered=beside))
+        return new
+
+    def _resume(self) -> None:
+        self.dispatcher.taking = not self.dispatcher.leaving and self.dispatcher.sending
+        self.dispatcher.resume()
+
     def _control(self, setup: Control) -> None:
         try:
             self.control = ControlServer(setup.at(self.config.state), self.verbs, self.tasks)
@@ -198,6 +219,7 @@
         if new.discovery != self.config.discovery:
             log.info("reload.discovery", before=str(self.config.discovery), now=str(new.discovery))
             self.discovery.move(str(new.discovery))
+        new = self._take_rules(new)
         for name in AT_START_ONLY:
             if getattr(new, name) != getattr(self.config, name):
                 log.warning("reload.needs-restart", setting=name, key=name)
--- a/honeyhitch/lifecycle/undelivered/__init__.py
+++ b/honeyhitch/lifecycle/undelivered/__init__.py
@@ -28,6 +28,7 @@
     changing.discard,
     changing.settle,
     changing.release,
+    changing.resend,
     changing.purge,
     changing.rekey,
 ):
--- a/honeyhitch/lifecycle/undelivered/changing.py
+++ b/honeyhitch/lifecycle/undelivered/changing.py
@@ -98,6 +98,18 @@
     change(store, "release", **told)
 
 
+@click.command()
+@changing("--why")
+@filters
+@access
+def resend(store: Access, **told: Any) -> None:
+    """Have records resent whatever the rules say, as soon as nothing can be applied twice.
+
+    It is done by a running dispatcher, behind live traffic; while none runs, by the next one.
+    """
+    change(store, "resend", **told)
+
+
 @click.command()
 @click.option("--altered", is_flag=True, help="The one record named, which was altered on disk.")
 @changing("--why")
--- a/honeyhitch/lifecycle/undelivered/options.py
+++ b/honeyhitch/lifecycle/undelivered/options.py
@@ -34,7 +34,7 @@
         return int(told.timestamp() * 1000) * 10**6
 
 
-STANDINGS = ["kept", "sending", "settled", "discarded"]
+STANDINGS = ["kept", "sending", "settled", "replaced", "discarded"]
 FILTERS = (
     ("--dest", "destination", int, "The number of the destination."),
     ("--class", "cls", str, "The class, as in the settings."),
--- a/honeyhitch/memory/transactions.py
+++ b/honeyhitch/memory/transactions.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+RESEND = "resend"  # the front of what the store of undelivered messages hands in
+
 
 class Ending(Enum):
     """How a transaction ended."""
@@ -51,6 +53,7 @@
     tries: list[Try] = field(default_factory=list)
     keep: bool = False  # ended undelivered: it stays till the store has it
     moved: bool = False  # the store has it
+    past: tuple[int, int] | None = None  # when and where a resend, or what is resent, may have run
 
     def first_ran(self) -> tuple[int, int] | None:
         """When and in which zone it may have run first."""
--- /dev/null
+++ b/honeyhitch/undelivered/copies.py
@@ -0,0 +1,148 @@
+"""Which messages are copies of one that is kept, and what follows. No I/O; the clock is passed in.
+
+Copies have the same idempotency key at the same destination, and come while the kept one is remembered.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+from honeyhitch import interface as api
+from honeyhitch.core import Came
+from honeyhitch.memory.transactions import Transaction
+from honeyhitch.undelivered.records import Standing
+from honeyhitch.undelivered.resends import Known
+
+Key = tuple[int, str]  # destination and idempotency key
+
+
+class State(Enum):
+    """How a kept message stands towards its copies."""
+
+    OPEN = "open"  # kept; a copy goes out as any message, and no resend does meanwhile
+    SENDING = "sending"  # a resend is on its way; a copy waits for its end
+    DONE = "done"  # a resend was delivered; a copy takes that as its own end
+    OVER = "over"  # nothing more will be done for it
+
+
+@dataclass(slots=True)
+class Case:
+    """One kept message. Times are Unix times in nanoseconds."""
+
+    state: State
+    at: int  # its end; copies are known for a while from then on
+    keyed: bool
+    window: int
+    first: tuple[int, int] | None = None  # when and in which zone it may first have run
+    resent: bool = False  # and a resend was among what ran
+
+
+class Copies:
+    """All kept messages by key, and how many of the clients' messages with each key are held."""
+
+    def __init__(self, memory: int) -> None:
+        self.memory, self.cases, self.live = memory, dict[Key, Case](), dict[Key, int]()
+        self.counted: set[str] = set()  # ids of the clients' messages that are counted in `live`
+
+    @staticmethod
+    def key(transaction: Transaction) -> Key | None:
+        """By which its copies are known, None if by nothing."""
+        return (transaction.destination, transaction.key) if transaction.key else None
+
+    def load(self, records: list[Known]) -> None:
+        """Take over what the store knows; what is on its way here is known better here."""
+        before, self.cases = self.cases, {}
+        for record in records:  # in the order in which they came: the latest counts
+            self.note(record)
+        for key, case in before.items():
+            if case.state is State.SENDING:
+                self.cases[key] = case
+
+    def note(self, record: Known) -> None:
+        """A record is so now."""
+        key = record.destination, record.key
+        known = self.cases.get(key)
+        sending = known is not None and known.state is State.SENDING
+        if not record.key or (sending and record.standing != Standing.SENDING.value):
+            return  # a resend's end is told by `sent`
+        if record.standing == Standing.KEPT.value:
+            state = State.OPEN
+        elif record.standing == Standing.SENDING.value:
+            state = State.SENDING
+        else:
+            state = State.DONE if record.settled_by.startswith("resend:") else State.OVER
+        first = (record.first_ran, record.first_zone) if record.first_ran is not None else None
+        keyed = record.effect == api.Effect.KEYED.value
+        self.cases[key] = Case(state, record.ended_at, keyed, record.window, first, record.resends > 0)
+
+    def case(self, transaction: Transaction, now: int) -> Case | None:
+        """The kept message that this one is a copy of, if there is one."""
+        key = self.key(transaction)
+        case = self.cases.get(key) if key is not None else None
+        if case is None or now - case.at > self.memory:
+            return None
+        return case
+
+    def came(self, transaction: Transaction, now: int) -> Came:
+        """A client handed it in; what becomes of it. Where a resend may have run, `past` is set."""
+        self.count(transaction)
+        case = self.case(transaction, now)
+        if case is None:
+            return Came.GO
+        if case.resent and case.first is not None:
+            transaction.past = case.first
+        if transaction.attempts:  # it was on its way before a restart; no resend began meanwhile
+            return Came.GO
+        if case.state is State.SENDING:
+            return Came.WAIT
+        if case.state is State.DONE:
+            first = case.first[0] if case.first is not None else case.at
+            if case.keyed and now >= first + case.window:  # the receiver has forgotten the key: a new message
+                transaction.past = None
+                return Came.GO
+            return Came.DONE
+        return Came.GO
+
+    def count(self, transaction: Transaction) -> None:
+        """A client's message is held, or waits for the store."""
+        key = self.key(transaction)
+        if key is not None and transaction.id not in self.counted:
+            self.counted.add(transaction.id)
+            self.live[key] = self.live.get(key, 0) + 1
+
+    def gone(self, transaction: Transaction) -> None:
+        """It is not held any longer, and whatever it leaves is kept."""
+        key = self.key(transaction)
+        if key is not None and transaction.id in self.counted:
+            self.counted.discard(transaction.id)
+            left = self.live.get(key, 0) - 1
+            if left > 0:
+                self.live[key] = left
+            else:
+                self.live.pop(key, None)
+
+    def blocked(self, key: Key) -> bool:
+        """Whether no resend of this key may begin: a client's message with it is held, or a resend is out."""
+        case = self.cases.get(key)
+        return bool(self.live.get(key)) or (case is not None and case.state is State.SENDING)
+
+    def sending(self, transaction: Transaction, now: int) -> None:
+        """A resend of it begins."""
+        key = self.key(transaction)
+        if key is not None:
+            case = self.cases.get(key) or Case(State.OPEN, now, False, 0)
+            case.state, case.at = State.SENDING, max(case.at, now)
+            self.cases[key] = case
+
+    def sent(self, transaction: Transaction, record: Known | None) -> None:
+        """The resend has ended, and its record is so now; None if there is no such record any more."""
+        key = self.key(transaction)
+        if key is None:
+            return
+        case = self.cases.pop(key, None)
+        if record is not None:
+            self.note(record)
+        elif case is not None:
+            case.state = State.OVER
+            self.cases[key] = case
--- a/honeyhitch/undelivered/eligibility.py
+++ b/honeyhitch/undelivered/eligibility.py
@@ -30,6 +30,8 @@
     first_ran: int | None = None  # when an attempt may first have run, None if none may have
     same_group: bool = True  # the resend would reach those who remember the key
     told_again: int | None = None  # when a client was told to come back, None if it was not
+    came_at: int = 0  # when the message was first taken on
+    copy_unseen: bool = False  # a client may have handed a copy in where it cannot be seen
     released: bool = False  # a person named the partner's evidence that it was not applied
 
 
@@ -50,17 +52,20 @@
     """
     if past.told_again is not None and now < past.told_again + grace:
         return Decision(Verdict.WAIT, "told-to-come-again", past.told_again + grace)
-    if past.first_ran is None:
-        return Decision(Verdict.RESEND, "never-ran")
     if past.released:
         return Decision(Verdict.RESEND, "released")
+    first = past.first_ran
+    if past.copy_unseen:  # it can have run as soon as the message was there
+        first = past.came_at if first is None else min(first, past.came_at)
+    if first is None:
+        return Decision(Verdict.RESEND, "never-ran")
     if past.effect is api.Effect.SAFE:
         return Decision(Verdict.RESEND, "safe")
     if past.effect is api.Effect.UNSAFE:
-        return Decision(Verdict.HOLD, "unsafe-may-have-run")
-    if now < past.first_ran:  # the clock has stepped back: how old the window is cannot be told
+        return Decision(Verdict.HOLD, "unsafe-may-have-run" if past.first_ran is not None else "copy-unseen")
+    if now < first:  # the clock has stepped back: how old the window is cannot be told
         return Decision(Verdict.HOLD, "clock-stepped")
-    end = past.first_ran + past.window
+    end = first + past.window
     if not past.same_group:
         return Decision(Verdict.HOLD, "key-not-known-there")
     if now + longest > end:
--- a/honeyhitch/undelivered/files.py
+++ b/honeyhitch/undelivered/files.py
@@ -11,6 +11,7 @@
 from honeyhitch.undelivered import schema
 
 DATABASE, KEYS, LOCK = "undelivered.db", "keys.json", "lock"
+DAMAGE = (sqlite3.Error, UnicodeDecodeError)  # the latter where SQLite's own words quote a damaged name
 PATIENCE = 5.0  # seconds a statement waits for another connection's lock
 CACHE = 8_000  # kB
 SLACK = 16_000_000  # bytes by which the file may outgrow what its records take, beside half of that again
@@ -24,6 +25,11 @@
     """Another process writes this store."""
 
 
+def as_text(data: bytes) -> str:
+    """What stands in a column of text; a damaged one is told by its seal."""
+    return data.decode(errors="replace")
+
+
 def lock(folder: Path) -> int:
     """Become the one writer; the descriptor holds the lock until it is closed. Raises StoreError."""
     try:
@@ -51,6 +57,7 @@
     if not path.exists():
         os.close(os.open(path, os.O_RDWR | os.O_CREAT, 0o600))
     db = sqlite3.connect(path, timeout=PATIENCE, isolation_level=None, check_same_thread=False)
+    db.text_factory = as_text
     try:
         schema.check(db)  # before anything is changed
         db.execute("PRAGMA auto_vacuum=INCREMENTAL")  # heeded by a file that is still empty
@@ -62,7 +69,7 @@
         (page,) = db.execute("PRAGMA page_size").fetchone()
         schema.migrate(db)
         db.execute(f"PRAGMA max_page_count={(most + most // 2 + SLACK) // page}")
-    except (sqlite3.Error, schema.SchemaError) as error:
+    except (*DAMAGE, schema.SchemaError) as error:
         db.close()
         raise StoreError(f"{path}: {error}") from error
     return db
@@ -76,14 +83,15 @@
     address = f"file:{quote(str(path))}?mode=ro"
     try:
         db = sqlite3.connect(address, uri=True, timeout=PATIENCE, isolation_level=None)
+        db.text_factory = as_text
         try:
             if schema.check(db) < schema.VERSION:
                 raise schema.SchemaError(
                     "has an older schema; start a dispatcher once to bring it up to date"
                 )
-        except (sqlite3.Error, schema.SchemaError):
+        except (*DAMAGE, schema.SchemaError):
             db.close()
             raise
-    except (sqlite3.Error, schema.SchemaError) as error:
+    except (*DAMAGE, schema.SchemaError) as error:
         raise StoreError(f"{path}: {error}") from error
     return db
--- a/honeyhitch/undelivered/keeping.py
+++ b/honeyhitch/undelivered/keeping.py
@@ -11,6 +11,7 @@
 from honeyhitch.core import Dispatcher, Scheduler
 from honeyhitch.undelivered import operations
 from honeyhitch.undelivered.moving import Moving, tell_dropped
+from honeyhitch.undelivered.resending import Resending
 from honeyhitch.undelivered.settings import Undelivered
 from honeyhitch.undelivered.store import Store
 from honeyhitch.undelivered.worker import Job, Worker
@@ -39,10 +40,27 @@
         folder, limits, clock = setup.at(state), setup.limits, scheduler.now
         self.loop = loop
         post: Callable[[Callable[[], None]], object] = loop.call_soon_threadsafe
-        self.writer = Worker(lambda: Store(folder, limits, setup.compress_from, clock), post)
-        self.reader = Worker(lambda: Store(folder, limits, clock=clock, writes=False), post, READS)
+        terms = setup.terms
+        self.writer = Worker(lambda: Store(folder, limits, setup.compress_from, clock, terms=terms), post)
+        self.reader = Worker(
+            lambda: Store(folder, limits, clock=clock, writes=False, terms=terms), post, READS
+        )
         self.moving = Moving(dispatcher.s, dispatcher.journal, scheduler, self.writer.submit, dispatcher.kept)
         dispatcher.keeper = self.moving
+        self.resending = Resending(setup, dispatcher, scheduler, self.writer.submit)
+        self.moving.after.append(self.resending.kept)
+
+    def begin(self, ready: Callable[[], None]) -> None:
+        """Learn what is kept; `ready` is called then, or once it has taken too long."""
+        told: list[bool] = []
+
+        def once() -> None:
+            if not told:
+                told.append(True)
+                ready()
+
+        self.resending.begin(once)
+        self.loop.call_later(PATIENCE, once)
 
     async def ask(self, name: str, told: dict[str, Any], who: str) -> dict[str, Any]:
         """Do an operation on the store (operations.py).
@@ -77,6 +95,7 @@
             try:
                 tell_dropped(await self._done(self.writer, job))
                 await self._done(self.writer, Store.tidy)
+                self.resending.forget_old()
             except Exception as error:  # the store is opened again with the next job
                 log.error("undelivered.store-failed", error=str(error), key=str(error))
             await asyncio.sleep(CARE)
--- a/honeyhitch/undelivered/operations.py
+++ b/honeyhitch/undelivered/operations.py
@@ -10,8 +10,10 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
+from honeyhitch.undelivered.eligibility import Verdict
 from honeyhitch.undelivered.filters import Filter, FilterError
 from honeyhitch.undelivered.records import Kept, Record, Standing
+from honeyhitch.undelivered.rules import verdict
 from honeyhitch.undelivered.store import STEP, Store
 
 MOST_PAGE = 1000
@@ -112,7 +114,7 @@
 def _why_not_release(record: Record) -> str:
     if record.standing is not Standing.KEPT:
         return f"it is {record.standing.value}"
-    if not record.may_have_run:
+    if not record.may_have_run and record.told_again is None and not record.came_again:
         return "it never ran: nothing has to be proved before it is sent"
     return "it is released already" if record.evidence else ""
 
@@ -129,10 +131,15 @@
     record.evidence = why
 
 
+def _ask(record: Record, who: str, why: str) -> None:
+    record.asked = f"{who}: {why}"
+
+
 CHANGES: dict[str, tuple[Callable[[Record], str], Callable[[Record, str, str], None]]] = {
     "discard": (_why_not_discard, _discard),
     "settle": (_why_not_discard, _settle),
     "release": (_why_not_release, _release),
+    "resend": (_why_not_discard, _ask),
 }
 
 
@@ -151,7 +158,11 @@
     found = store.page(_filter(told), after, STEP)
     for kept in found:
         record = kept.record
-        if reason := kept.fault or why_not(record):
+        reason = kept.fault or why_not(record)
+        if verb == "resend" and not reason:  # as it stands now; it is asked again when it is its turn
+            decision = verdict(record, store.terms, store.clock(), 0)
+            reason = decision.reason if decision.verdict is Verdict.HOLD else ""
+        if reason:
             left.append({"seq": record.seq, "id": record.id, "why": reason})
             continue
         if not dry_run:
@@ -175,7 +186,7 @@
         return {"count": count, "more": False, "dry_run": _flag(told, "dry_run")}
     if _flag(told, "dry_run"):
         groups = store.counted(chosen, ("standing",))
-        over = [group["count"] for group in groups if group["standing"] in ("settled", "discarded")]
+        over = [group["count"] for group in groups if group["standing"] not in ("kept", "sending")]
         return {"count": sum(over), "more": False, "dry_run": True}
     count = store.purge(chosen, who, why)
     return {"count": count, "more": count == STEP, "dry_run": False}
@@ -213,7 +224,7 @@
         raise OperationError(f"{name}: no such operation")
     try:
         return operation(store, told, who)
-    except sqlite3.DatabaseError as error:
+    except (sqlite3.DatabaseError, UnicodeDecodeError) as error:
         if isinstance(error, sqlite3.OperationalError):
             raise
         raise OperationError(f"the store is damaged: {error}; `verify` says more") from error
--- a/honeyhitch/undelivered/records.py
+++ b/honeyhitch/undelivered/records.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from honeyhitch import interface as api
-from honeyhitch.memory.transactions import Transaction, Try
+from honeyhitch.memory.transactions import Ending, Transaction, Try
 
 NEVER_RAN = frozenset(
     one.value for one in (api.Outcome.REFUSED, api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT)
@@ -22,6 +22,7 @@
     KEPT = "kept"
     SENDING = "sending"  # a resend is on its way
     SETTLED = "settled"  # delivered since, or settled by a person
+    REPLACED = "replaced"  # a copy of it ended undelivered, too, and stands for both
     DISCARDED = "discarded"
 
 
@@ -59,6 +60,8 @@
     resends: int = 0
     resend_id: str = ""  # the latest one's
     changed_at: int = 0
+    told_again: int | None = None  # when a client was told to bring it again, if it was
+    asked: str = ""  # who wants it resent whatever the rules say, and why
 
     @property
     def may_have_run(self) -> bool:
@@ -117,7 +120,7 @@
 PUBLIC = (
     "seq", "id", "key", "cls", "tenant", "destination", "front", "came_at", "deadline", "ended_at", "ending",
     "reason", "come_back", "came_again", "effect", "window", "first_ran", "evidence", "settled_by", "resends",
-    "resend_id", "changed_at",
+    "resend_id", "changed_at", "told_again", "asked",
 )  # fmt: skip
 
 
@@ -126,6 +129,7 @@
     cls = settings.classes[transaction.cls]
     tenants = settings.tenant_names
     first = transaction.first_ran()
+    rejected = transaction.ending is Ending.REJECTED
     return Record(
         id=transaction.id,
         ended_at=transaction.ended_at,
@@ -148,6 +152,7 @@
         tries=tuple(transaction.tries),
         body=transaction.body,
         changed_at=transaction.ended_at,
+        told_again=transaction.ended_at + transaction.come_back if rejected else None,
     )
 
 
@@ -169,7 +174,14 @@
     return tuple(Try(*row) for row in json.loads(text))
 
 
+LATER = {"told_again": None, "asked": ""}  # columns of later versions, and what they hold in older records
+
+
 def canonical(columns: dict[str, Any], body: bytes) -> bytes:
-    """What is sealed: every column that a record has, by name, and the stored body behind its length."""
+    """What is sealed: every column that a record has, by name, and the stored body behind its length.
+
+    A later version's column is left out where it holds nothing, so that seals of older records stay good.
+    """
+    columns = {name: value for name, value in columns.items() if name not in LATER or value != LATER[name]}
     text = json.dumps(columns, separators=(",", ":"), sort_keys=True).encode()
     return len(text).to_bytes(4, "big") + text + body
--- a/honeyhitch/undelivered/schema.py
+++ b/honeyhitch/undelivered/schema.py
@@ -74,7 +74,19 @@
 );
 """
 
-STEPS = (FIRST,)  # each makes the next version of the one before it
+SECOND = """
+ALTER TABLE record ADD COLUMN told_again INTEGER;
+ALTER TABLE record ADD COLUMN asked TEXT NOT NULL DEFAULT '';
+CREATE TABLE plan (
+    seq INTEGER PRIMARY KEY REFERENCES record (seq) ON DELETE CASCADE,
+    destination INTEGER NOT NULL,
+    next_at INTEGER NOT NULL
+);
+CREATE INDEX plan_by_destination ON plan (destination, next_at);
+INSERT INTO plan SELECT seq, destination, 0 FROM record WHERE standing = 'kept';
+"""  # what a record of the first version has in a new column is left out of its seal (records.LATER)
+
+STEPS = (FIRST, SECOND)  # each makes the next version of the one before it
 VERSION = len(STEPS)
 
 
--- a/honeyhitch/undelivered/store.py
+++ b/honeyhitch/undelivered/store.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import os
-import sqlite3
 import time
 from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
@@ -21,6 +20,7 @@
 from honeyhitch.undelivered.files import StoreError
 from honeyhitch.undelivered.filters import Filter
 from honeyhitch.undelivered.records import (
+    OPEN,
     Dropped,
     Kept,
     Record,
@@ -30,7 +30,7 @@
     unpack_tries,
 )
 from honeyhitch.undelivered.seal import Keys, SealError
-from honeyhitch.undelivered.settings import Limits
+from honeyhitch.undelivered.settings import Limits, Terms
 
 LEVEL = 3  # of compression
 LARGEST = 16 << 20  # bytes of a body when unpacked; nothing that was taken on is greater
@@ -39,15 +39,17 @@
 COLUMNS = (
     "id", "ended_at", "came_at", "deadline", "destination", "cls", "effect", "window", "zoned", "tenant",
     "key", "front", "came_again", "ending", "reason", "come_back", "first_ran", "first_zone", "standing",
-    "settled_by", "evidence", "resends", "resend_id", "changed_at", "plain", "size",
+    "settled_by", "evidence", "resends", "resend_id", "changed_at", "told_again", "asked", "plain", "size",
 )  # fmt: skip
 DETAIL = ("tries", "packed", "body", "key_number", "seal")
 SELECT = f"SELECT record.seq, {', '.join(f'record.{name}' for name in COLUMNS)}"
 WHOLE = f"{SELECT}, {', '.join(f'detail.{name}' for name in DETAIL)} FROM record LEFT JOIN detail USING (seq)"
+TABLES = ("plan", "detail", "record")  # with something of each record; the one that the others name last
+DELIVERED = "delivered"  # the ending of a client's copy that settles a record
 AUDIT = ("at", "seq", "id", "who", "what", "why")
 DROP_ORDER = (  # whoever may have been applied, with nobody to say so yet, goes last
-    (Standing.SETTLED, 0), (Standing.SETTLED, 1), (Standing.DISCARDED, 0), (Standing.DISCARDED, 1),
-    (Standing.KEPT, 0), (Standing.KEPT, 1),
+    (Standing.REPLACED, 0), (Standing.REPLACED, 1), (Standing.SETTLED, 0), (Standing.SETTLED, 1),
+    (Standing.DISCARDED, 0), (Standing.DISCARDED, 1), (Standing.KEPT, 0), (Standing.KEPT, 1),
 )  # fmt: skip
 
 
@@ -61,7 +63,9 @@
         compress_from: int = 512,
         clock: Callable[[], int] = time.time_ns,
         writes: bool = True,
+        terms: Terms | None = None,
     ) -> None:
+        self.terms = terms or Terms()
         self.folder, self.limits, self.clock = folder, limits or Limits(), clock
         self.compress_from, self.count, self.size, self.keys_at = compress_from, 0, 0, (0, 0)
         self.packer, self.unpacker = zstandard.ZstdCompressor(LEVEL), zstandard.ZstdDecompressor()
@@ -86,7 +90,7 @@
             told = os.stat(self.folder / files.DATABASE)
             self.file = told.st_dev, told.st_ino
             self.keys = Keys.load(self.folder / files.KEYS, writes, least)
-        except sqlite3.Error as error:
+        except files.DAMAGE as error:
             raise StoreError(f"{self.folder / files.DATABASE}: {error}") from error
         except SealError as error:
             raise StoreError(str(error)) from error
@@ -134,21 +138,83 @@
         """Keep them; one that is there already is left as it is. What had to go for room, or for its age."""
         with self.at_once():
             for record in records:
-                known = self.db.execute(
-                    "SELECT seq FROM record WHERE id = ? AND ended_at = ?", (record.id, record.ended_at)
-                ).fetchone()
-                if known is None:
+                if record.ending == DELIVERED:
+                    self._settle_by(record)
+                elif self._known(record) is None:
+                    open_ones = self._same_key(record)
+                    under_way = [one for one in open_ones if one.standing is Standing.SENDING]
+                    if under_way:  # it waited for a resend, and ended before that did
+                        record.standing = Standing.REPLACED
+                        record.settled_by = f"record:{under_way[0].seq}"
                     self._insert(record)
+                    for one in open_ones:
+                        self._replace(one, record)
             return self.make_room()
 
+    def _known(self, record: Record) -> int | None:
+        text = "SELECT seq FROM record WHERE id = ? AND ended_at = ?"
+        row = self.db.execute(text, (record.id, record.ended_at)).fetchone()
+        return int(row[0]) if row is not None else None
+
+    def _same_key(self, record: Record) -> list[Record]:
+        """Records that are still open and of which this one is a copy."""
+        if not record.key:
+            return []
+        text = f"{WHOLE} WHERE record.destination = ? AND record.key = ? AND record.ended_at > ?"
+        values = (record.destination, record.key, record.ended_at - self.terms.memory)
+        found = [self._kept(row) for row in self.db.execute(text, values)]
+        open_ones = [one.record for one in found if not one.fault and one.record.standing in OPEN]
+        return [one for one in open_ones if one.id != record.id]
+
+    def _replace(self, old: Record, new: Record) -> None:
+        """A copy of a kept message ended undelivered: one record stands for both, with what either may have
+        done.
+        """
+        if new.standing is Standing.REPLACED:
+            old.told_again = max(old.told_again or 0, new.told_again or 0) or None
+            self.change(old, "honeyhitch", "copy-ended", f"message {new.id} waited for it")
+            return
+        old.standing, old.settled_by = Standing.REPLACED, f"record:{new.seq}"
+        self.change(old, "honeyhitch", "replaced", f"message {new.id} has its key")
+        if old.first_ran is not None and (new.first_ran is None or old.first_ran < new.first_ran):
+            new.first_ran, new.first_zone = old.first_ran, old.first_zone
+        new.resends, new.came_at = max(new.resends, old.resends), min(new.came_at, old.came_at)
+        new.came_again = new.came_again or old.came_again
+        self.change(new, "honeyhitch", "replaces", f"message {old.id}")
+
+    def _settle_by(self, copy: Record) -> None:
+        """A client's copy was delivered: nothing is owed for the records with its key. One with another body
+        may be a message of its own; all that is sure then is that the key has been used.
+        """
+        for one in self._same_key(copy):
+            if one.body == copy.body:
+                one.standing, one.settled_by = Standing.SETTLED, f"copy:{copy.id}"
+                self.change(one, "honeyhitch", "settled", f"message {copy.id} was delivered with its key")
+            else:
+                one.first_ran = min(one.first_ran or copy.ended_at, copy.first_ran or copy.ended_at)
+                one.evidence = ""
+                why = f"message {copy.id} was delivered with its key and another body"
+                self.change(one, "honeyhitch", "key-used", why)
+
     def _insert(self, record: Record) -> None:
         columns, tries, packed, body = self._stored(record)
         names, marks = ", ".join(COLUMNS), ", ".join("?" * len(COLUMNS))
         cursor = self.db.execute(f"INSERT INTO record ({names}) VALUES ({marks})", list(columns.values()))
         record.seq = int(cursor.lastrowid or 0)
         self._detail(record.seq, columns, tries, packed, body)
+        self.replan(record, 0)
         self.count, self.size = self.count + 1, self.size + columns["size"]
 
+    def replan(self, record: Record, at: int | None) -> None:
+        """When the record is to be looked at next for a resend; never by itself if that is None. The plan is
+        under no seal: whatever it says, the record and the rules decide.
+        """
+        if at is None or record.standing is not Standing.KEPT:
+            self.db.execute("DELETE FROM plan WHERE seq = ?", (record.seq,))
+        else:
+            row = (record.seq, record.destination, at)
+            self.db.execute("INSERT OR REPLACE INTO plan (seq, destination, next_at) VALUES (?, ?, ?)", row)
+
     def _stored(self, record: Record) -> tuple[dict[str, Any], str, int, bytes]:
         tries, body, packed = pack_tries(record.tries), record.body, 0
         if len(body) >= self.compress_from and len(small := self.packer.compress(body)) < len(body):
@@ -181,6 +247,7 @@
             names = ", ".join(f"{name} = ?" for name in COLUMNS)
             self.db.execute(f"UPDATE record SET {names} WHERE seq = ?", [*columns.values(), record.seq])
             self._detail(record.seq, columns, tries, packed, body)
+            self.replan(record, 0)
             self.size += columns["size"] - old[0]
             self.note(record.seq, record.id, who, what, why)
 
@@ -222,8 +289,8 @@
         if not gone:
             return []
         size = sum(row[2] for row in gone)
-        self.db.executemany("DELETE FROM detail WHERE seq = ?", [(row[0],) for row in gone])
-        self.db.executemany("DELETE FROM record WHERE seq = ?", [(row[0],) for row in gone])
+        for table in TABLES:
+            self.db.executemany(f"DELETE FROM {table} WHERE seq = ?", [(row[0],) for row in gone])
         self.count, self.size = self.count - len(gone), self.size - size
         self.db.execute(
             "INSERT INTO dropped VALUES (?, ?, ?, ?) ON CONFLICT (why, may_have_run)"
@@ -235,7 +302,7 @@
     def purge(self, chosen: Filter, who: str, why: str, most: int = STEP) -> int:
         """Delete some of the chosen records that are settled or discarded; how many. 0 means all are gone."""
         with self.at_once():
-            where, values = chosen.where("record.standing IN ('settled', 'discarded')")
+            where, values = chosen.where("record.standing IN ('settled', 'discarded', 'replaced')")
             rows = self.db.execute(f"SELECT seq, id, size FROM record WHERE {where} LIMIT ?", (*values, most))
             gone = rows.fetchall()
             for seq, name, size in gone:
@@ -254,8 +321,8 @@
 
     def _remove(self, seq: int, name: str, size: int, who: str, why: str) -> None:
         self.note(seq, name, who, "purge", why)
-        self.db.execute("DELETE FROM detail WHERE seq = ?", (seq,))
-        self.db.execute("DELETE FROM record WHERE seq = ?", (seq,))
+        for table in TABLES:
+            self.db.execute(f"DELETE FROM {table} WHERE seq = ?", (seq,))
         self.count, self.size = self.count - 1, self.size - size
 
     def tidy(self) -> None:
--- a/tests/keeping_rig.py
+++ b/tests/keeping_rig.py
@@ -11,7 +11,7 @@
 from honeyhitch.memory import journal as journal_module
 from honeyhitch.memory.journal import Journal
 from honeyhitch.undelivered.moving import Moving
-from honeyhitch.undelivered.settings import Limits
+from honeyhitch.undelivered.settings import Limits, Terms
 from honeyhitch.undelivered.store import Store
 from honeyhitch.undelivered.worker import Done, Job
 
@@ -103,6 +103,8 @@
 class KeepingStand(Stand):
     """A stand with a store. `points` decides where it is killed."""
 
+    terms = Terms()
+
     def __init__(
         self, folder: Path, time: VirtualTime | None = None, points: Points | None = None, **more: Any
     ) -> None:
@@ -117,7 +119,8 @@
         return journal
 
     def _store(self) -> Store:
-        store = KilledStore(self.folder / "undelivered", self.limits, clock=self.time.now)
+        folder = self.folder / "undelivered"
+        store = KilledStore(folder, self.limits, clock=self.time.now, terms=self.terms)
         store.points = self.points
         return store
 
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -74,6 +74,9 @@
             self.core.fronts[name] = self
         self.prepare()
         self.core.news(self.core.pool.update(LIST, cached=True))
+        self.resume()
+
+    def resume(self) -> None:
         self.core.resume()
 
     def make_journal(self, folder: Path, disk: int) -> Journal:
--- a/tests/test_undelivered_program.py
+++ b/tests/test_undelivered_program.py
@@ -62,8 +62,11 @@
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
     fields = f"c=standard,t=studio,d={left},dest=1,k=key-{name}"
     parts = [b"ENQUEUE", b"0" * 16, name.encode(), fields.encode(), b"=1+1 \xc3\xa9"]
-    writer.write(b"*5\r\n" + b"".join(b"$%d\r\n%s\r\n" % (len(part), part) for part in parts))
-    assert (await reader.readline()).startswith(b"+")
+    answer = b"-BUSY"
+    while answer.startswith(b"-BUSY"):  # till it knows what is kept
+        writer.write(b"*5\r\n" + b"".join(b"$%d\r\n%s\r\n" % (len(part), part) for part in parts))
+        answer = await reader.readline()
+    assert answer.startswith(b"+")
     writer.close()
 
 
--- /dev/null
+++ b/tests/test_undelivered_resending.py
@@ -0,0 +1,417 @@
+"""Resends: nothing applied twice and nothing forgotten, whatever fails and whenever the process is killed."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+import sqlite3
+from pathlib import Path
+from typing import Any
+from unittest.mock import patch
+
+import pytest
+
+from honeyhitch import interface as api
+from honeyhitch.core import Came
+from honeyhitch.memory.transactions import Ending, Transaction
+from honeyhitch.undelivered import operations, resends, rules
+from honeyhitch.undelivered.copies import Copies
+from honeyhitch.undelivered.eligibility import Decision, Verdict
+from honeyhitch.undelivered.records import Record, Standing
+from honeyhitch.undelivered.resending import Resending
+from honeyhitch.undelivered.settings import Action, Rule
+from honeyhitch.undelivered.store import Store
+
+from .resend_world import KEYED, RULE, SAFE, TERMS, UNSAFE, Partner, ResendStand, day, records
+from .rig import VirtualTime, row
+from .world import SECOND
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_a_day_of_failures_with_kills(tmp_path: Path, seed: int) -> None:
+    rng = random.Random(seed)
+    kills = tuple(rng.randrange(1, 900) for _ in range(seed % 4))
+    told = day(tmp_path, seed, kills)
+    assert told.kills == len(kills)
+    assert told.doubled() == [] and told.unsettled() == []
+    assert not told.stand.resending.under_way and not told.stand.resending.parked
+    assert not told.stand.journal.held.unmoved and not told.stand.core.held.by_id
+    assert not told.stand.resending.copies.live
+    assert list(told.stand.store.verify()) == []
+    told.stand.gone()
+
+
+def always(self: Copies, transaction: Transaction, now: int) -> Came:
+    return Came.GO
+
+
+def any_resend(*_: Any) -> Decision:
+    return Decision(Verdict.RESEND, "always")
+
+
+MUTANTS: dict[str, list[tuple[Any, str, Any]]] = {
+    "copies go out beside a resend": [(Copies, "came", always)],
+    "a resend begins beside a copy": [(Copies, "blocked", lambda *_: False), (Copies, "came", always)],
+    "a delivered copy settles nothing": [(Resending, "settles", lambda *_: False)],
+    "a copy that failed stands beside the first": [(Store, "_same_key", lambda *_: [])],
+    "what may have run goes again": [(rules, "decide", any_resend), (resends, "past_of", lambda _: None)],
+}
+
+
+@pytest.mark.parametrize("name", MUTANTS)
+def test_the_ledgers_catch_a_faulty_dispatcher(tmp_path: Path, name: str) -> None:
+    doubled = 0
+    for seed in range(40):
+        with patch.object(*MUTANTS[name][0]), patch.object(*MUTANTS[name][-1]):
+            told = day(tmp_path / str(seed), seed, (300,))
+            doubled += len(told.doubled())
+            told.stand.gone()
+        if doubled:
+            return
+    raise AssertionError("nobody noticed")
+
+
+# One thing at a time.
+
+
+class One:
+    """A dispatcher with a partner that does what it is told."""
+
+    def __init__(self, folder: Path, **more: Any) -> None:
+        self.partner = Partner()
+        self.stand = ResendStand(folder, VirtualTime(), self.partner, random.Random(1), **more)
+        self.stand.modes = ("refuse",)
+        self.stand.run(1)
+
+    def hand_in(self, name: str, cls: int = KEYED, key: str = "k", front: str = "mqtt") -> None:
+        now = self.stand.time.now()
+        told = Transaction(name, cls, 1, now + 6 * SECOND, b"body", key=key, front=front)
+        assert self.stand.core.offer(told).taken
+
+    def run(self, seconds: float) -> None:
+        for _ in range(int(seconds * 5)):
+            self.stand.run(0.2)
+            self.partner.run(self.stand.time.now())
+
+    def fail(self, name: str, mode: str = "refuse", **more: Any) -> Record:
+        """A message that ends undelivered, kept."""
+        self.stand.modes = (mode,)
+        self.hand_in(name, **more)
+        self.run(10)
+        self.stand.modes = ("deliver",)
+        return next(one for one in records(self.stand) if one.id == name)
+
+    def record(self, name: str) -> Record:
+        return next(one for one in records(self.stand) if one.id == name)
+
+    def audit(self, name: str) -> list[str]:
+        return [row["what"] for row in self.stand.store.audit(self.record(name).seq)]
+
+    def until_sending(self, name: str) -> Record:
+        for _ in range(2000):
+            self.run(0.2)
+            if (one := self.record(name)).standing is Standing.SENDING:
+                return one
+        raise AssertionError("no resend began")
+
+    def answers(self) -> dict[str, Ending | None]:
+        return {one.id: one.ending for one in self.stand.answers}
+
+
+def test_a_resend_is_a_fresh_request_with_the_same_key(tmp_path: Path) -> None:
+    one = One(tmp_path)
+    record = one.fail("m", cls=UNSAFE)
+    assert not record.may_have_run and record.told_again is not None
+    one.run(100)
+    settled = one.record("m")
+    assert settled.standing is Standing.SETTLED and settled.settled_by == f"resend:{settled.resend_id}"
+    (sent,) = [part for part in one.stand.sent if part.id == settled.resend_id]
+    assert (sent.key, sent.body, sent.cls, sent.front) == ("k", b"body", UNSAFE, "resend")
+    assert sent.deadline > record.deadline and sent.id != "m"
+    assert one.audit("m") == ["resend", "settled"]
+    assert len(settled.tries) == len(record.tries) + 1
+    assert one.partner.ledger["k"] and len(one.partner.ledger["k"]) == 1
+
+
+@pytest.mark.parametrize(
+    ("cls", "mode", "resent"),
+    [
+        (SAFE, "refuse", True), (SAFE, "late-lost", True), (SAFE, "500-after", True),
+        (KEYED, "refuse", True), (KEYED, "500-after", True), (KEYED, "reset-before", True),
+        (UNSAFE, "refuse", True), (UNSAFE, "reset-before", False), (UNSAFE, "reset-after", False),
+        (UNSAFE, "late", False), (UNSAFE, "500-before", False), (UNSAFE, "spoilt", False),
+    ],
+)  # fmt: skip
+def test_what_may_go_again_by_rule(tmp_path: Path, cls: int, mode: str, resent: bool) -> None:
+    one = One(tmp_path)
+    one.fail("m", mode, cls=cls)
+    one.run(80)
+    assert (one.record("m").standing is Standing.SETTLED) == resent
+    assert len(one.partner.ledger.get("k", [])) <= 1 or cls == SAFE
+
+
+def test_a_keyed_one_is_not_resent_after_its_window(tmp_path: Path) -> None:
+    one = One(tmp_path, terms=dataclasses.replace(TERMS, grace=100 * SECOND))
+    one.fail("m", "500-after")
+    one.run(300)
+    assert one.record("m").standing is Standing.KEPT and one.record("m").resends == 0
+    assert len(one.partner.ledger["k"]) == 1
+
+
+def test_released_with_evidence_it_goes_and_a_second_doubt_needs_new_evidence(tmp_path: Path) -> None:
+    one = One(tmp_path)
+    one.fail("m", "reset-before", cls=UNSAFE)
+    one.run(60)
+    told = {"verb": "release", "why": "letter 7: not applied", "filter": {"id": "m"}}
+    with one.stand.store.at_once():
+        operations.done(one.stand.store, "change", told, "anna")
+    one.stand.modes = ("reset-before",)
+    one.run(60)
+    record = one.record("m")
+    assert record.resends == 1 and record.standing is Standing.KEPT and record.evidence == ""
+    assert record.first_ran is not None and record.first_ran > record.ended_at
+    one.stand.modes = ("deliver",)
+    one.run(200)
+    assert one.record("m").resends == 1, "the evidence was of the attempts before it"
+    assert one.audit("m") == ["release", "resend", "resend-ended"]
+
+
+def test_asked_for_by_a_person_it_goes_without_a_rule(tmp_path: Path) -> None:
+    one = One(tmp_path, rule=())
+    one.fail("m")
+    one.run(60)
+    assert one.record("m").standing is Standing.KEPT
+    told = {"verb": "resend", "why": "the customer called", "filter": {"id": "m"}}
+    with one.stand.store.at_once():
+        operations.done(one.stand.store, "change", told, "anna")
+    one.run(30)
+    assert one.record("m").standing is Standing.SETTLED
+    assert one.audit("m") == ["resend", "resend", "settled"]
+
+
+def test_what_a_client_was_told_to_bring_again_waits_for_it(tmp_path: Path) -> None:
+    one = One(tmp_path)
+    record = one.fail("m")
+    assert record.told_again is not None
+    while one.record("m").standing is Standing.KEPT:
+        one.run(0.2)
+    assert one.stand.time.now() >= record.told_again + TERMS.grace
+
+
+@pytest.mark.parametrize("cls", [SAFE, KEYED, UNSAFE])
+@pytest.mark.parametrize("mode", ["deliver", "refuse", "late", "reset-after"])
+@pytest.mark.parametrize("front", ["resp", "mqtt", "app"])
+def test_a_copy_that_comes_while_the_resend_is_out_takes_its_end(
+    tmp_path: Path, cls: int, mode: str, front: str
+) -> None:
+    one = One(tmp_path)
+    one.stand.core.fronts["app"] = one.stand
+    one.fail("m", cls=cls)
+    one.stand.modes = (mode,)
+    sent = len(one.stand.sent)
+    while len(one.stand.sent) == sent:  # the attempt is out
+        one.stand.run(0.005)
+    one.hand_in("copy", cls=cls, front=front)
+    assert one.stand.sent[-1].front == "resend" and len(one.stand.sent) == sent + 1
+    one.stand.modes = ("deliver",)
+    out: list[str] = []
+    while one.stand.core.held.by_id.get("copy") is not None:
+        out = [name for name in one.stand.core.out if one.stand.core.out[name].parts[0].key == "k"]
+        assert len(out) <= 1, "the copy and the resend are out together"
+        one.run(0.2)
+    if cls != SAFE:
+        assert len(one.partner.ledger.get("k", [])) <= 1
+    if mode == "deliver":
+        assert one.answers().get("copy", Ending.DELIVERED) is Ending.DELIVERED
+        assert [part.id for part in one.stand.sent].count("copy") == 0
+    elif mode == "refuse" or cls != UNSAFE:
+        assert one.partner.ledger["k"], "the copy goes once the resend is over"
+    else:
+        assert one.answers()["copy"] is Ending.FAILED, "nobody knows whether the resend ran"
+    one.run(100)
+    assert len(one.partner.ledger.get("k", [])) <= 1 or cls == SAFE
+
+
+@pytest.mark.parametrize("ends", ["deliver", "refuse", "late"])
+def test_no_resend_begins_while_a_copy_is_held(tmp_path: Path, ends: str) -> None:
+    one = One(tmp_path)
+    one.fail("m", cls=UNSAFE)
+    one.run(6)
+    one.stand.modes = ("refuse",)
+    one.hand_in("copy", cls=UNSAFE)
+    one.run(3)
+    one.stand.modes = (ends,)
+    while one.stand.core.held.by_id.get("copy") is not None:
+        assert one.record("m").standing is Standing.KEPT
+        one.run(0.2)
+    one.stand.modes = ("deliver",)
+    one.run(120)
+    assert len(one.partner.ledger.get("k", [])) == 1 or ends == "late"
+    assert len(one.partner.ledger.get("k", [])) <= 1
+    if ends == "deliver":
+        assert one.record("m").settled_by == "copy:copy"
+    else:
+        assert one.record("m").standing is Standing.REPLACED
+        assert one.record("copy").standing is (Standing.KEPT if ends == "late" else Standing.SETTLED)
+
+
+def test_a_copy_that_comes_after_the_resend_takes_its_end_also_after_a_start(tmp_path: Path) -> None:
+    one = One(tmp_path)
+    one.fail("m", cls=UNSAFE)
+    one.run(100)
+    one.hand_in("copy-1", cls=UNSAFE)
+    one.run(1)
+    assert one.answers()["copy-1"] is Ending.DELIVERED
+    one.stand.gone()
+    stand = ResendStand(tmp_path, one.stand.time, one.partner, random.Random(2))
+    one.stand = stand
+    one.run(1)
+    one.hand_in("copy-2", cls=UNSAFE)
+    one.run(1)
+    assert one.answers()["copy-2"] is Ending.DELIVERED and len(one.partner.ledger["k"]) == 1
+
+
+def test_a_keyed_message_long_after_the_resend_is_a_new_one(tmp_path: Path) -> None:
+    one = One(tmp_path)
+    one.fail("m")
+    one.run(200)
+    one.hand_in("new")
+    one.run(5)
+    assert len(one.partner.ledger["k"]) == 2 and one.answers()["new"] is Ending.DELIVERED
+
+
+def test_a_copy_of_other_contents_settles_nothing_and_bars_an_unsafe_resend(tmp_path: Path) -> None:
+    one = One(tmp_path)
+    one.fail("m", cls=UNSAFE)
+    now = one.stand.time.now()
+    other = Transaction("copy", UNSAFE, 1, now + 6 * SECOND, b"other", key="k", front="mqtt")
+    assert one.stand.core.offer(other).taken
+    one.run(100)
+    record = one.record("m")
+    assert record.standing is Standing.KEPT and record.may_have_run and record.resends == 0
+    assert one.audit("m") == ["key-used"]
+
+
+def test_a_copy_with_little_time_is_answered_before_it_is_up(tmp_path: Path) -> None:
+    one = One(tmp_path)
+    one.fail("m", cls=UNSAFE)
+    one.stand.modes = ("late-lost",)
+    sent = len(one.stand.sent)
+    while len(one.stand.sent) == sent:
+        one.stand.run(0.005)
+    now = one.stand.time.now()
+    assert one.stand.core.offer(
+        Transaction("copy", UNSAFE, 1, now + SECOND, b"body", key="k", front="mqtt")
+    ).taken
+    one.run(1)
+    assert one.answers()["copy"] is Ending.FAILED, "the resend may run yet"
+    one.stand.modes = ("deliver",)
+    one.run(100)
+    assert one.record("copy").standing is Standing.REPLACED and one.record("m").standing is Standing.KEPT
+
+
+def test_a_copy_that_is_withdrawn_while_it_waits(tmp_path: Path) -> None:
+    one = One(tmp_path)
+    one.fail("m", cls=UNSAFE)
+    one.stand.modes = ("late-lost",)
+    sent = len(one.stand.sent)
+    while len(one.stand.sent) == sent:
+        one.stand.run(0.005)
+    one.hand_in("copy", cls=UNSAFE)
+    one.stand.core.withdraw("copy")
+    one.run(30)
+    assert "copy" not in one.answers() and not one.stand.resending.copies.live
+    assert not any(one.stand.resending.parked.values())
+
+
+def test_what_was_called_off_before_it_went_out_is_as_it_was(tmp_path: Path) -> None:
+    """The client brings it itself between the claim and the first byte."""
+    one = One(tmp_path)
+    one.fail("m", cls=UNSAFE)
+    with patch.object(type(one.stand.core), "go_on", lambda *_: None):
+        one.until_sending("m")
+    one.hand_in("copy", cls=UNSAFE)
+    one.run(5)
+    assert one.answers()["copy"] is Ending.DELIVERED and one.record("m").settled_by == "copy:copy"
+    assert len(one.partner.ledger["k"]) == 1 and one.stand.resending.pacing.out == 0
+
+
+def test_a_journal_that_was_lost_makes_a_resend_one_that_may_have_run(tmp_path: Path) -> None:
+    one = One(tmp_path)
+    one.fail("m", cls=UNSAFE)
+    one.stand.modes = ("late-lost",)
+    one.until_sending("m")
+    one.stand.gone()
+    (tmp_path / "journal").unlink()
+    one.stand = ResendStand(tmp_path, one.stand.time, one.partner, random.Random(2))
+    one.run(100)
+    assert one.record("m").standing is Standing.KEPT and one.record("m").may_have_run
+    assert one.audit("m") == ["resend", "resend-lost"]
+
+
+def test_while_the_store_fails_an_end_is_kept_in_the_journal(tmp_path: Path) -> None:
+    one = One(tmp_path)
+    one.fail("m", cls=UNSAFE)
+    one.until_sending("m")
+    one.stand.worker.broken = sqlite3.OperationalError("disk I/O error")
+    one.run(20)
+    (held,) = one.stand.core.held.by_id.values()
+    assert held.front == "resend" and held.ending is Ending.DELIVERED
+    one.stand.worker.broken = None
+    one.run(70)
+    assert one.record("m").standing is Standing.SETTLED and not one.stand.core.held.by_id
+    assert len(one.partner.ledger["k"]) == 1
+
+
+def test_new_rules_hold_at_once_and_what_is_out_ends(tmp_path: Path) -> None:
+    one = One(tmp_path)
+    for i in range(6):
+        one.fail(f"m{i}", key=f"k{i}", cls=UNSAFE)
+    one.until_sending("m0")
+    one.stand.resending.swap((Rule("none", Action.HOLD),))
+    one.run(100)
+    standings = [one.record(f"m{i}").standing.value for i in range(6)]
+    assert standings.count("settled") <= 2 and "sending" not in standings
+    one.stand.resending.swap((Rule("gone", Action.DISCARD, destinations=frozenset({1})),))
+    one.run(60)
+    assert {one.record(f"m{i}").standing.value for i in range(6)} <= {"settled", "discarded"}
+    one.stand.resending.swap((RULE,))
+    one.run(60)
+    assert all(len(times) == 1 for times in one.partner.ledger.values())
+
+
+def test_a_partner_that_goes_down_again_gets_no_more_than_single_tries(tmp_path: Path) -> None:
+    one = One(tmp_path)
+    for i in range(12):
+        one.fail(f"m{i}", key=f"k{i}", cls=UNSAFE)
+    while not any(one.record(f"m{i}").standing is Standing.SETTLED for i in range(12)):
+        one.run(0.2)
+    one.stand.modes = ("refuse",)
+    one.run(40)
+    before = len(one.stand.sent)
+    one.run(600)
+    assert len(one.stand.sent) - before <= 12 * 5, "a partner that is out is tried at growing gaps"
+    one.stand.modes = ("deliver",)
+    one.run(1500)
+    assert all(one.record(f"m{i}").standing is Standing.SETTLED for i in range(12))
+    assert all(len(times) == 1 for times in one.partner.ledger.values())
+
+
+def test_a_drained_member_gets_no_resend(tmp_path: Path) -> None:
+    one = One(tmp_path)
+    one.fail("m", cls=UNSAFE)
+    told = {"revision": 2, "complete": False, "members": [row("s-1", 1, phase="Terminating")]}
+    one.stand.core.news(one.stand.core.pool.update(told))
+    one.run(100)
+    assert one.record("m").resends == 0 and one.record("m").standing is Standing.KEPT
+    assert one.stand.core.brain.condition(1, one.stand.time.now()) == api.Condition(
+        False, True, False, 0, False, 0, 0, 0
+    )
+
+
+def test_the_class_of_a_record_that_is_no_more_is_held(tmp_path: Path) -> None:
+    one = One(tmp_path)
+    one.fail("m", cls=SAFE)
+    one.stand.resending.longest.pop("safe")
+    one.run(100)
+    assert one.record("m").standing is Standing.KEPT
--- a/tests/test_undelivered_store.py
+++ b/tests/test_undelivered_store.py
@@ -27,10 +27,11 @@
 
 
 def record(ran: bool = False, **more: Any) -> Record:
+    name = f"m{next(names)}"
     told: dict[str, Any] = {
-        "id": f"m{next(names)}", "ended_at": START, "came_at": START - SECOND, "deadline": START + SECOND,
+        "id": name, "ended_at": START, "came_at": START - SECOND, "deadline": START + SECOND,
         "destination": 1, "cls": "standard", "effect": "keyed", "window": 5 * SECOND, "zoned": False,
-        "tenant": "studio", "key": "k", "front": "resp", "came_again": False, "ending": "failed",
+        "tenant": "studio", "key": f"k-{name}", "front": "resp", "came_again": False, "ending": "failed",
         "reason": "timeout", "come_back": 0, "first_ran": START if ran else None, "first_zone": 0,
         "tries": (Try(0, "s-1", START, "timeout", SECOND, 0, ""),), "body": b"body",
     }  # fmt: skip
@@ -226,7 +227,7 @@
         return True
     try:
         return bool(list(store.verify()))
-    except sqlite3.DatabaseError:
+    except files.DAMAGE:
         return True
     finally:
         store.close()
@@ -292,7 +293,7 @@
             for kept in reader.all(Filter()):
                 assert kept.fault or kept.record == good[kept.record.seq], f"a flip at {at} went unseen"
             reader.close()
-        except (StoreError, sqlite3.DatabaseError):
+        except (StoreError, *files.DAMAGE):
             pass
         data[at] ^= 1 << at % 8
     assert told > 50
@@ -429,7 +430,11 @@
         ("stats", {"by": ["body"]}, "by: expected some of "),
         ("show", {"seq": 5}, "seq: there is no record 5"),
         ("show", {"seq": True}, "seq: expected a whole number"),
-        ("change", {"verb": "eat", "why": "x"}, "verb: expected one of discard, settle, release, got 'eat'"),
+        (
+            "change",
+            {"verb": "eat", "why": "x"},
+            "verb: expected one of discard, settle, release, resend, got 'eat'",
+        ),
         ("change", {"verb": "discard"}, "why: expected a text of 1 to 1000 characters"),
         ("change", {"verb": "discard", "why": " "}, "why: expected a text"),
         (
@@ -501,3 +506,25 @@
     assert operations.done(store, "purge", told, "me")["count"] == 1
     assert store.count == 0 and store.size == 0
     assert store.audit(451)[0]["what"] == "purge"
+
+
+def test_an_older_schema_is_brought_up_to_date_with_its_seals_good(tmp_path: Path) -> None:
+    """The fixture was made by the program when its schema was of the first version."""
+    folder = tmp_path / "old"
+    folder.mkdir()
+    for path in (Path(__file__).parent / "fixtures" / "undelivered-1").iterdir():
+        (folder / path.name).write_bytes(path.read_bytes())
+        (folder / path.name).chmod(0o600)
+    with pytest.raises(StoreError, match="older schema"):
+        opened(folder, writes=False)
+    store = opened(folder)
+    assert list(store.verify()) == []
+    found = {one.record.id: one.record for one in store.page(Filter())}
+    assert [one.standing.value for one in found.values()] == ["kept"] * 3
+    assert [row["what"] for row in store.audit()] == ["discard"]
+    assert found["old-1"].body == b"x" * 2000 and found["old-1"].told_again is None
+    assert store.db.execute("SELECT seq FROM plan ORDER BY seq").fetchall() == [(1,), (2,), (3,)]
+    operations.done(store, "change", {"verb": "resend", "why": "x", "filter": {"id": "old-3"}}, "me")
+    assert (
+        list(store.verify()) == [] and store.db.execute("PRAGMA user_version").fetchone()[0] == schema.VERSION
+    )
