--- a/honeyhitch/lifecycle/undelivered/access.py
+++ b/honeyhitch/lifecycle/undelivered/access.py
@@ -13,7 +13,7 @@
 import click
 
 from honeyhitch.lifecycle import config as configuration
-from honeyhitch.undelivered.settings import Limits
+from honeyhitch.undelivered.settings import Limits, Terms
 from honeyhitch.wire.drivers.control_client import ControlClient, ControlRefused
 
 
@@ -22,7 +22,7 @@
 
     def __init__(self, path: str | None, operator: str | None, folder: str | None) -> None:
         self.client: ControlClient | None = None
-        self.limits, self.compress_from = Limits(), 512
+        self.limits, self.compress_from, self.terms = Limits(), 512, Terms()
         if folder is not None:
             self.folder = Path(folder)
             return
@@ -33,11 +33,8 @@
         setup = config.operator.undelivered
         if setup is None:
             raise click.ClickException("undelivered: the operator's file has no such table, or is not named")
-        self.folder, self.limits, self.compress_from = (
-            setup.at(config.state),
-            setup.limits,
-            setup.compress_from,
-        )
+        self.folder, self.limits, self.terms = setup.at(config.state), setup.limits, setup.terms
+        self.compress_from = setup.compress_from
         if config.operator.control is not None:
             self.client = ControlClient(config.operator.control.at(config.state))
 
@@ -72,7 +69,7 @@
         except ImportError as error:
             raise click.ClickException(f"needs the extra honeyhitch[undelivered] ({error})") from error
         try:
-            return Store(self.folder, self.limits, self.compress_from, writes=writes)
+            return Store(self.folder, self.limits, self.compress_from, writes=writes, terms=self.terms)
         except StoreError as error:
             raise click.ClickException(str(error)) from error
 
--- a/honeyhitch/lifecycle/undelivered/looking.py
+++ b/honeyhitch/lifecycle/undelivered/looking.py
@@ -7,6 +7,7 @@
 import json
 import sqlite3
 import sys
+import time
 from collections.abc import Callable
 from contextlib import ExitStack
 from typing import IO, Any
@@ -234,3 +235,33 @@
             names = f"{one['who']} {one['what']} {one['seq']} {one['id']}"
             text = f"{moment(one['at'])} {names}: {one['why']}{altered}"
             click.echo(json.dumps(one) if as_json else text)
+
+
+@click.command()
+@click.option("--output", type=click.Path(), required=True, help="The HTML file; it must not be there yet.")
+@click.option("--title", default="Undelivered messages", show_default=True, help="The page's title.")
+@click.option("--amount-field", default="", help="The amount's path in JSON bodies, such as invoice.total.")
+@filters
+@access
+def report(store: Access, chosen: dict[str, str], output: str, title: str, amount_field: str) -> None:
+    """Write a page for the accountants: by partner, tenant, reason and day, with what became of it all."""
+    opened = store.store()
+    from honeyhitch.undelivered.filters import Filter, FilterError
+    from honeyhitch.undelivered.report import Report
+
+    told = Report(store.terms, time.time_ns(), amount_field)
+    try:
+        wanted = Filter.parse(chosen)
+        count = sum(group["count"] for group in opened.counted(wanted, ()))
+        with click.progressbar(opened.all(wanted), length=count, label="records", file=sys.stderr) as records:
+            told.add(records)
+    except (FilterError, sqlite3.Error) as error:
+        raise click.ClickException(str(error)) from error
+    finally:
+        opened.close()
+    try:
+        with open(output, "x", encoding="utf-8") as file:
+            file.write(told.html(title))
+    except OSError as error:
+        raise click.ClickException(f"{output}: {error.strerror}") from error
+    click.echo(f"{sum(cell.count for cell in told.total.values())} messages in {output}")
--- a/tests/test_undelivered_program.py
+++ b/tests/test_undelivered_program.py
@@ -16,6 +16,9 @@
 
 from honeyhitch.lifecycle.cli import main
 from honeyhitch.undelivered.filters import Filter
+from honeyhitch.undelivered.records import Standing
+from honeyhitch.undelivered.report import Fate, Report
+from honeyhitch.undelivered.settings import Terms
 from honeyhitch.undelivered.store import Store
 from honeyhitch.wire.drivers.control_client import ControlClient, ControlRefused
 
@@ -271,3 +274,44 @@
             assert again == state, "the second one's end must not take the first one's socket away"
 
     play(work())
+
+
+def test_the_report_sums_each_message_once(tmp_path: Path) -> None:
+    store = Store(tmp_path / "s", clock=lambda: START)
+    body = b'{"invoice": {"total": 10.25}}'
+    store.add(
+        [
+            record(body=body, tenant="<b>one</b>"),
+            record(body=body, ran=True, effect="unsafe", destination=2),
+            record(body=b'{"invoice": {"total": "4.5"}}', standing=Standing.SETTLED, settled_by="resend:x"),
+            record(body=b'{"invoice": {"total": 1e99}}', standing=Standing.SETTLED, settled_by="person:me"),
+            record(body=b"no JSON", standing=Standing.DISCARDED),
+            record(body=body, standing=Standing.REPLACED),
+            record(body=body, destination=10),
+        ]
+    )
+    store.db.execute("UPDATE record SET tenant = 'other' WHERE seq = 7")
+    told = Report(Terms(), START, "invoice.total")
+    told.add(store.all(Filter()))
+    store.close()
+    sums = {fate: (cell.count, str(cell.amount), cell.without) for fate, cell in told.total.items()}
+    assert sums == {
+        Fate.SAFE: (1, "10.25", 0), Fate.NOT_SAFE: (1, "10.25", 0), Fate.RESENT: (1, "4.5", 0),
+        Fate.SETTLED: (1, "0", 1), Fate.DISCARDED: (1, "0", 1), Fate.ALTERED: (1, "0", 1),
+    }  # fmt: skip
+    assert told.replaced == 1 and set(told.groups["destination"]) == {"1", "2", "10"}
+    out = tmp_path / "report.html"
+    words = [
+        "--store",
+        str(tmp_path / "s"),
+        "report",
+        "--output",
+        str(out),
+        "--amount-field",
+        "invoice.total",
+    ]
+    assert "6 messages in" in cli(tmp_path, *words)
+    page = out.read_text()
+    assert "&lt;b&gt;one&lt;/b&gt;" in page and "<b>one" not in page
+    assert page.index("<td>2</td>") < page.index("<td>10</td>") and "2023-11-14" in page
+    cli(tmp_path, *words, code=1)  # a page is not written over
