--- a/benchmarks/undelivered.py
+++ b/benchmarks/undelivered.py
@@ -46,6 +46,7 @@
 
 ROOT = Path(__file__).parent.parent
 SECOND = 10**9  # ns
+MEMORY = Path("/dev/shm")  # virtual days need no disk
 UNSAFE = {
     "name": "order", "semantics": "side_effect", "aim": 2 * SECOND, "deadline": 6 * SECOND, "window": 0,
     "group": "all",
@@ -75,7 +76,7 @@
     """Messages, kills, records resent, applied twice, and not settled though a rule allows."""
     logs.setup("json", "error")
     rng = random.Random(seed * 7919)
-    with tempfile.TemporaryDirectory() as folder:
+    with tempfile.TemporaryDirectory(dir=MEMORY if MEMORY.is_dir() else None) as folder:
         kills = tuple(rng.randrange(1, 800) for _ in range(rng.randrange(5)))
         told = day(Path(folder) / "day", seed, kills)
         resent = sum(one.record.resends for one in told.stand.store.page(Filter(), most=1000))
--- a/tests/test_undelivered_program.py
+++ b/tests/test_undelivered_program.py
@@ -7,11 +7,14 @@
 import io
 import json
 import os
+import signal
 import socket
 import stat
+import time
 from pathlib import Path
 from typing import Any
 
+import pytest
 from click.testing import CliRunner, Result
 
 from honeyhitch.lifecycle.cli import main
@@ -23,8 +26,10 @@
 from honeyhitch.wire.drivers.control_client import ControlClient, ControlRefused
 
 from .agent import Agent
+from .broker import Broker
 from .program import play, started
 from .rig import START, row
+from .test_program import Client
 from .test_undelivered_store import record
 
 OPERATOR = "[undelivered]\nmax-count = 1000\n"
@@ -61,10 +66,12 @@
             writer.close()
 
 
-async def hand_in(port: int, name: str, left: int = 1500) -> None:
+async def hand_in(
+    port: int, name: str, left: int = 1500, key: str = "", body: bytes = b"=1+1 \xc3\xa9"
+) -> None:
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
-    fields = f"c=standard,t=studio,d={left},dest=1,k=key-{name}"
-    parts = [b"ENQUEUE", b"0" * 16, name.encode(), fields.encode(), b"=1+1 \xc3\xa9"]
+    fields = f"c=standard,t=studio,d={left},dest=1,k={key or f'key-{name}'}"
+    parts = [b"ENQUEUE", b"0" * 16, name.encode(), fields.encode(), body]
     answer = b"-BUSY"
     while answer.startswith(b"-BUSY"):  # till it knows what is kept
         writer.write(b"*5\r\n" + b"".join(b"$%d\r\n%s\r\n" % (len(part), part) for part in parts))
@@ -315,3 +322,97 @@
     assert "&lt;b&gt;one&lt;/b&gt;" in page and "<b>one" not in page
     assert page.index("<td>2</td>") < page.index("<td>10</td>") and "2023-11-14" in page
     cli(tmp_path, *words, code=1)  # a page is not written over
+
+
+class Holding(Partner):
+    """A partner that keeps its answers back until `go` is set."""
+
+    def __init__(self, status: int) -> None:
+        super().__init__(status)
+        self.go, self.out, self.most, self.seen = asyncio.Event(), 0, 0, list[bytes]()
+
+    async def _client(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).lower()
+                length = int(head.partition(b"content-length: ")[2].partition(b"\r\n")[0])
+                await reader.readexactly(length)
+                self.calls, self.out = self.calls + 1, self.out + 1
+                self.most = max(self.most, self.out)
+                self.seen.append(head.partition(b"x-txn: ")[2].partition(b"\r\n")[0])
+                await self.go.wait()
+                self.out -= 1
+                writer.write(b"HTTP/1.1 %d Whatever\r\nContent-Length: 0\r\n\r\n" % self.status)
+        except (OSError, asyncio.IncompleteReadError):
+            writer.close()
+
+
+RULES = """
+[undelivered]
+copy-grace = 0
+
+[[undelivered.rule]]
+action = "resend"
+healthy = 0
+pause = 1
+rate = 100
+
+[mqtt]
+broker = "127.0.0.1:{broker}"
+intake = "in"
+"""
+
+
+@pytest.mark.parametrize("front", ["resp", "mqtt"])
+@pytest.mark.parametrize("first", ["copy", "resend"])
+def test_a_copy_and_a_resend_never_go_out_together(tmp_path: Path, front: str, first: str) -> None:
+    """On real sockets, over both fronts and in both orders; `copy` is the message's second id."""
+
+    async def work() -> None:
+        partner, broker = await Holding(200).start(), Broker()
+        await broker.start()
+        client = Client(asyncio.get_running_loop())
+        members = [{**row("s-1", 1), "host_port": f"127.0.0.1:{partner.port}"}]
+        agent = await Agent(members).start()
+        store = Store(tmp_path / "state" / "undelivered")
+        now = time.time_ns()
+        told = {"ended_at": now, "came_at": now, "tries": (), "ending": "rejected", "body": b"body of copy"}
+        store.add([record(id="m1", key="k-copy", **told)])
+        held = RULES.replace("resend", "hold").replace("healthy = 0\n", "")
+        rules = held if first == "copy" else RULES  # the rule comes later where the client is first
+        store.close()
+        async with started(tmp_path, agent.port, members, rules.format(broker=broker.port)) as port:
+            client.connect(broker.port)
+            while "n0-intake" not in broker.kept or "client" not in broker.kept:
+                await asyncio.sleep(0.01)
+
+            async def copy() -> None:
+                if front == "resp":
+                    await hand_in(port, "copy", 15_000, "k-copy", b"body of copy")
+                else:
+                    client.hand_in("copy", 1, left=15_000)
+
+            if first == "copy":
+                await copy()
+                await until(lambda: partner.calls == 1)
+                (tmp_path / "operator.toml").write_text(RULES.format(broker=broker.port))
+                os.kill(os.getpid(), signal.SIGHUP)
+            else:
+                await until(lambda: partner.calls == 1)
+                await copy()
+            # What may go out has its chance: the other one's message goes to the partner meanwhile.
+            await hand_in(port, "other", left=15_000)
+            await until(lambda: partner.calls == 2)
+            partner.go.set()
+            if front == "mqtt":
+                await client.until(1)
+                assert client.answers["copy"][0]["status"] == "delivered"
+            folder = tmp_path / "state" / "undelivered"
+            await until(lambda: [one.standing for one in kept(folder)] == [Standing.SETTLED])
+        client.paho.disconnect()
+        client.paho.loop_stop()
+        (one,) = kept(tmp_path / "state" / "undelivered")
+        assert one.settled_by == ("copy:copy" if first == "copy" else f"resend:{one.resend_id}")
+        assert partner.calls == 2, partner.seen
+
+    play(work())
--- /dev/null
+++ b/tests/test_undelivered_rules.py
@@ -0,0 +1,246 @@
+"""Rules: what they match, in which order, when; how they are read; and how fast resends may go."""
+
+from __future__ import annotations
+
+import dataclasses
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from honeyhitch import interface as api
+from honeyhitch.lifecycle import config
+from honeyhitch.undelivered.pacing import MOST_GAP, QUIET, Pacing, Rates
+from honeyhitch.undelivered.records import Record, Standing
+from honeyhitch.undelivered.rules import Step, plan
+from honeyhitch.undelivered.settings import Action, Rule, Terms, Undelivered
+
+from .program import write
+from .rig import START
+from .test_undelivered_store import record
+from .world import SECOND
+
+NOW = START + 100 * SECOND
+HERE = Terms(grace=10 * SECOND, elsewhere=False)
+AWAY = dataclasses.replace(HERE, elsewhere=True)
+RESEND = Rule("r", Action.RESEND, pause=10 * SECOND)
+
+
+def told(one: Record, *rules: Rule, terms: Terms = HERE, now: int = NOW) -> tuple[str, str]:
+    found = plan(one, rules, terms, now, SECOND)
+    return found.step.value, found.reason
+
+
+@pytest.mark.parametrize(
+    ("changes", "rule", "expected"),
+    [
+        ({}, RESEND, ("resend", "never-ran")),
+        ({"standing": Standing.SENDING}, RESEND, ("nothing", "sending")),
+        ({"standing": Standing.SETTLED}, RESEND, ("nothing", "settled")),
+        ({}, dataclasses.replace(RESEND, action=Action.HOLD), ("nothing", "held-by-rule")),
+        ({}, dataclasses.replace(RESEND, action=Action.DISCARD), ("discard", "discarded-by-rule")),
+        ({}, dataclasses.replace(RESEND, destinations=frozenset({2})), ("nothing", "no-rule")),
+        ({}, dataclasses.replace(RESEND, destinations=frozenset({1, 2})), ("resend", "never-ran")),
+        ({}, dataclasses.replace(RESEND, tenants=frozenset({"other"})), ("nothing", "no-rule")),
+        ({}, dataclasses.replace(RESEND, may_have_run=True), ("nothing", "no-rule")),
+        ({}, dataclasses.replace(RESEND, older_than=101 * SECOND), ("later", "no-rule")),
+        ({"resends": 3}, RESEND, ("nothing", "resent-often-enough")),
+        ({"resends": 1, "changed_at": NOW - 9 * SECOND}, RESEND, ("later", "paused")),
+        ({"resends": 2, "changed_at": NOW - 19 * SECOND}, RESEND, ("later", "paused")),
+        ({"resends": 2, "changed_at": NOW - 20 * SECOND}, RESEND, ("resend", "never-ran")),
+        ({}, dataclasses.replace(RESEND, most_age=100 * SECOND), ("nothing", "too-old")),
+        ({"told_again": NOW - 9 * SECOND}, RESEND, ("later", "told-to-come-again")),
+        ({"first_ran": NOW - 3 * SECOND}, RESEND, ("resend", "inside-window")),
+        ({"first_ran": NOW - 5 * SECOND}, RESEND, ("nothing", "window-over")),
+        ({"first_ran": NOW - SECOND, "zoned": True}, RESEND, ("nothing", "key-not-known-there")),
+        ({"first_ran": NOW, "effect": "unsafe"}, RESEND, ("nothing", "unsafe-may-have-run")),
+        ({"first_ran": NOW, "effect": "unsafe", "evidence": "x"}, RESEND, ("resend", "released")),
+        ({"asked": "me: x", "resends": 9}, RESEND, ("resend", "never-ran")),
+        (
+            {"asked": "me: x", "first_ran": NOW, "effect": "unsafe"},
+            RESEND,
+            ("nothing", "unsafe-may-have-run"),
+        ),
+    ],
+)
+def test_each_step(changes: dict[str, Any], rule: Rule, expected: tuple[str, str]) -> None:
+    assert told(record(**changes), rule) == expected
+
+
+@pytest.mark.parametrize(
+    ("changes", "expected"),
+    [
+        ({}, ("resend", "never-ran")),
+        ({"told_again": START}, ("nothing", "window-over")),
+        ({"told_again": START, "effect": "safe"}, ("resend", "safe")),
+        ({"told_again": START, "effect": "unsafe"}, ("nothing", "copy-unseen")),
+        ({"came_again": True, "effect": "unsafe"}, ("nothing", "copy-unseen")),
+        ({"told_again": START, "effect": "unsafe", "evidence": "x"}, ("resend", "released")),
+        ({"told_again": START, "window": 200 * SECOND}, ("resend", "inside-window")),
+    ],
+)
+def test_where_copies_may_go_elsewhere(changes: dict[str, Any], expected: tuple[str, str]) -> None:
+    assert told(record(**changes), RESEND, terms=AWAY) == expected
+    if "told_again" in changes:  # a copy that has no key is never seen
+        assert told(record(**changes, key=""), RESEND) == expected
+
+
+def test_the_first_rule_that_matches_counts_and_an_older_one_ripens() -> None:
+    old = Rule("old", Action.DISCARD, older_than=200 * SECOND)
+    assert told(record(), old, RESEND) == ("resend", "never-ran")
+    assert told(record(), old, RESEND, now=START + 200 * SECOND) == ("discard", "discarded-by-rule")
+    held = plan(record(), (old, Rule("h", Action.HOLD)), HERE, NOW, SECOND)
+    assert held.step is Step.LATER and held.at == START + 200 * SECOND
+
+
+# How they are read.
+
+GOOD = """
+[undelivered]
+copies = "here"
+share = 0.2
+
+[[undelivered.rule]]
+name = "one"
+action = "resend"
+dest = 1
+class = ["standard"]
+tenant = "studio"
+may-have-run = false
+rate = 2
+healthy = 0.5
+
+[[undelivered.rule]]
+action = "discard"
+older-than = 3600
+"""
+
+
+def read(folder: Path, text: str, **more: Any) -> Undelivered:
+    found = config.read({}, *write(folder, 6379, 8500, [], text, **more)).operator.undelivered
+    assert found is not None
+    return found
+
+
+def test_a_good_file(tmp_path: Path) -> None:
+    setup = read(tmp_path, GOOD)
+    first, second = setup.rules
+    assert (first.name, first.destinations, first.classes) == ("one", frozenset({1}), frozenset({"standard"}))
+    assert (first.may_have_run, first.rate, first.healthy) == (False, 2.0, SECOND // 2)
+    assert (second.name, second.action, second.older_than) == ("rule 1", Action.DISCARD, 3600 * SECOND)
+    assert setup.terms.share == 0.2 and not setup.terms.elsewhere
+    assert setup.at(tmp_path) == tmp_path / "undelivered"
+
+
+RULE = '[undelivered]\n[[undelivered.rule]]\naction = "resend"\n'
+MORE = '[[undelivered.rule]]\naction = "hold"\n'
+
+
+@pytest.mark.parametrize(
+    ("text", "error"),
+    [
+        ("undelivered = 1", "operator.toml.undelivered: expected dict"),
+        ("[undelivered]\nfoldre = 'x'", "undelivered.foldre: no such key"),
+        ("[undelivered]\nfolder = ''", "undelivered.folder: must not be empty"),
+        ("[undelivered]\nmax-mb = 0", "undelivered.max-mb: expected 1 to 1000000, got 0"),
+        ("[undelivered]\nmax-count = 0", "undelivered.max-count: expected 1 to"),
+        ("[undelivered]\nmax-days = 99999", "undelivered.max-days: expected above 0 and at most 3650"),
+        ("[undelivered]\ncompress-from = -1", "undelivered.compress-from: must not be negative"),
+        ("[undelivered]\nshare = 0.9", "undelivered.share: expected above 0 and at most 0.5, got 0.9"),
+        ("[undelivered]\ncopies = 'there'", "undelivered.copies: expected one of here, anywhere, got"),
+        ("[undelivered]\ncopy-memory = 1", "undelivered.copy-memory: expected seconds from 60 to"),
+        ("[undelivered]\nrule = 1", "undelivered.rule: expected list"),
+        ("[undelivered]\nrule = [1]", "undelivered.rule.0: expected a table"),
+        ("[undelivered]\n[[undelivered.rule]]\n", "undelivered.rule.0.action: expected one of resend, hold,"),
+        (RULE + "class = 'gold'", "undelivered.rule.0.class: expected one of standard, got 'gold'"),
+        (RULE + "tenant = ['studio', 'x']", "undelivered.rule.0.tenant: expected one of studio, got 'x'"),
+        (RULE + "reason = 'bad luck'", "undelivered.rule.0.reason: expected one of error, refused,"),
+        (RULE + "dest = 'one'", "undelivered.rule.0.dest: expected a number or a list of numbers, got 'one'"),
+        (RULE + "dest = [true]", "undelivered.rule.0.dest: expected a number"),
+        (RULE + "most-times = 0", "undelivered.rule.0.most-times: expected 1 to 1000, got 0"),
+        (RULE + "rate = 0", "undelivered.rule.0.rate: expected 0.001 to 1000 a second, got 0"),
+        (RULE + "healthy = -1", "undelivered.rule.0.healthy: expected seconds from 0 to"),
+        (RULE + "pause = nan", "undelivered.rule.0.pause: expected seconds from 1 to"),
+        (RULE + "colour = 'red'", "undelivered.rule.0.colour: no such key"),
+        (RULE + "name = ''", "undelivered.rule.0.name: expected 1 to 64 characters"),
+        (RULE + MORE + "dest = 1", "undelivered.rule.1: never reached, undelivered.rule.0 matches"),
+        (RULE + "dest = 1\nname = 'a'\n" + MORE + "name = 'a'", "undelivered.rule.1.name: 'a' is the name"),
+        ("[control]\npath = 'here'", "control.path: expected an absolute path, got 'here'"),
+        (f"[control]\npath = '/{'x' * 120}'", "control.path: over 107 bytes: /xxx"),
+    ],
+)  # fmt: skip
+def test_a_mistake_names_its_key(tmp_path: Path, text: str, error: str) -> None:
+    with pytest.raises(config.ConfigError) as refused:
+        read(tmp_path, text)
+    assert error in str(refused.value)
+
+
+def test_with_several_instances_copies_go_anywhere_unless_told_otherwise(tmp_path: Path) -> None:
+    assert not read(tmp_path, "[undelivered]").terms.elsewhere
+    assert Terms().elsewhere
+
+
+# How fast they may go.
+
+WELL = api.Condition(True, False, False, 0, False, 10.0, 0, 0)
+
+
+def changed(**more: Any) -> api.Condition:
+    return dataclasses.replace(WELL, **more)
+
+
+def test_the_share_of_slots_and_pace() -> None:
+    pacing = Pacing(0.1, 40)
+    assert pacing.most == 4
+    assert pacing.room(1, WELL, NOW) == 1, "one at a time until one has passed"
+    pacing.began(1, NOW)
+    assert pacing.room(1, WELL, NOW + SECOND) == 0
+    pacing.passed(1)
+    assert pacing.room(1, WELL, NOW + SECOND) == 1, "a tenth of ten a second"
+    pacing.ended(1)
+    for i in range(20):
+        now = NOW + 10 * SECOND + i * SECOND // 10
+        if pacing.room(1, WELL, now):
+            pacing.began(1, now)
+            pacing.ended(1)
+    assert pacing.lanes[1].left < 1, "no more than two that were saved up, and one a second"
+    fast = changed(part=10_000.0)
+    for destination in range(2, 10):
+        room = pacing.room(destination, fast, NOW + 60 * SECOND)
+        for _ in range(room):
+            pacing.began(destination, NOW + 60 * SECOND)
+    assert pacing.out == 4
+
+
+@pytest.mark.parametrize(
+    "condition",
+    [
+        changed(listed=False), changed(ramping=True), changed(queued=True), changed(waits_until=NOW + 1),
+        changed(used=36), changed(sick=True, last_send=NOW),
+    ],
+)  # fmt: skip
+def test_when_none_may_start(condition: api.Condition) -> None:
+    assert Pacing(0.1, 40).room(1, condition, NOW) == 0
+
+
+def test_a_sick_partner_without_traffic_is_tried_at_growing_gaps() -> None:
+    pacing, now, tries = Pacing(0.1, 40), NOW, []
+    sick = changed(sick=True, part=0.0, last_send=NOW)
+    while now < NOW + 3600 * SECOND:
+        if pacing.room(1, sick, now):
+            tries.append(now)
+            pacing.began(1, now)
+            pacing.ended(1)
+        now += SECOND
+    gaps = [after - before for before, after in zip([NOW, *tries], tries, strict=False)]
+    assert gaps[0] == QUIET and gaps == sorted(gaps) and gaps[-1] == MOST_GAP
+    assert pacing.healthy(1, now) == 0
+    pacing.look(1, WELL, now)
+    assert pacing.healthy(1, now + 5 * SECOND) == 5 * SECOND
+
+
+def test_a_rule_keeps_its_rate() -> None:
+    rates = Rates()
+    taken = sum(rates.take("r", 2.0, NOW + i * SECOND // 100) for i in range(1000))
+    assert 19 <= taken <= 22
+    assert sum(rates.take("slow", 0.01, NOW + i * SECOND) for i in range(250)) == 3
