--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 PYTHON ?= python3
 
-.PHONY: env try try-tls test
+.PHONY: env try try-tls try-undelivered test
 
 env: $(VENV)/.run
 
@@ -23,6 +23,10 @@
 try-tls: $(VENV)/.test
 	$(VENV)/bin/python example/try.py --tls
 
+# A message that ends undelivered: it is kept, listed, and resent by a rule once the toy is mended.
+try-undelivered: $(VENV)/.test
+	$(VENV)/bin/python example/try.py --undelivered
+
 # Installs what the tests need and runs them.
 test: $(VENV)/.test
 	$(VENV)/bin/python -m pytest
--- a/example/toy.py
+++ b/example/toy.py
@@ -3,7 +3,8 @@
 It prints each message that reaches it and each notice, and turns every third call away with a wait of half
 a second, so that the module's waits can be seen. Start it with `python example/toy.py`; two numbers behind
 it are the ports of the discovery and of the partner, two files behind them the certificate and key with
-which the partner speaks TLS.
+which the partner speaks TLS. With `--fails` the partner turns everything away until SIGUSR1 mends it, so that
+a message ends undelivered.
 """
 
 from __future__ import annotations
@@ -11,11 +12,13 @@
 import asyncio
 import itertools
 import json
+import signal
 import ssl
 import sys
 
-DISCOVERY, PARTNER = map(int, sys.argv[1:3]) if len(sys.argv) >= 3 else (8500, 9001)
-CERTIFICATE = sys.argv[3:5]
+WORDS = [word for word in sys.argv[1:] if word != "--fails"]
+DISCOVERY, PARTNER = map(int, WORDS[:2]) if len(WORDS) >= 2 else (8500, 9001)
+CERTIFICATE = WORDS[2:4]
 MEMBERS = [
     {
         "id": "toy-1",
@@ -44,6 +47,7 @@
 
 
 calls = itertools.count(1)
+mended = asyncio.Event()
 
 
 async def partner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -51,7 +55,10 @@
     while True:
         path, headers, body = await read(reader)
         number = next(calls)
-        if number % 3 == 0:
+        if not mended.is_set():
+            print(f"call {number}: turned away, the partner is out of order", flush=True)
+            writer.write(answer("503 Service Unavailable"))
+        elif number % 3 == 0:
             print(f"call {number}: turned away, come back in 0.5 s", flush=True)
             writer.write(answer("429 Too Many Requests", more="Retry-After: 0.5\r\n"))
         elif path.endswith(":batch"):
@@ -84,6 +91,9 @@
 
 async def main() -> None:
     """Serve both till interrupted."""
+    if "--fails" not in sys.argv:
+        mended.set()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, mended.set)
 
     def quietly(serve):  # type: ignore[no-untyped-def]
         async def session(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/example/try.py
+++ b/example/try.py
@@ -2,7 +2,8 @@
 
 It needs the environment only; `make try` makes that first. Exit code 0 once the message was delivered. With
 `--tls` the toy speaks TLS with a certificate made for the occasion, which the dispatcher verifies; `make
-try-tls` installs what that needs.
+try-tls` installs what that needs. With `--undelivered` the toy turns the message away till it ends undelivered:
+it is kept, listed, and resent by a rule once the toy has been mended; `make try-undelivered` does that.
 """
 
 from __future__ import annotations
@@ -79,6 +80,38 @@
     return files, ["--operator", str(operator)]
 
 
+RULES = """
+[undelivered]
+copy-grace = 1
+
+[[undelivered.rule]]
+name = "try again"
+action = "resend"
+healthy = 1
+"""
+
+
+def rules(folder: str) -> list[str]:
+    """An operator's file that has undelivered messages kept and resent; the dispatcher's words for it."""
+    operator = Path(folder, "operator.toml")
+    operator.write_text(RULES)
+    return ["--operator", str(operator)]
+
+
+def listed(command: list[str], standing: str) -> bool:
+    """Wait till a message stands so in the store, and show it."""
+    until = time.monotonic() + PATIENCE
+    while time.monotonic() < until:
+        asked = [*command, "list", "--standing", standing]
+        told = subprocess.run(asked, cwd=HERE.parent, capture_output=True, text=True, timeout=PATIENCE)
+        if standing in told.stdout:
+            print("\n".join(f"store       {line}" for line in told.stdout.splitlines()), flush=True)
+            return True
+        time.sleep(0.2)
+    print(f"no message is {standing}: {told.stdout}{told.stderr}")
+    return False
+
+
 def main() -> int:
     """Try it; the exit code."""
     listen, discovery, partner = free_ports(3)
@@ -92,6 +125,9 @@
         path = Path(folder, "config.json")
         path.write_text(json.dumps(told))
         files, words = certificate(folder) if "--tls" in sys.argv[1:] else ([], [])
+        fails = "--undelivered" in sys.argv[1:]
+        if fails:
+            files, words = ["--fails"], rules(folder)
         toy = subprocess.Popen(
             [sys.executable, str(HERE / "toy.py"), str(discovery), str(partner), *files],
             stdout=subprocess.PIPE,
@@ -107,15 +143,24 @@
                 print("the dispatcher does not answer")
                 return 1
             print(f"dispatcher  serves clients on 127.0.0.1:{listen}", flush=True)
+            left = ["--left", "700"] if fails else []
             handed_in = subprocess.run(
-                [*command, "send", f"127.0.0.1:{listen}", HELLO, "--dest", "1", "--tenant", "studio"],
+                [*command, "send", f"127.0.0.1:{listen}", HELLO, "--dest", "1", "--tenant", "studio", *left],
                 cwd=HERE.parent,
                 capture_output=True,
                 text=True,
                 timeout=PATIENCE,
             )
             print(f"hand-in     {handed_in.stdout.strip() or handed_in.stderr.strip()}", flush=True)
-            if handed_in.returncode or not shown(toy.stdout, HELLO):
+            if handed_in.returncode:
+                return 1
+            store = [*command, "undelivered", "--config", str(path), *words]
+            if fails:
+                if not shown(toy.stdout, "notice") or not listed(store, "kept"):
+                    return 1
+                toy.send_signal(signal.SIGUSR1)
+                print("toy         is mended; the rule resends what is safe", flush=True)
+            if not shown(toy.stdout, HELLO) or (fails and not listed(store, "settled")):
                 return 1
             print("delivered")
             return 0
