Settle what a copy delivered while the store was failing; forget old copies bit by bit

Need: a message that ended while the store failed is no case yet; a copy that was delivered meanwhile would not have settled it. Reading all copies anew every ten minutes would have stalled the loop with 100,000 of them.

Change: a delivered message goes through the store if another one with its key is held or waits for the store; a message whose copy was delivered is not kept. Copies are built in the store's thread and forgotten a few at a time.

--- a/benchmarks/undelivered.py
+++ b/benchmarks/undelivered.py
@@ -37,7 +37,9 @@
 from honeyhitch.memory.transactions import Try
 from honeyhitch.undelivered import operations
 from honeyhitch.undelivered.filters import Filter
-from honeyhitch.undelivered.records import Record
+from honeyhitch.undelivered.records import Record, Standing
+from honeyhitch.undelivered.rules import Step, plan
+from honeyhitch.undelivered.settings import Action, Rule, Terms
 from honeyhitch.undelivered.store import Store
 from tests.agent import Agent
 from tests.program import SETTINGS, free_port, write
@@ -398,9 +400,146 @@
     ]  # fmt: skip
 
 
+# Real processes, killed by SIGKILL.
+
+
+class Mixed:
+    """A partner that fails in mixed ways until it is well; its ledger says what it applied, by key."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng, self.well, self.port = random.Random(seed), False, 0
+        self.ledger: dict[str, list[float]] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> Mixed:
+        server = await asyncio.start_server(self._client, "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
+        return self
+
+    def apply(self, key: str) -> None:
+        seen, now = self.ledger.setdefault(key, []), time.time()
+        if not (key.startswith("keyed") and seen and now < seen[0] + 60):  # a repeat in the window is dropped
+            seen.append(now)
+
+    async def _late(self, key: str) -> None:
+        await asyncio.sleep(self.rng.uniform(0.1, 3))
+        self.apply(key)
+
+    async def _client(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+                fields = dict(line.split(": ", 1) for line in head.split("\r\n")[1:] if ": " in line)
+                await reader.readexactly(int(fields["content-length"]))
+                key, modes = fields["idempotency-key"], ("200", "503", "reset", "late", "500", "500 after")
+                mode = "200" if self.well else self.rng.choice((*modes, "reset after"))
+                if mode in ("200", "500 after", "reset after"):
+                    self.apply(key)
+                if mode == "late":
+                    task = asyncio.ensure_future(self._late(key))
+                    self.tasks.add(task)
+                    await asyncio.sleep(4)
+                if mode.startswith("reset") or mode == "late":
+                    break
+                writer.write(f"HTTP/1.1 {mode[:3]} X\r\nContent-Length: 0\r\n\r\n".encode())
+        writer.close()
+
+
+KILLS = """
+[undelivered]
+share = 0.5
+copy-grace = 1
+
+[[undelivered.rule]]
+action = "resend"
+healthy = 0
+pause = 1
+rate = 100
+most-times = 100
+"""
+
+
+async def killed(folder: Path, seed: int) -> tuple[int, int, int, int, int]:
+    """Messages, kills, resends, applied twice, and resendable ones that were not settled."""
+    rng, partner = random.Random(seed), await Mixed(seed).start()
+    member = {**row("s-1", 1), "host_port": f"127.0.0.1:{partner.port}", "size": 2000.0}
+    agent, port, sent, kills = await Agent([member]).start(), free_port(), 0, 0
+    classes = [{**SETTINGS["classes"][0], "window": 60 * SECOND, "deadline": 3 * SECOND}, UNSAFE]
+    path, told = write(folder, port, agent.port, [member], KILLS, settings={**BIG, "classes": classes})
+    words = [sys.executable, __file__, "--serve", path, str(told)]
+
+    async def say(parts: list[bytes]) -> bytes:
+        with contextlib.suppress(OSError):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(b"*5\r\n" + b"".join(b"$%d\r\n%s\r\n" % (len(part), part) for part in parts))
+            answer = await reader.readline()
+            writer.close()
+            return answer
+        return b""
+
+    for _ in range(5):
+        process = await asyncio.create_subprocess_exec(*words, stdout=subprocess.DEVNULL)
+        until = time.monotonic() + rng.uniform(2.0, 4.0)
+        while time.monotonic() < until:
+            cls = rng.choice(("standard", "order"))
+            name = f"{'keyed' if cls == 'standard' else 'unsafe'}-{sent}"
+            fields = f"c={cls},t=studio,d=1500,dest=1,k={name}".encode()
+            answer = await say([b"ENQUEUE", b"0" * 16, name.encode(), fields, b"body"])
+            sent += answer.startswith(b"+")
+            await asyncio.sleep(0.05)
+        process.kill()
+        await process.wait()
+        kills += 1
+    partner.well = True
+    process = await asyncio.create_subprocess_exec(*words, stdout=subprocess.DEVNULL)
+    left = -1
+    for _ in range(90):
+        await asyncio.sleep(1)
+        await say(
+            [
+                b"ENQUEUE",
+                b"0" * 16,
+                b"live-%d" % sent,
+                b"c=order,t=studio,d=1500,dest=1,k=live-%d" % sent,
+                b"x",
+            ]
+        )
+        sent += 1
+        with contextlib.suppress(Exception):
+            store = Store(folder / "state" / "undelivered", writes=False, terms=Terms(elsewhere=False))
+            found = [one.record for one in store.page(Filter(), most=1000)]
+            store.close()
+            left = sum(resendable(one) for one in found)
+            if not left:
+                break
+    process.terminate()
+    await process.wait()
+    resent = sum(one.resends for one in found)
+    return sent, kills, resent, sum(len(times) > 1 for times in partner.ledger.values()), left
+
+
+def resendable(one: Record) -> bool:
+    """Whether a rule would still have it resent."""
+    step = plan(one, (Rule("r", Action.RESEND),), Terms(elsewhere=False), time.time_ns(), SECOND).step
+    return one.standing is Standing.SENDING or step in (Step.RESEND, Step.LATER)
+
+
+async def measured_kills(folder: Path, quick: bool) -> list[str]:
+    count, at_once = (4, 4) if quick else (24, 6)
+    told: list[tuple[int, int, int, int, int]] = []
+    for at in range(0, count, at_once):
+        seeds = range(at, at + at_once)
+        for seed in seeds:
+            (folder / f"{seed}").mkdir()
+        told += await asyncio.gather(*(killed(folder / f"{seed}", seed) for seed in seeds))
+    names = ("messages", "processes killed", "resends", "applied twice", "resendable and not settled")
+    head = [f"## {count} seeded runs of real processes with SIGKILL", "", "| | |", "| --- | --- |"]
+    return [*head, *(f"| {name} | {sum(one[i] for one in told)} |" for i, name in enumerate(names))]
+
+
 PARTS = {
-    "days": measured_days, "failing": measured_failing, "sizes": measured_sizes, "looks": measured_looks,
-    "beside": measured_beside,
+    "days": measured_days, "kills": measured_kills, "failing": measured_failing, "sizes": measured_sizes,
+    "looks": measured_looks, "beside": measured_beside,
 }  # fmt: skip
 
 
--- a/example/try.py
+++ b/example/try.py
@@ -2,8 +2,9 @@
 
 It needs the environment only; `make try` makes that first. Exit code 0 once the message was delivered. With
 `--tls` the toy speaks TLS with a certificate made for the occasion, which the dispatcher verifies; `make
-try-tls` installs what that needs. With `--undelivered` the toy turns the message away till it ends undelivered:
-it is kept, listed, and resent by a rule once the toy has been mended; `make try-undelivered` does that.
+try-tls` installs what that needs. With `--undelivered` the toy turns the message away till it ends
+undelivered: it is kept, listed, and resent by a rule once the toy has been mended; `make try-undelivered`
+does that.
 """
 
 from __future__ import annotations
--- a/honeyhitch/core.py
+++ b/honeyhitch/core.py
@@ -442,6 +442,8 @@
         keep = transaction.front != RESEND and self.keeper is not None and ending is not Ending.OVER
         if keep and ending is Ending.DELIVERED:
             keep = self.guard is not None and self.guard.settles(transaction)
+        elif keep and transaction.key:  # a copy that was delivered meanwhile leaves nothing to keep
+            keep = self.held.delivered(transaction, self.scheduler.now()) is None
         silent = ending is Ending.OVER or (ending is Ending.DELIVERED and transaction.front == "resp")
         if keep or not silent:
             self.journal.decided(transaction, ending, come_back, keep)
--- a/honeyhitch/lifecycle/serve.py
+++ b/honeyhitch/lifecycle/serve.py
@@ -105,6 +105,8 @@
     async def _state(self, asked: Asked) -> dict[str, Any]:
         state = self.dispatcher.state()
         told: dict[str, Any] = {"phase": state.phase.value, "held": state.held, "most": state.most}
+        if self.keeping is not None:
+            told["undelivered"] = self.keeping.figures()
         return told | {"pid": os.getpid(), "name": self.config.name, "version": __version__}
 
     def _tls(self, most: int) -> Way | None:
--- a/honeyhitch/lifecycle/undelivered/__init__.py
+++ b/honeyhitch/lifecycle/undelivered/__init__.py
@@ -25,6 +25,7 @@
     looking.export,
     looking.verify,
     looking.audit,
+    looking.state,
     looking.report,
     changing.discard,
     changing.settle,
--- a/honeyhitch/lifecycle/undelivered/access.py
+++ b/honeyhitch/lifecycle/undelivered/access.py
@@ -49,6 +49,15 @@
                 self.client = None  # no dispatcher runs: the store is there all the same
         return self._directly(name, told)
 
+    def state(self) -> dict[str, Any]:
+        """How the running dispatcher stands."""
+        if self.client is None:
+            raise click.ClickException("state: name the configuration of a running dispatcher")
+        try:
+            return self.client.ask("GET", "/state")
+        except (ControlRefused, OSError) as error:
+            raise click.ClickException(f"state: no dispatcher answers: {error}") from error
+
     def _directly(self, name: str, told: dict[str, Any]) -> dict[str, Any]:
         from honeyhitch.undelivered import operations
 
--- a/honeyhitch/lifecycle/undelivered/looking.py
+++ b/honeyhitch/lifecycle/undelivered/looking.py
@@ -202,6 +202,13 @@
     return write
 
 
+@click.command()
+@access
+def state(store: Access) -> None:
+    """Say how the running dispatcher stands, and what waits for the store or is being resent, as JSON."""
+    click.echo(json.dumps(store.state(), indent=2))
+
+
 @click.command()
 @click.option("--json", "as_json", is_flag=True, help="For programs.")
 @access
--- a/honeyhitch/undelivered/copies.py
+++ b/honeyhitch/undelivered/copies.py
@@ -7,6 +7,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from itertools import islice
 
 from honeyhitch import interface as api
 from honeyhitch.core import Came
@@ -14,6 +15,7 @@
 from honeyhitch.undelivered.records import Standing
 from honeyhitch.undelivered.resends import Known
 
+FEW = 50  # looked at in one go, so that the loop is not stalled
 Key = tuple[int, str]  # destination and idempotency key
 
 
@@ -50,14 +52,26 @@
         """By which its copies are known, None if by nothing."""
         return (transaction.destination, transaction.key) if transaction.key else None
 
-    def load(self, records: list[Known]) -> None:
-        """Take over what the store knows; what is on its way here is known better here."""
-        before, self.cases = self.cases, {}
+    @classmethod
+    def of(cls, records: list[Known], memory: int) -> Copies:
+        """What the store knows; for many records this takes a while, and is done beside the event loop."""
+        copies = cls(memory)
         for record in records:  # in the order in which they came: the latest counts
-            self.note(record)
-        for key, case in before.items():
-            if case.state is State.SENDING:
-                self.cases[key] = case
+            copies.note(record)
+        return copies
+
+    def load(self, told: Copies) -> None:
+        """Take over what the store knows; what has come here since is known better here."""
+        since, self.cases = self.cases, told.cases
+        self.cases.update(since)
+
+    def forget(self, now: int, most: int) -> None:
+        """Forget a few that no copy comes for any longer, and the oldest beyond `most`."""
+        for key in list(islice(self.cases, FEW)):
+            case = self.cases[key]
+            if case.state is State.SENDING or (now - case.at <= self.memory and len(self.cases) <= most):
+                return
+            del self.cases[key]
 
     def note(self, record: Known) -> None:
         """A record is so now."""
--- a/honeyhitch/undelivered/keeping.py
+++ b/honeyhitch/undelivered/keeping.py
@@ -66,6 +66,13 @@
         self.resending.begin(once)
         self.loop.call_later(PATIENCE, once)
 
+    def figures(self) -> dict[str, Any]:
+        """How it stands, for people."""
+        moving = self.moving
+        let_go = {"never_ran": moving.figures.let_go[False], "may_have_run": moving.figures.let_go[True]}
+        told = {"moved": moving.figures.moved, "let_go": let_go, "waiting": len(moving.waiting)}
+        return told | {"failing": moving.failing} | self.resending.figures()
+
     async def ask(self, name: str, told: dict[str, Any], who: str) -> dict[str, Any]:
         """Do an operation on the store (operations.py).
 
@@ -99,7 +106,6 @@
             try:
                 tell_dropped(await self._done(self.writer, job))
                 await self._done(self.writer, Store.tidy)
-                self.resending.forget_old()
             except Exception as error:  # the store is opened again with the next job
                 log.error("undelivered.store-failed", error=str(error), key=str(error))
             await asyncio.sleep(CARE)
--- a/honeyhitch/undelivered/moving.py
+++ b/honeyhitch/undelivered/moving.py
@@ -68,7 +68,7 @@
         if self.moving or self.paused or not self.waiting:
             return
         some = list(self.waiting.values())[:TOGETHER]
-        found = [self._record(transaction) for transaction in some]
+        found = [records.of(transaction, self.s) for transaction in some]
         self.moving = some
 
         def done(result: Any) -> None:
@@ -77,12 +77,6 @@
         if not self.submit(lambda store: store.add(found), done):
             self._failed("the queue to the store is full")
 
-    def _record(self, transaction: Transaction) -> records.Record:
-        record = records.of(transaction, self.s)
-        if self.journal.held.delivered(transaction, transaction.ended_at) is not None:
-            record.standing, record.settled_by = records.Standing.SETTLED, "copy"  # delivered meanwhile
-        return record
-
     def _done(self, some: list[Transaction], found: list[records.Record], result: Any) -> None:
         if isinstance(result, Exception):
             self._failed(str(result))
--- a/honeyhitch/undelivered/resending.py
+++ b/honeyhitch/undelivered/resending.py
@@ -55,6 +55,7 @@
     ) -> None:
         self.dispatcher, self.scheduler, self.submit = dispatcher, scheduler, submit
         self.rules, self.terms = setup.rules, setup.terms
+        self.most_records = setup.limits.count
         settings = dispatcher.s
         self.longest = {cls.name or str(number): cls.aim for number, cls in enumerate(settings.classes)}
         self.copies, self.rates = Copies(self.terms.memory), Rates()
@@ -78,10 +79,11 @@
                 self.copies.count(one)
         there, now = frozenset(held.by_id), self.scheduler.now()
 
-        def job(store: Store) -> tuple[list[Known], dict[int, int], int]:
+        def job(store: Store) -> tuple[Copies, dict[int, int], int]:
             count = resends.lost(store, there, now)
             resends.replan_all(store)
-            return resends.known(store, now), resends.waiting(store), count
+            known = Copies.of(resends.known(store, now), store.terms.memory)
+            return known, resends.waiting(store), count
 
         def done(result: Any) -> None:
             if isinstance(result, Exception):
@@ -108,20 +110,12 @@
         """Something is new in the store."""
         self.refresh_at = 0
 
-    def forget_old(self) -> None:
-        """Learn anew what is kept, so that what the store has dropped is forgotten here, too."""
-        now = self.scheduler.now()
-
-        def done(result: Any) -> None:
-            if not isinstance(result, Exception):
-                self.copies.load(result)
-
-        self.submit(lambda store: resends.known(store, now), done)
-
     # What may be sent.
 
     def _tick(self) -> None:
-        self.scheduler.at(self.scheduler.now() + TICK, self._tick)
+        now = self.scheduler.now()
+        self.scheduler.at(now + TICK, self._tick)
+        self.copies.forget(now, 2 * self.most_records)
         self._look()
 
     def _look(self) -> None:
@@ -309,8 +303,18 @@
 
     def settles(self, transaction: Transaction) -> bool:
         """Whether the delivery of a client's message settles what is kept."""
-        case = self.copies.case(transaction, self.scheduler.now())
-        return case is not None
+        key = self.copies.key(transaction)
+        others = key is not None and self.copies.live.get(key, 0) > 1  # one may wait for the store
+        return others or self.copies.case(transaction, self.scheduler.now()) is not None
+
+    def figures(self) -> dict[str, Any]:
+        """How it stands, for people."""
+        return {
+            "loaded": self.loaded,
+            "resends_out": len(self.under_way),
+            "copies_waiting": sum(map(len, self.parked.values())),
+            "destinations_due": len(self.waiting),
+        }
 
     def kept(self, records: list[Record]) -> None:
         """The store has these now."""
--- a/tests/test_undelivered_program.py
+++ b/tests/test_undelivered_program.py
@@ -117,6 +117,8 @@
             assert "settle 1 m1" in told
             told = await asyncio.to_thread(cli, tmp_path, *where, "verify", "--json")
             assert json.loads(told) == {"records": 1, "faults": []}
+            state = json.loads(await asyncio.to_thread(cli, tmp_path, *where, "state"))
+            assert state["undelivered"]["moved"] == 1 and state["undelivered"]["loaded"]
             client = ControlClient(control)
             state = await asyncio.to_thread(client.ask, "GET", "/state")
             assert state["phase"] == "ready" and state["pid"] == os.getpid()
