--- a/honeyhitch/lifecycle/undelivered/changing.py
+++ b/honeyhitch/lifecycle/undelivered/changing.py
@@ -71,43 +71,40 @@
     sys.exit(0 if done else 1)
 
 
-@click.command()
-@changing("--why")
-@filters
-@access
-def discard(store: Access, **told: Any) -> None:
+def verb(why: str) -> Callable[[Command], click.Command]:
+    """A command that changes records, with the function's name and words; `why` is the option for it."""
+
+    def decorate(told: Command) -> click.Command:
+        def command(store: Access, **options: Any) -> None:
+            change(store, told.__name__, **options)
+
+        command.__name__, command.__doc__ = told.__name__, told.__doc__
+        return click.command()(changing(why)(filters(access(command))))
+
+    return decorate
+
+
+@verb("--why")
+def discard() -> None:
     """Say of records that nothing more will be done for them."""
-    change(store, "discard", **told)
 
 
-@click.command()
-@changing("--why")
-@filters
-@access
-def settle(store: Access, **told: Any) -> None:
+@verb("--why")
+def settle() -> None:
     """Say of records that they are settled: the partner has them, or they were done in another way."""
-    change(store, "settle", **told)
 
 
-@click.command()
-@changing("--evidence")
-@filters
-@access
-def release(store: Access, **told: Any) -> None:
+@verb("--evidence")
+def release() -> None:
     """Free records that may have run: the partner has confirmed, as named, that they were not applied."""
-    change(store, "release", **told)
 
 
-@click.command()
-@changing("--why")
-@filters
-@access
-def resend(store: Access, **told: Any) -> None:
+@verb("--why")
+def resend() -> None:
     """Have records resent whatever the rules say, as soon as nothing can be applied twice.
 
     It is done by a running dispatcher, behind live traffic; while none runs, by the next one.
     """
-    change(store, "resend", **told)
 
 
 @click.command()
--- a/tests/test_undelivered_program.py
+++ b/tests/test_undelivered_program.py
@@ -27,6 +27,7 @@
 
 from .agent import Agent
 from .broker import Broker
+from .partner import Partner
 from .program import play, started
 from .rig import START, row
 from .test_program import Client
@@ -43,29 +44,6 @@
     return told.stdout
 
 
-class Partner:
-    """A member that answers every call with this status."""
-
-    def __init__(self, status: int) -> None:
-        self.status, self.calls, self.port = status, 0, 0
-
-    async def start(self) -> Partner:
-        server = await asyncio.start_server(self._client, "127.0.0.1", 0)
-        self.port = server.sockets[0].getsockname()[1]
-        return self
-
-    async def _client(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        try:
-            while True:
-                head = (await reader.readuntil(b"\r\n\r\n")).lower()
-                length = int(head.partition(b"content-length: ")[2].partition(b"\r\n")[0])
-                await reader.readexactly(length)
-                self.calls += 1
-                writer.write(b"HTTP/1.1 %d Whatever\r\nContent-Length: 0\r\n\r\n" % self.status)
-        except (OSError, asyncio.IncompleteReadError):
-            writer.close()
-
-
 async def hand_in(
     port: int, name: str, left: int = 1500, key: str = "", body: bytes = b"=1+1 \xc3\xa9"
 ) -> None:
@@ -326,29 +304,6 @@
     cli(tmp_path, *words, code=1)  # a page is not written over
 
 
-class Holding(Partner):
-    """A partner that keeps its answers back until `go` is set."""
-
-    def __init__(self, status: int) -> None:
-        super().__init__(status)
-        self.go, self.out, self.most, self.seen = asyncio.Event(), 0, 0, list[bytes]()
-
-    async def _client(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        try:
-            while True:
-                head = (await reader.readuntil(b"\r\n\r\n")).lower()
-                length = int(head.partition(b"content-length: ")[2].partition(b"\r\n")[0])
-                await reader.readexactly(length)
-                self.calls, self.out = self.calls + 1, self.out + 1
-                self.most = max(self.most, self.out)
-                self.seen.append(head.partition(b"x-txn: ")[2].partition(b"\r\n")[0])
-                await self.go.wait()
-                self.out -= 1
-                writer.write(b"HTTP/1.1 %d Whatever\r\nContent-Length: 0\r\n\r\n" % self.status)
-        except (OSError, asyncio.IncompleteReadError):
-            writer.close()
-
-
 RULES = """
 [undelivered]
 copy-grace = 0
@@ -371,7 +326,7 @@
     """On real sockets, over both fronts and in both orders; `copy` is the message's second id."""
 
     async def work() -> None:
-        partner, broker = await Holding(200).start(), Broker()
+        partner, broker = await Partner(200, holds=True).start(), Broker()
         await broker.start()
         client = Client(asyncio.get_running_loop())
         members = [{**row("s-1", 1), "host_port": f"127.0.0.1:{partner.port}"}]
--- a/tests/test_undelivered_resending.py
+++ b/tests/test_undelivered_resending.py
@@ -114,6 +114,12 @@
                 return one
         raise AssertionError("no resend began")
 
+    def until_out(self) -> None:
+        """Till another attempt is out."""
+        sent = len(self.stand.sent)
+        while len(self.stand.sent) == sent:
+            self.stand.run(0.005)
+
     def answers(self) -> dict[str, Ending | None]:
         return {one.id: one.ending for one in self.stand.answers}
 
@@ -209,8 +215,7 @@
     one.fail("m", cls=cls)
     one.stand.modes = (mode,)
     sent = len(one.stand.sent)
-    while len(one.stand.sent) == sent:  # the attempt is out
-        one.stand.run(0.005)
+    one.until_out()
     one.hand_in("copy", cls=cls, front=front)
     assert one.stand.sent[-1].front == "resend" and len(one.stand.sent) == sent + 1
     one.stand.modes = ("deliver",)
@@ -296,9 +301,7 @@
     one = One(tmp_path)
     one.fail("m", cls=UNSAFE)
     one.stand.modes = ("late-lost",)
-    sent = len(one.stand.sent)
-    while len(one.stand.sent) == sent:
-        one.stand.run(0.005)
+    one.until_out()
     now = one.stand.time.now()
     assert one.stand.core.offer(
         Transaction("copy", UNSAFE, 1, now + SECOND, b"body", key="k", front="mqtt")
@@ -314,9 +317,7 @@
     one = One(tmp_path)
     one.fail("m", cls=UNSAFE)
     one.stand.modes = ("late-lost",)
-    sent = len(one.stand.sent)
-    while len(one.stand.sent) == sent:
-        one.stand.run(0.005)
+    one.until_out()
     one.hand_in("copy", cls=UNSAFE)
     one.stand.core.withdraw("copy")
     one.run(30)
