Say class names, never-ran outcomes and early deliveries once; drop what nothing reads

Need: reading the change once more found the name of a class made in four places, the outcomes that never ran listed again, the answer to a message that was delivered before written twice, and a count and a property that nothing reads.

Change: Settings.class_names; records.py takes core.NEVER_RAN; Dispatcher._delivered_before; Figures.failures and Record.unresolved are gone; a wrapper and a returned value that nobody needed, too. Behaviour is as it was.

--- a/honeyhitch/core.py
+++ b/honeyhitch/core.py
@@ -217,8 +217,7 @@
             return Offered(False, BUSY)
         now = self.scheduler.now()
         if transaction.front != "resp" and self._keyed(transaction) and self.held.delivered(transaction, now):
-            # As the receiver would say of a repeat; the caller hears first that it was taken.
-            self.scheduler.at(now, lambda: self._final(transaction.id, Ending.DELIVERED, 0))
+            self._delivered_before(transaction)  # as the receiver would say of a repeat
         else:
             self._admit(transaction)
         return Offered(True)
@@ -239,9 +238,13 @@
         match self.guard.came(transaction) if self.guard is not None else Came.GO:
             case Came.GO:
                 self._add(transaction)
-            case Came.DONE:  # the caller hears first that it was taken
-                now = self.scheduler.now()
-                self.scheduler.at(now, lambda: self._final(transaction.id, Ending.DELIVERED, 0))
+            case Came.DONE:
+                self._delivered_before(transaction)
+
+    def _delivered_before(self, transaction: Transaction) -> None:
+        """It has been delivered already; the caller hears first that it was taken."""
+        name = transaction.id
+        self.scheduler.at(self.scheduler.now(), lambda: self._final(name, Ending.DELIVERED, 0))
 
     def go_on(self, transaction: Transaction) -> None:
         """It need not wait any longer."""
--- a/honeyhitch/interface.py
+++ b/honeyhitch/interface.py
@@ -156,6 +156,11 @@
         _need(0 <= self.over_share_worth <= 1, "over_share_worth", "must lie in 0 to 1")
         _need(all(rate >= 0 for rate in self.tenant_rates), "tenant_rates", "must not be negative")
 
+    @property
+    def class_names(self) -> tuple[str, ...]:
+        """What people call each class; its number where it has no name."""
+        return tuple(cls.name or str(number) for number, cls in enumerate(self.classes))
+
     def kind(self, number: int) -> Kind:
         """The kind with this number; the last one for a number that is too high."""
         return self.kinds[min(number, len(self.kinds) - 1)]
--- a/honeyhitch/lifecycle/config/undelivered.py
+++ b/honeyhitch/lifecycle/config/undelivered.py
@@ -88,13 +88,12 @@
 
 def _rule(table: Table, name: str, settings: api.Settings) -> Rule:
     standard = Rule("", Action.HOLD)
-    classes = [cls.name or str(number) for number, cls in enumerate(settings.classes)]
     action = Action(table.choice("action", [one.value for one in Action], ""))
     rule = Rule(
         name=table.get("name", str, name),
         action=action,
         destinations=frozenset(_numbers(table, "dest")),
-        classes=_words(table, "class", classes),
+        classes=_words(table, "class", settings.class_names),
         tenants=_words(table, "tenant", settings.tenant_names),
         fronts=_words(table, "front", FRONTS),
         endings=_words(table, "ending", ENDINGS),
--- a/honeyhitch/lifecycle/serve.py
+++ b/honeyhitch/lifecycle/serve.py
@@ -182,17 +182,16 @@
             self.tasks.keep(work)
         self.discovery.start()
 
-    def _take_rules(self, new: Config) -> Config:
+    def _take_rules(self, new: Config) -> None:
         """Rules for undelivered messages change at once; the rest of that table holds from a start on."""
         told = new.operator.undelivered
         if self.keeping is None or told is None or self.config.operator.undelivered is None:
-            return new
+            return
         if told.rules != self.config.operator.undelivered.rules:
             self.keeping.resending.swap(told.rules)
             log.info("reload.rules", rules=len(told.rules))
         beside = replace(self.config.operator.undelivered, rules=told.rules)
         self.config = replace(self.config, operator=replace(self.config.operator, undelivered=beside))
-        return new
 
     def _resume(self) -> None:
         self.dispatcher.taking = not self.dispatcher.leaving and self.dispatcher.sending
@@ -221,7 +220,7 @@
         if new.discovery != self.config.discovery:
             log.info("reload.discovery", before=str(self.config.discovery), now=str(new.discovery))
             self.discovery.move(str(new.discovery))
-        new = self._take_rules(new)
+        self._take_rules(new)
         for name in AT_START_ONLY:
             if getattr(new, name) != getattr(self.config, name):
                 log.warning("reload.needs-restart", setting=name, key=name)
--- a/honeyhitch/undelivered/keeping.py
+++ b/honeyhitch/undelivered/keeping.py
@@ -98,13 +98,9 @@
 
     async def care(self) -> None:
         """Drop from time to time what is over age, also where nothing new comes."""
-
-        def job(store: Store) -> Any:
-            return store.make_room()
-
         while True:
             try:
-                tell_dropped(await self._done(self.writer, job))
+                tell_dropped(await self._done(self.writer, Store.make_room))
                 await self._done(self.writer, Store.tidy)
             except Exception as error:  # the store is opened again with the next job
                 log.error("undelivered.store-failed", error=str(error), key=str(error))
--- a/honeyhitch/undelivered/moving.py
+++ b/honeyhitch/undelivered/moving.py
@@ -31,7 +31,6 @@
 
     moved: int = 0
     let_go: dict[bool, int] = field(default_factory=lambda: {False: 0, True: 0})  # by whether it may have run
-    failures: int = 0
 
 
 class Moving:
@@ -45,13 +44,8 @@
         submit: Callable[[Job, Done], bool],
         kept: Callable[[Transaction], None],
     ) -> None:
-        self.s, self.journal, self.scheduler, self.submit, self.kept = (
-            settings,
-            journal,
-            scheduler,
-            submit,
-            kept,
-        )
+        self.s, self.journal, self.scheduler = settings, journal, scheduler
+        self.submit, self.kept = submit, kept
         self.waiting: dict[tuple[str, int], Transaction] = {}  # the oldest first
         self.moving: list[Transaction] = []
         self.paused, self.pause = False, FIRST_PAUSE
@@ -95,7 +89,6 @@
 
     def _failed(self, error: str) -> None:
         self.moving, self.paused, self.failing = [], True, error
-        self.figures.failures += 1
         log.error("undelivered.store-failed", error=error, waiting=len(self.waiting), key=error)
         self.scheduler.at(self.scheduler.now() + self.pause, self._again)
         self.pause = min(2 * self.pause, MOST_PAUSE)
--- a/honeyhitch/undelivered/records.py
+++ b/honeyhitch/undelivered/records.py
@@ -7,12 +7,11 @@
 from enum import Enum
 from typing import Any
 
+from honeyhitch import core
 from honeyhitch import interface as api
 from honeyhitch.memory.transactions import Ending, Transaction, Try
 
-NEVER_RAN = frozenset(
-    one.value for one in (api.Outcome.REFUSED, api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT)
-)
+NEVER_RAN = frozenset(one.value for one in core.NEVER_RAN)
 NOT_TRIED, LOST = "not-tried", "lost"  # reasons that are no outcomes: nothing was sent, or nobody saw the end
 
 
@@ -68,11 +67,6 @@
         """Whether any attempt may have been applied."""
         return self.first_ran is not None
 
-    @property
-    def unresolved(self) -> bool:
-        """It may have been applied, and nobody has said yet whether it was."""
-        return self.may_have_run and self.standing in OPEN
-
     def public(self, body: bool = False) -> dict[str, Any]:
         """As a program reads it; the body only where it is asked for."""
         told: dict[str, Any] = {name: getattr(self, name) for name in PUBLIC}
@@ -136,7 +130,7 @@
         came_at=transaction.came_at,
         deadline=transaction.deadline,
         destination=transaction.destination,
-        cls=cls.name or str(transaction.cls),
+        cls=settings.class_names[transaction.cls],
         effect=cls.effect.value,
         window=cls.window,
         zoned=cls.group is api.Group.ZONE,
--- a/honeyhitch/undelivered/resending.py
+++ b/honeyhitch/undelivered/resending.py
@@ -57,7 +57,9 @@
         self.rules, self.terms = setup.rules, setup.terms
         self.most_records = setup.limits.count
         settings = dispatcher.s
-        self.longest = {cls.name or str(number): cls.aim for number, cls in enumerate(settings.classes)}
+        self.longest = {
+            name: cls.aim for name, cls in zip(settings.class_names, settings.classes, strict=True)
+        }
         self.copies, self.rates = Copies(self.terms.memory), Rates()
         self.pacing = Pacing(self.terms.share, settings.slots)
         self.under_way: dict[str, Transaction] = {}  # resends from the journal's record to the store's
--- a/honeyhitch/undelivered/resends.py
+++ b/honeyhitch/undelivered/resends.py
@@ -212,8 +212,7 @@
 def transaction(candidate: Candidate, settings: api.Settings, now: int) -> Transaction:
     """The fresh request that a resend is: a new id and a new deadline, the same key."""
     record = candidate.record
-    names = [cls.name or str(number) for number, cls in enumerate(settings.classes)]
-    number = names.index(record.cls)
+    number = settings.class_names.index(record.cls)
     deadline = now + settings.classes[number].deadline
     tenants: tuple[Any, ...] = settings.tenant_names
     return Transaction(
--- a/honeyhitch/undelivered/store.py
+++ b/honeyhitch/undelivered/store.py
@@ -363,10 +363,9 @@
     def page(self, chosen: Filter, after: int = 0, most: int = 50, newest_first: bool = False) -> list[Kept]:
         """The next records after this place, in the order in which they came or the reverse."""
         self._fresh_keys()
-        more = ["record.seq < ?" if newest_first and after else "record.seq > ?"]
+        beyond, order = "<" if newest_first and after else ">", "DESC" if newest_first else "ASC"
         where, values = chosen.where()
-        order = "DESC" if newest_first else "ASC"
-        text = f"{WHOLE} WHERE {more[0]} AND {where} ORDER BY record.seq {order} LIMIT ?"
+        text = f"{WHOLE} WHERE record.seq {beyond} ? AND {where} ORDER BY record.seq {order} LIMIT ?"
         return [self._kept(row) for row in self.db.execute(text, (after, *values, most))]
 
     def all(self, chosen: Filter) -> Iterator[Kept]:
