Let the benchmark use the tests' partner instead of one of its own

Need: benchmarks/undelivered.py had the stand-in of tests/partner.py written again.

Change: it derives from it and notes when a body came.

--- a/benchmarks/undelivered.py
+++ b/benchmarks/undelivered.py
@@ -42,6 +42,7 @@
 from honeyhitch.undelivered.settings import Action, Rule, Terms
 from honeyhitch.undelivered.store import Store
 from tests.agent import Agent
+from tests.partner import Partner
 from tests.program import SETTINGS, free_port, write
 from tests.resend_world import day
 from tests.rig import row
@@ -140,27 +141,15 @@
         runner.run(work())
 
 
-class Partner:
-    """Answers every call with the status that it has, and remembers when each body came."""
+class Clocked(Partner):
+    """Remembers when each body came."""
 
     def __init__(self, status: int) -> None:
-        self.status, self.came, self.port = status, dict[bytes, float](), 0
+        super().__init__(status)
+        self.came: dict[bytes, float] = {}
 
-    async def start(self) -> Partner:
-        server = await asyncio.start_server(self._client, "127.0.0.1", 0)
-        self.port = server.sockets[0].getsockname()[1]
-        return self
-
-    async def _client(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        try:
-            while True:
-                head = (await reader.readuntil(b"\r\n\r\n")).lower()
-                length = int(head.partition(b"content-length: ")[2].partition(b"\r\n")[0])
-                body = await reader.readexactly(length)
-                self.came[body[:16].strip()] = time.perf_counter()
-                writer.write(b"HTTP/1.1 %d X\r\nContent-Length: 0\r\n\r\n" % self.status)
-        except (OSError, asyncio.IncompleteReadError):
-            writer.close()
+    def took(self, body: bytes) -> None:
+        self.came[body[:16].strip()] = time.perf_counter()
 
 
 @contextlib.asynccontextmanager
@@ -259,7 +248,7 @@
     """Live latencies to the partner in ms while so many records are resent; how many were, in what time."""
     if count:
         filled(folder / "state" / "undelivered", count).close()
-    partner = await Partner(200).start()
+    partner = await Clocked(200).start()
     async with program(folder, RULE, partner) as (port, _):
         await live(port, "standard", 50, 3, "warm")
         began, before = time.perf_counter(), len(partner.came)
--- a/tests/partner.py
+++ b/tests/partner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Self
 
 
 class Partner:
@@ -14,11 +15,15 @@
         if not holds:
             self.go.set()
 
-    async def start(self) -> Partner:
+    async def start(self) -> Self:
         server = await asyncio.start_server(self._client, "127.0.0.1", 0)
         self.port = server.sockets[0].getsockname()[1]
         return self
 
+    def took(self, body: bytes) -> None:
+        """A whole call has come."""
+        self.seen.append(body)
+
     async def _client(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             while True:
@@ -26,7 +31,7 @@
                 length = int(head.partition(b"content-length: ")[2].partition(b"\r\n")[0])
                 body = await reader.readexactly(length)
                 self.calls += 1
-                self.seen.append(body)
+                self.took(body)
                 await self.go.wait()
                 writer.write(b"HTTP/1.1 %d Whatever\r\nContent-Length: 0\r\n\r\n" % self.status)
         except (OSError, asyncio.IncompleteReadError):
