Move what the module says of a destination's standing out of the policy file

Brain.condition decides nothing: it tells those who hand in what may wait how a destination stands.

Change: it stands in honeyhitch/standing.py, and the look at a queue's head is a function that both use.

--- a/honeyhitch/brain.py
+++ b/honeyhitch/brain.py
@@ -209,6 +209,17 @@
 Offer = tuple[float, int, Message, Endpoint]
 
 
+def head(queue: tuple[Queue, Queue], now: int) -> Message | None:  # the urgent first; else the freshest
+    in_time, late = queue
+    while in_time and (not in_time[0][2].queued or in_time[0][0] <= now):
+        _, seq, message = heappop(in_time)
+        if message.queued:
+            heappush(late, (-message.deadline, seq, message))
+    while late and not late[0][2].queued:
+        heappop(late)
+    return in_time[0][2] if in_time else late[0][2] if late else None
+
+
 class Destination:
     def __init__(self) -> None:
         self.queues: dict[tuple[int, int | None, bool], tuple[Queue, Queue]] = {}  # in time, late
@@ -250,23 +261,6 @@
             self.actions.append(api.SetTimer(self.timer_at))
         return self.actions
 
-    def condition(self, destination: int, now: int) -> api.Condition:
-        """How it stands, for those who hand in what may wait; nothing is decided here."""
-        dest = self.dests.get(destination) or Destination()
-        lanes = list({endpoint.lane: None for endpoint in dest.endpoints.values() if endpoint.listed})
-        well = [lane for lane in lanes if not lane.out and lane.tally.share(now) < RISKY_SHARE]
-        queues = [queue for key, queue in dest.queues.items() if not key[2]]
-        return api.Condition(
-            listed=bool(lanes),
-            sick=not well,
-            ramping=any(now - lane.back_at < self.s.cold for lane in lanes),
-            waits_until=min((lane.wait_until for lane in well), default=0),
-            queued=any(self._head(queue) is not None for queue in queues),
-            part=sum(lane.part() for lane in well),
-            last_send=max((lane.last_send for lane in lanes), default=0),
-            used=self.used,
-        )
-
     def _rang(self, _: object) -> None:  # also a timer that rang a moment early: it is set again
         self.timer_at = NEVER
 
@@ -473,7 +467,7 @@
     def _offer(self, dest: Destination, offers: list[Offer]) -> None:
         found: list[Offer] = []
         wake = NEVER
-        for message in filter(None, map(self._head, dest.queues.values())):
+        for message in filter(None, (head(queue, self.now) for queue in dest.queues.values())):
             endpoint, at = self._endpoint(message)
             wake = min(wake, at)
             if endpoint is not None:
@@ -488,16 +482,6 @@
             dest.wake_at = wake
             self._wake(wake, self.hot.setdefault, dest)
 
-    def _head(self, queue: tuple[Queue, Queue]) -> Message | None:  # the urgent first; else the freshest
-        in_time, late = queue
-        while in_time and (not in_time[0][2].queued or in_time[0][0] <= self.now):
-            _, seq, message = heappop(in_time)
-            if message.queued:
-                heappush(late, (-message.deadline, seq, message))
-        while late and not late[0][2].queued:
-            heappop(late)
-        return in_time[0][2] if in_time else late[0][2] if late else None
-
     def _endpoint(self, message: Message) -> tuple[Endpoint | None, int]:
         dest, zone, soonest = message.dest, message.zone(), NEVER
         ready: list[Endpoint] = []
@@ -538,7 +522,7 @@
             while (
                 call.left < min(dest.per_call, lane.most)
                 and not lane.out
-                and (rider := self._head(queue)) is not None
+                and (rider := head(queue, self.now)) is not None
             ):
                 alike = rider.cls is message.cls and rider.behind is message.behind
                 if not alike or rider.zone() not in (None, endpoint.zone):
--- /dev/null
+++ b/honeyhitch/standing.py
@@ -0,0 +1,24 @@
+"""How a destination stands as the module sees it, for those who hand in what may wait. It decides nothing."""
+
+from __future__ import annotations
+
+from honeyhitch import interface as api
+from honeyhitch.brain import RISKY_SHARE, Brain, Destination, head
+
+
+def condition(brain: Brain, destination: int, now: int) -> api.Condition:
+    """The destination's condition; one that nothing is known of is not listed. `now` in nanoseconds."""
+    dest = brain.dests.get(destination) or Destination()
+    lanes = list({endpoint.lane: None for endpoint in dest.endpoints.values() if endpoint.listed})
+    well = [lane for lane in lanes if not lane.out and lane.tally.share(now) < RISKY_SHARE]
+    queues = [queue for key, queue in dest.queues.items() if not key[2]]
+    return api.Condition(
+        listed=bool(lanes),
+        sick=not well,
+        ramping=any(now - lane.back_at < brain.s.cold for lane in lanes),
+        waits_until=min((lane.wait_until for lane in well), default=0),
+        queued=any(head(queue, brain.now) is not None for queue in queues),
+        part=sum(lane.part() for lane in well),
+        last_send=max((lane.last_send for lane in lanes), default=0),
+        used=brain.used,
+    )
--- a/honeyhitch/undelivered/resending.py
+++ b/honeyhitch/undelivered/resending.py
@@ -18,6 +18,7 @@
 from honeyhitch import logs
 from honeyhitch.core import BUSY, Came, Dispatcher, Scheduler
 from honeyhitch.memory.transactions import RESEND, Ending, Transaction
+from honeyhitch.standing import condition
 from honeyhitch.undelivered import resends
 from honeyhitch.undelivered.copies import Copies, Key
 from honeyhitch.undelivered.pacing import Pacing, Rates
@@ -145,10 +146,10 @@
         wanted: dict[int, tuple[int, int]] = {}
         left = self.pacing.most - self.pacing.out
         for destination in looked_at:
-            condition = self.dispatcher.brain.condition(destination, now)
-            room = min(left, self.pacing.room(destination, condition, now))
+            stands = condition(self.dispatcher.brain, destination, now)
+            room = min(left, self.pacing.room(destination, stands, now))
             if room > 0 and self.waiting.get(destination, ENDLESS) <= now:
-                healthy = ENDLESS if condition.sick else self.pacing.healthy(destination, now)
+                healthy = ENDLESS if stands.sick else self.pacing.healthy(destination, now)
                 wanted[destination] = (room, healthy)
                 left -= room
         return wanted
@@ -167,8 +168,8 @@
         record, rule = candidate.record, candidate.rule
         if record.key and self.copies.blocked((record.destination, record.key)):
             return self._later(record, now + SECOND)
-        condition = self.dispatcher.brain.condition(record.destination, now)
-        if not self.pacing.room(record.destination, condition, now):
+        stands = condition(self.dispatcher.brain, record.destination, now)
+        if not self.pacing.room(record.destination, stands, now):
             return  # it has changed meanwhile; the record is still due
         if not self.rates.take(rule.name, rule.rate, now):
             return self._later(record, now + int(SECOND / rule.rate))
--- a/tests/test_undelivered_resending.py
+++ b/tests/test_undelivered_resending.py
@@ -14,6 +14,7 @@
 from honeyhitch import interface as api
 from honeyhitch.core import Came
 from honeyhitch.memory.transactions import Ending, Transaction
+from honeyhitch.standing import condition
 from honeyhitch.undelivered import operations, resends, rules
 from honeyhitch.undelivered.copies import Copies
 from honeyhitch.undelivered.eligibility import Decision, Verdict
@@ -405,7 +406,7 @@
     one.stand.core.news(one.stand.core.pool.update(told))
     one.run(100)
     assert one.record("m").resends == 0 and one.record("m").standing is Standing.KEPT
-    assert one.stand.core.brain.condition(1, one.stand.time.now()) == api.Condition(
+    assert condition(one.stand.core.brain, 1, one.stand.time.now()) == api.Condition(
         False, True, False, 0, False, 0, 0, 0
     )
 
