Tell a full connection table from a limit, and keep no idle connections on thin traffic

At fault: calls.read told such an answer as a refusal above the limit, so the module cut the pace, doubled the ladder's step and in the end shut the lane, brain.py Lane.failed; HttpCarrier._keep kept what served almost nobody; and Brain._learn closed idle connections only of the one endpoint and after a connect that fails, which those who hold a place never see. Harmless alone, harmful when all do it.

Change: such an answer is told as 'crowded'. It says nothing of limit or health: the endpoint rests for a growing, jittered pause, and idle connections of its kind are closed, now and after each call, as after a failed connect. With more instances than a table is likely to hold, none is kept before 8 answers, and one in ten is given up after a call, so that holders learn, too. tests/fleet.py plays 40 seeded Brains against one scripted destination.

--- a/honeyhitch/brain.py
+++ b/honeyhitch/brain.py
@@ -29,6 +29,7 @@
 FLOW_SPAN, LOW_ALLOWANCE = 2 * SECOND, 0.15  # ns flow is averaged over; share left that starts pacing
 
 TABLE, TIGHT, CLUMP = 6, 0.1, 3 * SECOND  # instances with a connection each; share; traffic told at once
+PROOF, YIELD = 8, 0.1  # answers before one is kept idle; share closed since: who keeps one learns nothing
 MOST_TOGETHER, TOGETHER = 1024, 0.5  # messages in a call where none break; growth with a call that passes
 BEHIND = 1e-6  # x worth of what may wait: it goes last
 REACH = 0.5  # x mean latency; with less time left a message is given up
@@ -109,6 +110,7 @@
         self.name, self.zone, self.lane, self.listed = entry.endpoint, entry.zone, lane, True
         self.calls, self.used_at = 0, -NEVER
         self.room, self.shut = 0 if entry.gated else NEVER, 0  # calls it takes; no connection before then
+        self.crowded = 0  # times in a row that its full table turned us away
         self.tallies = defaultdict[int, Tally](lambda: Tally(LONG_FADE))  # by class: one alone may fail here
 
 
@@ -121,10 +123,8 @@
         self.calls: dict[Call, None] = {}  # oldest first
         self.scale, self.limit, self.flow, self.rate, self.risk = 0.0, 0.0, 0.0, inf, RISKY_SHARE
         self.wait_until = self.trial_at = self.last_send = self.cut_at = self.down_at = 0
-        self.run, self.most = (
-            0.0,
-            float(MOST_TOGETHER),
-        )  # messages a call should hold; fewer where whole calls break
+        self.answered = 0  # calls that reached it
+        self.run, self.most = 0.0, float(MOST_TOGETHER)  # the latter falls where whole calls break
         self.ok_sent = self.bad_sent = self.bad_at = self.back_at = self.closed_at = -NEVER
         self.out, self.flow_at, self.spread = False, 0, SPREAD if settings.instances > TABLE else JITTER
 
@@ -179,9 +179,8 @@
 
     def passed(self, now: int, call: Call, took: int) -> bool:  # true if it brings the lane back
         self.latency += LATENCY_WEIGHT / call.size * (took - self.latency)
-        self.flow = (
-            self.flow * exp((self.flow_at - now) / FLOW_SPAN) + 1 / call.size
-        )  # in calls, as limits are
+        self.flow *= exp((self.flow_at - now) / FLOW_SPAN)
+        self.flow += 1 / call.size  # in calls, as limits are
         self.most = min(MOST_TOGETHER, self.most * (1 + TOGETHER / call.size))
         self.flow_at, self.ok_sent = now, max(self.ok_sent, call.sent)
         if call.sent < self.bad_sent:  # older than a failure: it proves nothing
@@ -192,9 +191,7 @@
         return back
 
     def failed(self, now: int, call: Call, refused: bool, wait: int) -> None:
-        fresh = (
-            call.sent >= self.bad_at
-        )  # one burst counts once, a broken batch hardly: any part may break it
+        fresh = call.sent >= self.bad_at  # one burst counts once, a broken batch hardly
         self.run += fresh / (1 if refused else call.size)
         self.bad_sent, self.bad_at = max(self.bad_sent, call.sent), now
         if refused and fresh:
@@ -238,6 +235,7 @@
         self.kinds = [(kind, Tally(LONG_FADE)) for kind in settings.kinds]
         self.lines: dict[int, tuple[deque[Message], list[int]]] = {}  # a key's messages, its rest's end
         self.hot: dict[Destination, None] = {}  # those with messages ready to go
+        self.rested: dict[Endpoint, None] = {}  # those that may hold a connection that nothing uses now
         self.wakes: list[tuple[int, int, Callable[..., object], object]] = []
         self.seq, self.used, self.timer_at, self.ask_gap = 0, 0, NEVER, ASK_GAP
         self.tenants = [(0.0, 0)] * len(settings.tenant_rates)
@@ -256,6 +254,12 @@
             _, _, what, subject = heappop(self.wakes)
             what(subject)
         self._send_all()
+        for endpoint in self.rested:  # an idle connection takes a place that all instances share
+            lane, scarce = endpoint.lane, self.s.instances > TABLE and not endpoint.calls
+            full = lane.tight.share(now) > TIGHT or lane.answered < PROOF or self.rng.random() < YIELD
+            if scarce and full:
+                self.actions.append(api.Close(endpoint.name))
+        self.rested.clear()
         if self.wakes and self.wakes[0][0] < self.timer_at:
             self.timer_at = self.wakes[0][0]
             self.actions.append(api.SetTimer(self.timer_at))
@@ -410,9 +414,7 @@
             self.lines[message.key][1][0] = self.now + self.s.order_pause
         call.passed = call.passed or event.outcome is Outcome.DELIVERED
         if call.size > 1 and not call.left and not call.passed and event.outcome in MAY_HAVE_RUN:
-            lane.most = (
-                call.size / 2
-            )  # each message may break the call that carries it and all that ride along
+            lane.most = call.size / 2  # each message may break the call and all that ride along
         hasty = event.outcome is Outcome.TIMEOUT and event.took < lane.overdue()  # cut to its own deadline
         if event.outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT) and not event.stale and not hasty:
             self._learn(event, call, message)
@@ -421,10 +423,17 @@
 
     def _learn(self, event: api.AttemptEnded, call: Call, message: Message) -> None:
         endpoint, lane = call.endpoint, call.endpoint.lane
-        if event.outcome is Outcome.CONNECT_FAILED:
+        self.rested[endpoint] = None
+        if event.crowded or event.outcome is Outcome.CONNECT_FAILED:
             lane.tight.note(self.now, True)
-        if not endpoint.calls and lane.tight.share(self.now) > TIGHT and self.s.instances > TABLE:
-            self.actions.append(api.Close(endpoint.name))  # idle ones fill a table that all instances share
+            every = (other for dest in self.dests.values() for other in dest.endpoints.values())
+            self.rested |= {other: None for other in every if other.lane.tight is lane.tight}
+        if event.crowded:  # that tells nothing of the limit or of health
+            endpoint.crowded = min(endpoint.crowded + 1, len(LADDER))
+            pause = LADDER[endpoint.crowded - 1] * self.rng.uniform(1 - lane.spread, 1)
+            endpoint.shut = self.now + int(pause)
+            return
+        endpoint.crowded, lane.answered = 0, lane.answered + 1
         lane.limit = event.limit or lane.limit
         lane.wait_until = max(lane.wait_until, self.now + event.wait)  # a batch may pass and still tell one
         if lane.limit and event.allowance < LOW_ALLOWANCE and lane.rate == inf:
@@ -442,7 +451,7 @@
     def _retry(self, message: Message, event: api.AttemptEnded, lane: Lane) -> None:
         """The ladder: a told wait is used, an untold refusal doubles the step, the time left cuts it."""
         rung, message.failures = min(message.failures, len(LADDER) - 1), message.failures + 1
-        step = LADDER[rung] * (2 if event.outcome is Outcome.REFUSED else 1)
+        step = LADDER[rung] * (2 if event.outcome is Outcome.REFUSED and not event.crowded else 1)
         pause = int(step * self.rng.uniform(1 - JITTER, 1 + JITTER))
         left = message.until() - int(2 * lane.latency) - self.now
         if event.wait:
@@ -490,6 +499,7 @@
             lane = endpoint.lane
             if endpoint.listed and zone in (None, endpoint.zone):
                 at = lane.ready_at(self.now, message.unsafe)
+                at = max(at, endpoint.shut) if endpoint.crowded else at
                 share = SICK_SHARE if lane.out or lane.tally.share(self.now) >= BAD_SHARE else HEALTHY_SHARE
                 if dest.used >= max(1, int(self.s.slots * share)):
                     at = NEVER
--- a/honeyhitch/core.py
+++ b/honeyhitch/core.py
@@ -59,6 +59,7 @@
     told: dict[str, float] = field(default_factory=dict)
     why: str = ""  # the name of a failure that outcomes do not tell apart
     stale: bool = False  # a connection kept from an earlier call broke before any answer
+    crowded: bool = False  # a new connection was turned away, the member's table of them being full
 
     @classmethod
     def same(cls, outcome: api.Outcome, count: int, over: bool = False) -> Result:
@@ -341,6 +342,7 @@
                 allowance=result.told.get("x0", 1.0),
                 limit=result.told.get("x1", 0.0),
                 stale=result.stale,
+                crowded=result.crowded,
             ),
             behind=transaction.front == RESEND,
         )
--- a/honeyhitch/interface.py
+++ b/honeyhitch/interface.py
@@ -219,6 +219,7 @@
     allowance: float = 1.0  # told share of the limit that is left
     limit: float = 0.0  # told limit in calls a second, 0 if there is none
     stale: bool = False  # a kept connection broke without a word: it tells of the connection alone
+    crowded: bool = False  # turned away as its connection came up: the member's table of them is full
 
 
 @dataclass(frozen=True, slots=True)
--- a/honeyhitch/wire/calls.py
+++ b/honeyhitch/wire/calls.py
@@ -59,8 +59,8 @@
     return {name: float(value) for name, _, value in pairs if NUMBER.fullmatch(value)}
 
 
-def read(answer: http1.Answer, parts: list[Transaction]) -> Result:
-    """What an answer says of each of the call's transactions."""
+def read(answer: http1.Answer, parts: list[Transaction], fresh: bool = False) -> Result:
+    """What an answer says of each of the call's transactions; `fresh` if it is its connection's first."""
     status, count = answer.status, len(parts)
     outcome = SIMPLE.get(status, api.Outcome.ERROR)
     over = status in (200, 410)
@@ -78,6 +78,10 @@
         ]
     result.wait = wait(answer.headers)
     result.told = report(answer.headers.get("x-pressure", ""))
+    if fresh and outcome is api.Outcome.REFUSED and not answer.more:
+        # Only a member that has no room for the connection itself closes it and has no load to tell.
+        closes = answer.headers.get("connection", "").strip().lower() == "close"
+        result.crowded = status == 503 and closes and not result.wait and not result.told
     return result
 
 
--- a/honeyhitch/wire/drivers/members.py
+++ b/honeyhitch/wire/drivers/members.py
@@ -157,7 +157,7 @@
             data = await self._read(call, connection)
             answer = connection.machine.feed(data) if data else connection.machine.ended()
             if answer is not None:
-                return calls.read(answer, call.parts)
+                return calls.read(answer, call.parts, fresh=not connection.idle_since)
             if not data:
                 raise ConnectionResetError("the connection ended before the answer")
 
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,161 @@
+"""Many seeded Brains against one scripted destination in virtual time: what each does is summed over all.
+
+The destination has a limit that may change, a table of connections, and times at which it is down or cold. It
+reports its allowance and its limit late, as of the last refresh.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+from honeyhitch import interface as api
+from honeyhitch.brain import Brain
+from honeyhitch.interface import Outcome
+
+from .world import KEYED, MS, SECOND, settings
+
+ROUND_TRIP, HANDSHAKE, REFRESH = 40 * MS, 100 * MS, 500 * MS
+CLASS = 1  # of the settings in `world`: keyed
+
+
+@dataclass
+class Partner:
+    """One destination; `limit` and `state` are told by the time. Refused calls count against the limit."""
+
+    limit: Callable[[int], float] = lambda now: 26.0
+    state: Callable[[int], str] = lambda now: "up"  # or "down"
+    table: int = 1 << 30  # connections it holds
+    wait: int = 0  # told with a refusal
+    depth: float = 0.35  # seconds of the limit that may come at once
+    reports: bool = True
+    left: float = 0.0
+    at: int = 0
+    told: tuple[float, float] = (1.0, 0.0)
+    told_next: tuple[float, float] = (1.0, 0.0)
+    told_at: int = 0
+
+    def take(self, now: int) -> bool:
+        """Whether a call is inside the limit."""
+        limit = self.limit(now)
+        most = max(1.0, limit * self.depth)
+        self.left, self.at = min(most, self.left + limit * (now - self.at) / SECOND), now
+        inside = self.left >= 1
+        self.left = max(0.0, self.left - 1)
+        if now - self.told_at >= REFRESH:  # what is told is as of the refresh before
+            self.told, self.told_at = self.told_next, now
+            self.told_next = (self.left / most, limit)
+        return inside
+
+
+@dataclass
+class Sum:
+    """What the fleet did, by second."""
+
+    calls: Counter[int] = field(default_factory=Counter)
+    refused: Counter[int] = field(default_factory=Counter)
+    delivered: Counter[int] = field(default_factory=Counter)
+    in_time: int = 0
+    handed_in: int = 0
+    handshakes: int = 0
+    crowded: int = 0
+    waits: list[int] = field(default_factory=list)  # told to those who are to come again
+    sent: list[tuple[int, int]] = field(default_factory=list)  # when, and by which instance
+
+
+class Fleet:
+    """`count` Brains, a Poisson stream of messages over all of them, and the partner."""
+
+    def __init__(
+        self, partner: Partner, seed: int, count: int = 40, scale: float = 26.0, **more: Any
+    ) -> None:
+        given = {"instances": count, "slots": 6, "resolution": MS, "scale": api.Scale.ROUGH, **more}
+        self.s = settings(**given)
+        self.rng, self.partner, self.sum = Random(seed), partner, Sum()
+        self.brains = [Brain(self.s, seed * 1000 + i) for i in range(count)]
+        self.heap: list[tuple[int, int, int, api.Event]] = []
+        self.number = itertools.count()
+        self.idle: Counter[int] = Counter()
+        self.open = 0
+        self.calls: dict[tuple[int, str], int] = {}
+        self.came: dict[str, int] = {}
+        entry = api.Entry("a", 0, scale=scale)
+        for i in range(count):
+            self.at(0, i, api.ListNews(api.ListMode.CACHED, (entry,)))
+
+    def at(self, when: int, i: int, event: api.Event) -> None:
+        """Hand an event to one instance then."""
+        heapq.heappush(self.heap, (when, next(self.number), i, event))
+
+    def offer(self, start: int, end: int, rate: float) -> None:
+        """Messages at this rate in all, each to an instance chosen by chance."""
+        now = start
+        while (now := now + int(self.rng.expovariate(rate) * SECOND)) < end:
+            name = f"m{next(self.number)}"
+            self.came[name] = now
+            self.sum.handed_in += 1
+            event = api.NewMessage(name, CLASS, 0, KEYED.deadline)
+            self.at(now, self.rng.randrange(len(self.brains)), event)
+
+    def run(self, until: int) -> Sum:
+        """Play on."""
+        while self.heap and self.heap[0][0] <= until:
+            now, _, i, event = heapq.heappop(self.heap)
+            if isinstance(event, api.AttemptEnded):
+                self.finish(now, i, event)
+            for action in self.brains[i].handle(now, [event]):
+                match action:
+                    case api.SetTimer(when):
+                        self.at(max(when, now + MS), i, api.TimerFired())
+                    case api.Close():
+                        self.open -= self.idle.pop(i, 0)
+                    case api.Refuse(_, wait):
+                        self.sum.waits.append(wait)
+                    case api.Send(name, _, timeout):
+                        self.send(now, i, name, timeout)
+        return self.sum
+
+    def send(self, now: int, i: int, name: str, timeout: int) -> None:
+        """One call on the way: its end is known at once, and told when it comes."""
+        number = self.calls[i, name] = self.calls.get((i, name), -1) + 1
+        second, told, crowded, took = now // SECOND, self.partner.told, False, ROUND_TRIP
+        self.sum.calls[second] += 1
+        self.sum.sent.append((now, i))
+        fresh, wait = not self.idle[i], 0
+        if fresh:
+            took += HANDSHAKE
+            self.sum.handshakes += 1
+        if self.partner.state(now) == "down":
+            outcome, fresh = Outcome.CONNECT_FAILED, True
+            self.open -= self.idle.pop(i, 0)
+        elif fresh and self.open >= self.partner.table:
+            outcome, crowded = Outcome.REFUSED, True
+            self.sum.crowded += 1
+        else:
+            self.open += fresh
+            self.idle[i] -= not fresh
+            outcome = Outcome.DELIVERED if self.partner.take(now) else Outcome.REFUSED
+            wait = self.partner.wait if outcome is Outcome.REFUSED else 0
+        allowance, limit = told if self.partner.reports and not crowded else (1.0, 0.0)
+        settled = outcome is Outcome.DELIVERED
+        took = int(took * self.rng.uniform(0.8, 1.2))
+        ended = api.AttemptEnded(
+            name, number, "a", outcome, took, settled, wait, allowance, limit, False, crowded
+        )
+        self.at(now + took, i, ended)
+
+    def finish(self, now: int, i: int, event: api.AttemptEnded) -> None:
+        """Account for the end of a call; the connection rests until it is used or closed."""
+        second = now // SECOND
+        if event.outcome is Outcome.DELIVERED:
+            self.sum.delivered[second] += 1
+            self.sum.in_time += now - self.came[event.message] <= KEYED.aim
+        elif event.outcome is Outcome.REFUSED and not event.crowded:
+            self.sum.refused[second] += 1
+        if event.outcome is not Outcome.CONNECT_FAILED and not event.crowded:
+            self.idle[i] += 1
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,51 @@
+"""What is harmless when one instance does it and harmful when all do: sums over a fleet, several seeds."""
+
+from __future__ import annotations
+
+import pytest
+
+from honeyhitch.interface import Outcome
+from honeyhitch.wire import calls, http1
+
+from .fleet import Fleet, Partner
+from .test_exchanges import parts
+from .world import SECOND
+
+SEEDS = (1, 2, 3)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_idle_connections_do_not_fill_a_table_that_all_share(seed: int) -> None:
+    fleet = Fleet(Partner(table=9), seed)
+    fleet.offer(0, 20 * SECOND, 20.0)
+    told = fleet.run(40 * SECOND)
+    assert told.in_time >= 0.65 * told.handed_in  # 0.2 to 0.3 where each keeps its own
+    assert told.crowded <= 0.7 * told.handed_in
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_connections_are_kept_where_a_table_has_room(seed: int) -> None:
+    fleet = Fleet(Partner(), seed)
+    fleet.offer(0, 20 * SECOND, 20.0)
+    told = fleet.run(40 * SECOND)
+    assert told.in_time >= 0.9 * told.handed_in and told.handshakes <= 0.9 * told.handed_in
+
+
+@pytest.mark.parametrize(
+    ("head", "fresh", "crowded"),
+    [
+        ("503 Full\r\nConnection: close", True, True),
+        ("503 Full\r\nConnection: close", False, False),  # it had room for the connection before
+        ("503 Full", True, False),
+        ("503 Full\r\nConnection: close\r\nX-Pressure: x0=0,x1=9", True, False),
+        ("503 Full\r\nConnection: close\r\nRetry-After: 1", True, False),
+        ("429 Full\r\nConnection: close", True, False),
+        ("500 No\r\nConnection: close", True, False),
+    ],
+)
+def test_a_full_table_is_told_from_a_limit(head: str, fresh: bool, crowded: bool) -> None:
+    answer = http1.AnswerMachine().feed(f"HTTP/1.1 {head}\r\nContent-Length: 0\r\n\r\n".encode())
+    assert answer is not None
+    result = calls.read(answer, parts(1), fresh)
+    assert result.crowded is crowded
+    assert not crowded or result.outcomes[0][0] is Outcome.REFUSED
