Spread the fleet's asks of discovery, and ask for changes where a list is at hand

Over all 40 dispatchers, the log counted over 500 asks answered 503; 28 never had a change of the list after second 1. Discovery, overbooked, had reset every watch at once; all came back within 0.1 s, each asking for the whole list before the watch, and again after 0.1, 0.25 and 0.5 s, then every 2 s, without chance in it. Excluded: that the endpoints' lane is held out wrongly (the two dispatchers that kept their watches delivered), and late notices (theirs came within 5 s of each step).

At fault: Tasks._kept, whose pauses have a bound of 2 s and no jitter, and Discovery.watch, which asked for the whole list on each connection although only an agent at another address can have other revisions.

Change: wire/asking.py decides, without I/O, when discovery is asked again and for what: pauses drawn from nothing up to a bound that doubles from 0.25 s to 8 s, a spread start where a list is at hand and instances are many, the whole list only without one, after a move, or where a watch brings nothing at all.

--- a/honeyhitch/lifecycle/serve.py
+++ b/honeyhitch/lifecycle/serve.py
@@ -79,7 +79,9 @@
         secure = config.operator.tls is not None  # then both carriers keep idle connections
         most_plain = max(1, most_idle // 2) if secure else most_idle
         carrier = HttpCarrier(self.dispatcher, self.scheduler, self.tasks, most_plain)
-        self.discovery = Discovery(str(config.discovery), self.dispatcher, self.tasks)
+        self.discovery = Discovery(
+            str(config.discovery), self.dispatcher, self.tasks, Random(config.seed ^ 0xD15C)
+        )
         self.dispatcher.carriers["http"], self.dispatcher.fronts["resp"] = carrier, self.discovery
         self.works: list[Callable[[], Awaitable[None]]] = [carrier.sweep, self.tell_left_out]
         self.look_at_files: Callable[[bool], Coroutine[Any, Any, None]] | None = None
--- /dev/null
+++ b/honeyhitch/wire/asking.py
@@ -0,0 +1,40 @@
+"""When to ask discovery again, and for what. Randomness is passed in, and times are seconds.
+
+Every dispatcher of a fleet loses its watch at the same moment, and discovery takes only so many lists a
+second. If all come back at once, and each for a whole list, none gets one. So pauses grow with each failure and are
+drawn from nothing up to their bound, and one that has a list asks only for what changed after it.
+"""
+
+from __future__ import annotations
+
+from random import Random
+
+FIRST, MOST = 0.25, 8.0  # seconds; the bound of the first pause, and of all
+CALM = 5.0  # seconds that a watch lasted, after which a break is a new one
+SPREAD, FEW = 0.05, 6  # seconds an instance before the first ask at a start; instances that need none
+
+
+class Asking:
+    """The state of one watch's attempts at one address."""
+
+    def __init__(self, rng: Random, instances: int, known: bool, moved: bool) -> None:
+        """`known`: there is a list already; `moved`: it is that of an agent at another address."""
+        self.rng, self.instances, self.bound = rng, instances, FIRST
+        self.whole = moved or not known
+
+    def first(self) -> float:
+        """The pause before the first ask: none where the list is missing, or that of another agent."""
+        return 0.0 if self.whole or self.instances <= FEW else self.rng.uniform(0, SPREAD * self.instances)
+
+    def listed(self) -> None:
+        """A list or its changes came: from now on changes will do."""
+        self.whole = False
+
+    def unheard(self) -> None:
+        """Nothing at all came on a watch: the agent may not know our revision."""
+        self.whole = True
+
+    def again(self, lasted: float) -> float:
+        """The pause before the next ask."""
+        self.bound = FIRST if lasted >= CALM else min(MOST, 2 * self.bound)
+        return self.rng.uniform(0, self.bound)
--- a/honeyhitch/wire/drivers/discovery.py
+++ b/honeyhitch/wire/drivers/discovery.py
@@ -4,15 +4,19 @@
 
 import asyncio
 import socket
+from random import Random
 
+from honeyhitch import logs
 from honeyhitch.core import Dispatcher
 from honeyhitch.memory.buffer import Buffer
 from honeyhitch.memory.transactions import Transaction
 from honeyhitch.wire import http1, notices
+from honeyhitch.wire.asking import Asking
 from honeyhitch.wire.discovery import MOST_LINE, Watch, list_request, watch_request, whole_list
 from honeyhitch.wire.drivers import sockets
 from honeyhitch.wire.drivers.tasks import Tasks
 
+log = logs.get()
 SILENCE = 5.0  # seconds without even a heartbeat, of which one comes every 2 s
 ANSWER = 1.0  # seconds to connect, and for the answer to notices, which is given at once
 MOST_NOTICES = 200  # in one request
@@ -21,8 +25,9 @@
 class Discovery:
     """What is said to the platform's agent at one address."""
 
-    def __init__(self, address: str, dispatcher: Dispatcher, tasks: Tasks) -> None:
+    def __init__(self, address: str, dispatcher: Dispatcher, tasks: Tasks, rng: Random) -> None:
         self.address, self.dispatcher, self.tasks, self.loop = address, dispatcher, tasks, tasks.loop
+        self.rng, self.moved = rng, False
         self.waiting: list[Transaction] = []
         self.wake = asyncio.Event()
         self.works: list[asyncio.Task[None]] = []
@@ -35,25 +40,47 @@
         """The agent is at another address now; notices that the old one has not confirmed go there too."""
         for work in self.works:
             work.cancel()
-        self.address = address
+        self.address, self.moved = address, True
         self.start()
 
     async def watch(self) -> None:
-        """One watch, till it breaks or falls silent; the pool as it is stays in use meanwhile."""
+        """Watch for ever; the pool as it is stays in use while discovery is silent."""
+        pool = self.dispatcher.pool
+        asking = Asking(self.rng, self.dispatcher.s.instances, bool(pool.members), self.moved)
+        await asyncio.sleep(asking.first())
+        while True:
+            began = self.loop.time()
+            try:
+                await self._watch(asking)
+            except Exception as error:
+                log.warning("watch.broken", error=f"{type(error).__name__}: {error}", key=self.address)
+            await asyncio.sleep(asking.again(self.loop.time() - began))
+
+    async def _watch(self, asking: Asking) -> None:
+        """One watch, till it breaks or falls silent."""
         pool, watch, buffer = self.dispatcher.pool, Watch(), Buffer()
         sock = await self._connect()
         try:
-            # The whole list first: an agent that took another's place need not go on with its revisions, and
-            # would take the old one's number for news that this process has had.
-            async with asyncio.timeout(SILENCE):
-                answer = await self._ask(sock, buffer, list_request(self.address))
-            self.dispatcher.news(pool.update(whole_list(answer)))
+            if asking.whole:
+                # An agent that took another's place need not go on with its revisions, and would take the old
+                # one's number for news that this process has had.
+                async with asyncio.timeout(SILENCE):
+                    answer = await self._ask(sock, buffer, list_request(self.address))
+                self.dispatcher.news(pool.update(whole_list(answer)))
+                asking.listed()
             await self.loop.sock_sendall(sock, watch_request(self.address, pool.revision))
+            heard = False
             while True:
-                async with asyncio.timeout(SILENCE):
-                    count = await sockets.read(self.loop, sock, buffer)
+                try:
+                    async with asyncio.timeout(SILENCE):
+                        count = await sockets.read(self.loop, sock, buffer)
+                except TimeoutError:
+                    if not heard:
+                        asking.unheard()
+                    raise
                 if not count:
                     raise ConnectionResetError("the watch ended")
+                heard = True
                 for told in watch.feed(buffer.take()):
                     self.dispatcher.news(pool.update(told))
         finally:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -62,7 +62,7 @@
                 agent = peers["agent"]
                 # The first connection to the agent is the watch; notices come on another.
                 peers["watch"].now = await agent.came.get()
-                await watched(peers["watch"], agent.port, members)
+                await watched(peers["watch"], agent.port)
                 agent.now = None
                 await client.dial(port)
                 for line in part.splitlines():
@@ -79,7 +79,7 @@
                         await receive(client, b"+PONG\r\n")
                         write(tmp_path, port, peers[what].port, [])
                         os.kill(os.getpid(), signal.SIGHUP)
-                        await watched(peers[what], peers[what].port, members)
+                        await listed(peers[what], peers[what].port, members)
                         peers[what].now = None  # notices come on another connection
                     elif what == "ended":
                         assert await peers[name].now[0].read(1) == b""  # type: ignore[index]
@@ -100,12 +100,17 @@
 TARGETS = r"GET /api/targets%s HTTP/1.1\r\nHost: 127.0.0.1:%d\r\nAccept: application/json\r\n\r\n"
 
 
-async def watched(agent: Peer, port: int, members: list[dict[str, Any]]) -> None:
-    """The whole list is asked for first, and then what changes after it."""
+async def watched(agent: Peer, port: int, revision: int = 1) -> None:
+    """With a list at hand it asks for what changed after it."""
+    await receive(agent, raw(TARGETS % (f"?stream=1&index={revision}", port)))
+
+
+async def listed(agent: Peer, port: int, members: list[dict[str, Any]]) -> None:
+    """An agent at another address is asked for its whole list first, and then for what changes after it."""
     await receive(agent, raw(TARGETS % ("", port)))
     body = json.dumps({"revision": 3, "complete": True, "members": members}).encode()
     (await agent.accepted())[1].write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
-    await receive(agent, raw(TARGETS % ("?stream=1&index=3", port)))
+    await watched(agent, port, 3)
 
 
 ENQUEUE = (
