--- a/honeyhitch/wire/asking.py
+++ b/honeyhitch/wire/asking.py
@@ -1,8 +1,8 @@
 """When to ask discovery again, and for what. Randomness is passed in, and times are seconds.
 
-Every dispatcher of a fleet loses its watch at the same moment, and discovery takes only so many lists a
-second. If all come back at once, and each for a whole list, none gets one. So pauses grow with each failure and are
-drawn from nothing up to their bound, and one that has a list asks only for what changed after it.
+Every dispatcher of a fleet loses its watch at the same moment, and discovery sends few lists a second.
+If all come back at once, each for a whole list, none gets one. So pauses grow with each failure and are drawn
+from nothing up to their bound, and one that has a list asks only for what changed after it.
 """
 
 from __future__ import annotations
