Ask for the whole list again where an agent's answer to a watch cannot be used

Need: read over, the spread-out watch asked by revision for ever where an agent turns that revision away (400, 410) or sends what cannot be read, so a stale list would stay. At fault: Discovery.watch, which told only silence apart. And members that the operator set up counted as a list at hand.

Change: after any error but a break, an end or a busy agent (503) the whole list is asked for; a list is at hand where members other than the operator's are known.

--- a/honeyhitch/wire/asking.py
+++ b/honeyhitch/wire/asking.py
@@ -31,7 +31,7 @@
         self.whole = False
 
     def unheard(self) -> None:
-        """Nothing at all came on a watch: the agent may not know our revision."""
+        """Nothing at all came on a watch, or nothing usable: the agent may not know our revision."""
         self.whole = True
 
     def again(self, lasted: float) -> float:
--- a/honeyhitch/wire/discovery.py
+++ b/honeyhitch/wire/discovery.py
@@ -11,7 +11,11 @@
 
 
 class WatchError(Exception):
-    """The watch gave something that cannot be read, or ended."""
+    """The watch gave what cannot be read, or ended; `status` is what was answered, if that is why."""
+
+    def __init__(self, text: str, status: int = 0) -> None:
+        super().__init__(text)
+        self.status = status
 
 
 def list_request(host: str) -> bytes:
@@ -22,7 +26,7 @@
 def whole_list(answer: http1.Answer) -> dict[str, Any]:
     """The list that an answer holds, in discovery's form."""
     if answer.status != 200:
-        raise WatchError(f"list: answered {answer.status}")
+        raise WatchError(f"list: answered {answer.status}", answer.status)
     return _object(answer.body, "list")
 
 
@@ -71,7 +75,7 @@
             raise (cause if isinstance(cause, WatchError) else WatchError(str(error))) from error
         status = self.machine.answer.status
         if self.machine.in_body and status != 200:
-            raise WatchError(f"watch: answered {status}")
+            raise WatchError(f"watch: answered {status}", status)
         if answer is not None and not self.news:
-            raise WatchError("watch: ended")
+            raise WatchError("watch: ended", status)
         return self.news
--- a/honeyhitch/wire/drivers/discovery.py
+++ b/honeyhitch/wire/drivers/discovery.py
@@ -46,13 +46,19 @@
     async def watch(self) -> None:
         """Watch for ever; the pool as it is stays in use while discovery is silent."""
         pool = self.dispatcher.pool
-        asking = Asking(self.rng, self.dispatcher.s.instances, bool(pool.members), self.moved)
+        asking = Asking(
+            self.rng, self.dispatcher.s.instances, len(pool.members) > len(pool.fixed), self.moved
+        )
         await asyncio.sleep(asking.first())
         while True:
             began = self.loop.time()
             try:
                 await self._watch(asking)
             except Exception as error:
+                # A break, an end, or an agent that is busy leaves our revision good; nothing else need.
+                good = isinstance(error, OSError) or getattr(error, "status", 0) in (200, 503)
+                if not good:
+                    asking.unheard()
                 log.warning("watch.broken", error=f"{type(error).__name__}: {error}", key=self.address)
             await asyncio.sleep(asking.again(self.loop.time() - began))
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -67,7 +67,6 @@
     handshakes: int = 0
     crowded: int = 0
     waits: list[int] = field(default_factory=list)  # told to those who are to come again
-    sent: list[tuple[int, int]] = field(default_factory=list)  # when, and by which instance
 
 
 class Fleet:
@@ -131,7 +130,6 @@
         """One call on the way: its end is known at once, and told when it comes."""
         told, took, wait, crowded = self.partner.told, ROUND_TRIP, 0, False
         self.sum.calls[now // SECOND] += 1
-        self.sum.sent.append((now, i))
         fresh = not self.idle[i]
         took += HANDSHAKE * fresh
         self.sum.handshakes += fresh
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -8,6 +8,7 @@
 import pytest
 
 from honeyhitch.wire.asking import CALM, FEW, FIRST, MOST, Asking
+from honeyhitch.wire.discovery import Watch, WatchError
 
 LINES, ASK_COST, LIST_COST = (
     250.0,
@@ -70,3 +71,11 @@
     assert bounds == sorted(bounds) and bounds[-1] == MOST
     asking.again(CALM)
     assert asking.bound == FIRST
+
+
+def test_an_error_says_what_was_answered() -> None:
+    """Only a busy agent, or one that ends a good watch, leaves the revision worth asking by."""
+    machine = Watch()
+    with pytest.raises(WatchError) as told:
+        machine.feed(b"HTTP/1.1 410 Gone\r\nContent-Length: 1\r\n\r\n")
+    assert told.value.status == 410
