--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,7 +1,7 @@
 """Many seeded Brains against one scripted destination in virtual time: what each does is summed over all.
 
-The destination has a limit that may change, a table of connections, and times at which it is down or cold. It
-reports its allowance and its limit late, as of the last refresh.
+The destination has a limit that may change, and a table of connections. It reports its allowance and its limit
+late, as of the last refresh.
 """
 
 from __future__ import annotations
@@ -26,15 +26,13 @@
 
 @dataclass
 class Partner:
-    """One destination; `limit` and `state` are told by the time. Refused calls count against the limit."""
+    """One destination; `limit` is told by the time. Refused calls count against the limit."""
 
     limit: Callable[[int], float] = lambda now: 26.0
-    state: Callable[[int], str] = lambda now: "up"  # or "down"
     table: int = 1 << 30  # connections it holds
     wait: int = 0  # told with a refusal
     tells: float = 1.0  # with this chance
     depth: float = 0.35  # seconds of the limit that may come at once
-    reports: bool = True
     left: float = 0.0
     at: int = 0
     told: tuple[float, float] = (1.0, 0.0)
@@ -58,15 +56,12 @@
 class Sum:
     """What the fleet did, by second."""
 
-    calls: Counter[int] = field(default_factory=Counter)
     refused: Counter[int] = field(default_factory=Counter)  # calls above the limit
     delivered: Counter[int] = field(default_factory=Counter)
     in_time: int = 0
-    worth: float = 0.0  # as the class counts it
     handed_in: int = 0
     handshakes: int = 0
     crowded: int = 0
-    waits: list[int] = field(default_factory=list)  # told to those who are to come again
 
 
 class Fleet:
@@ -117,8 +112,6 @@
                         self.at(max(when, now + MS), i, api.TimerFired())
                     case api.Close():
                         self.open -= self.idle.pop(i, 0)
-                    case api.Refuse(_, wait):
-                        self.sum.waits.append(wait)
                     case api.Send(name, _, _):
                         names.append(name)
             most = self.s.kinds[0].per_call
@@ -129,14 +122,10 @@
     def send(self, now: int, i: int, names: list[str]) -> None:
         """One call on the way: its end is known at once, and told when it comes."""
         told, took, wait, crowded = self.partner.told, ROUND_TRIP, 0, False
-        self.sum.calls[now // SECOND] += 1
         fresh = not self.idle[i]
         took += HANDSHAKE * fresh
         self.sum.handshakes += fresh
-        if self.partner.state(now) == "down":
-            outcome = Outcome.CONNECT_FAILED
-            self.open -= self.idle.pop(i, 0)
-        elif fresh and self.open >= self.partner.table:
+        if fresh and self.open >= self.partner.table:
             outcome, crowded = Outcome.REFUSED, True
             self.sum.crowded += 1
         else:
@@ -145,7 +134,7 @@
             outcome = Outcome.DELIVERED if self.partner.take(now) else Outcome.REFUSED
             if outcome is Outcome.REFUSED and self.rng.random() < self.partner.tells:
                 wait = self.partner.wait
-        allowance, limit = told if self.partner.reports and not crowded else (1.0, 0.0)
+        allowance, limit = (1.0, 0.0) if crowded else told
         took = int(took * self.rng.uniform(0.8, 1.2))
         self.at(
             now + took,
@@ -180,9 +169,7 @@
             for event in events:
                 age = now - self.came[event.message]
                 self.sum.in_time += age <= self.cls.aim
-                late = max(0.0, (age - self.cls.aim) / (self.cls.deadline - self.cls.aim))
-                self.sum.worth += 1 - (1 - self.cls.late_share) * late
         elif outcome is Outcome.REFUSED and not crowded:
             self.sum.refused[now // SECOND] += 1
-        if outcome is not Outcome.CONNECT_FAILED and not crowded:
+        if not crowded:
             self.idle[i] += 1
