--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,7 +1,7 @@
 """Many seeded Brains against one scripted destination in virtual time: what each does is summed over all.
 
-The destination has a limit that may change, and a table of connections. It reports its allowance and its limit
-late, as of the last refresh.
+The destination has a limit that may change, and a table of connections. It reports its allowance and
+its limit late, as of the last refresh.
 """
 
 from __future__ import annotations
