Ask discovery within half of a drain's grace after a start, however large the fleet

Checked: the logs of all 196 dispatchers hold no watch.broken, so no watch was turned away, broken or silent. SIGHUP (reload.discovery, from 9.46 s in n7) came later than the first broken drain. Those that sent had not asked yet.

At fault: asking.py, first(): 0.05 s for each instance is up to 9.8 s at 196, longer than the 2 s that a drain grants. again() let pauses after a silent or refused connection grow to 8 s, too.

Change: both are bounded by half of invariants.drain-grace, which the settings tell and which is now read. Only an agent that answers 503, turning us away, is asked at pauses that grow as before, since it has nothing for us then.

--- a/honeyhitch/interface.py
+++ b/honeyhitch/interface.py
@@ -141,6 +141,9 @@
     report_fields: tuple[str, ...] = ()
     max_open: int = 1 << 30  # transactions held at most
     conn_idle: int = 0  # a member closes an idle connection after this; 0 if never
+    drain_grace: int = (
+        2_000_000_000  # something new may still go to a member for so long once its drain was told
+    )
 
     def __post_init__(self) -> None:
         _need(len(self.classes) > 0, "classes", "at least one is needed")
@@ -151,7 +154,7 @@
         _need(0 < self.cold_share <= 1, "cold_share", "must be above 0 and at most 1")
         for name in ("order_pause", "zone"):
             _need(getattr(self, name) >= 0, name, "must not be negative")
-        for name in ("max_retry_after", "connect_timeout", "resolution", "conn_idle"):
+        for name in ("max_retry_after", "connect_timeout", "resolution", "conn_idle", "drain_grace"):
             _need(getattr(self, name) >= 0, name, "must not be negative")
         _need(0 <= self.over_share_worth <= 1, "over_share_worth", "must lie in 0 to 1")
         _need(all(rate >= 0 for rate in self.tenant_rates), "tenant_rates", "must not be negative")
--- a/honeyhitch/lifecycle/config/instance.py
+++ b/honeyhitch/lifecycle/config/instance.py
@@ -127,4 +127,5 @@
             report_fields=tuple(self.items("report.fields")),
             max_open=self.whole("caps.max-open", str(1 << 30)),
             conn_idle=self.whole("caps.conn-idle", "0"),
+            drain_grace=self.whole("invariants.drain-grace", "2000000000"),
         )
--- a/honeyhitch/wire/asking.py
+++ b/honeyhitch/wire/asking.py
@@ -12,19 +12,28 @@
 FIRST, MOST = 0.25, 8.0  # seconds; the bound of the first pause, and of all
 CALM = 5.0  # seconds that a watch lasted, after which a break is a new one
 SPREAD, FEW = 0.05, 6  # seconds an instance before the first ask at a start; instances that need none
+UNASKED = 0.5  # of the time for which something new may go to a member whose drain was told
 
 
 class Asking:
     """The state of one watch's attempts at one address."""
 
-    def __init__(self, rng: Random, instances: int, known: bool, moved: bool) -> None:
-        """`known`: there is a list already; `moved`: it is that of an agent at another address."""
-        self.rng, self.instances, self.bound = rng, instances, FIRST
+    def __init__(self, rng: Random, instances: int, known: bool, moved: bool, grace: float) -> None:
+        """`known`: there is a list already; `moved`: it is that of an agent at another address; `grace`:
+        seconds for which something new may go to a member whose drain was told.
+        """
+        self.rng, self.instances, self.grace, self.bound = rng, instances, grace, FIRST
         self.whole = moved or not known
 
     def first(self) -> float:
-        """The pause before the first ask: none where the list is missing, or that of another agent."""
-        return 0.0 if self.whole or self.instances <= FEW else self.rng.uniform(0, SPREAD * self.instances)
+        """The pause before the first ask: none where the list is missing, or that of another agent.
+
+        What the agent has counts as told, asked for or not, so that however large the fleet is, the pause and
+        the answer have to fit into what is granted after a drain.
+        """
+        if self.whole or self.instances <= FEW:
+            return 0.0
+        return self.rng.uniform(0, min(SPREAD * self.instances, UNASKED * self.grace))
 
     def listed(self) -> None:
         """A list or its changes came: from now on changes will do."""
@@ -34,7 +43,10 @@
         """Nothing at all came on a watch, or nothing usable: the agent may not know our revision."""
         self.whole = True
 
-    def again(self, lasted: float) -> float:
-        """The pause before the next ask."""
+    def again(self, lasted: float, turned_away: bool) -> float:
+        """The pause before the next ask: a growing one, and without an answer that turned us away for the
+        sake of the fleet, no longer than what is granted after a drain allows.
+        """
         self.bound = FIRST if lasted >= CALM else min(MOST, 2 * self.bound)
-        return self.rng.uniform(0, self.bound)
+        most = MOST if turned_away else max(FIRST, UNASKED * self.grace)
+        return self.rng.uniform(0, min(self.bound, most))
--- a/honeyhitch/wire/drivers/discovery.py
+++ b/honeyhitch/wire/drivers/discovery.py
@@ -20,6 +20,7 @@
 SILENCE = 5.0  # seconds without even a heartbeat, of which one comes every 2 s
 ANSWER = 1.0  # seconds to connect, and for the answer to notices, which is given at once
 MOST_NOTICES = 200  # in one request
+NS, BUSY = 1_000_000_000, 503
 
 
 class Discovery:
@@ -45,22 +46,21 @@
 
     async def watch(self) -> None:
         """Watch for ever; the pool as it is stays in use while discovery is silent."""
-        pool = self.dispatcher.pool
-        asking = Asking(
-            self.rng, self.dispatcher.s.instances, len(pool.members) > len(pool.fixed), self.moved
-        )
+        pool, settings = self.dispatcher.pool, self.dispatcher.s
+        known, grace = len(pool.members) > len(pool.fixed), settings.drain_grace / NS
+        asking = Asking(self.rng, settings.instances, known, self.moved, grace)
         await asyncio.sleep(asking.first())
         while True:
-            began = self.loop.time()
+            began, status = self.loop.time(), 0
             try:
                 await self._watch(asking)
             except Exception as error:
                 # A break, an end, or an agent that is busy leaves our revision good; nothing else need.
-                good = isinstance(error, OSError) or getattr(error, "status", 0) in (200, 503)
-                if not good:
+                status = getattr(error, "status", 0)
+                if not isinstance(error, OSError) and status not in (200, BUSY):
                     asking.unheard()
                 log.warning("watch.broken", error=f"{type(error).__name__}: {error}", key=self.address)
-            await asyncio.sleep(asking.again(self.loop.time() - began))
+            await asyncio.sleep(asking.again(self.loop.time() - began, turned_away=status == BUSY))
 
     async def _watch(self, asking: Asking) -> None:
         """One watch, till it breaks or falls silent."""
