--- a/benchmarks/tls.py
+++ b/benchmarks/tls.py
@@ -340,7 +340,7 @@
     """Kilobytes for an open connection with its buffers, and for a cached session."""
     from honeyhitch.memory.buffer import Buffer
     from honeyhitch.tls.sessions import Key, SessionCache
-    from honeyhitch.wire.drivers.channel import TlsChannel, open_tls
+    from honeyhitch.wire.drivers.tls_channel import TlsChannel, open_tls
     from honeyhitch.wire.http1 import AnswerMachine
 
     pki = Authority(folder)
--- a/honeyhitch/wire/drivers/tls_broker.py
+++ b/honeyhitch/wire/drivers/tls_broker.py
@@ -8,7 +8,8 @@
 from honeyhitch.tls.budget import Start
 from honeyhitch.tls.failures import TlsError
 from honeyhitch.tls.partners import Known, Partners
-from honeyhitch.wire.drivers.channel import Channel, TlsChannel
+from honeyhitch.wire.drivers.channel import Channel
+from honeyhitch.wire.drivers.tls_channel import TlsChannel
 from honeyhitch.wire.drivers.tls_open import open_verified
 
 log = logs.get()
--- a/honeyhitch/wire/drivers/tls_members.py
+++ b/honeyhitch/wire/drivers/tls_members.py
@@ -24,9 +24,9 @@
 from honeyhitch.tls.partners import Known, Partners
 from honeyhitch.tls.sessions import Key
 from honeyhitch.wire import http1
-from honeyhitch.wire.drivers.channel import TlsChannel
 from honeyhitch.wire.drivers.members import MOST_ANSWER, NS, Connection, HttpCarrier, NoConnection, Progress
 from honeyhitch.wire.drivers.tasks import LoopScheduler, Tasks
+from honeyhitch.wire.drivers.tls_channel import TlsChannel
 from honeyhitch.wire.drivers.tls_open import open_verified
 
 log = logs.get()
