--- /dev/null
+++ b/benchmarks/start.py
@@ -0,0 +1,111 @@
+"""What a start costs: CPU time from exec to the first +PONG, one by one and many at once.
+
+    python benchmarks/start.py [--rounds 20] [--together 32] [--uncompiled]
+
+`--uncompiled` starts from a copy of the sources without compiled files, which may not be written either, as
+where the folder is read-only and `build` left none. All of it stays on loopback; each process is ended by its
+id.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import shutil
+import socket
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+sys.path.insert(0, str(ROOT))
+from tests.program import write  # noqa: E402
+
+TICK = os.sysconf("SC_CLK_TCK")
+MOST = 60.0  # seconds for a start
+PORT = 7379  # at an address of its own for each, below the range of ports that connections take
+
+
+def cpu(pid: int) -> float:
+    """CPU seconds of a process so far, user and system."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICK
+
+
+def start(
+    root: Path, folder: Path, number: int, discovery: int, compiled: bool
+) -> tuple[subprocess.Popen[bytes], str]:
+    """One process on its way, and its own loopback address: a common port may be taken meanwhile."""
+    folder.mkdir()
+    host = f"127.0.1.{number + 1}"
+    path, _ = write(folder, PORT, discovery, [], listen=f"{host}:{PORT}")
+    environ = {**os.environ, "PYTHONDONTWRITEBYTECODE": "" if compiled else "1"}
+    program = [sys.executable, "-m", "honeyhitch", "serve", "--config", path]
+    return subprocess.Popen(program, cwd=root, env=environ, stderr=subprocess.DEVNULL), host
+
+
+def ready(program: subprocess.Popen[bytes], host: str) -> float:
+    """Wait for +PONG; the CPU seconds used until then."""
+    until = time.monotonic() + MOST
+    while time.monotonic() < until and program.poll() is None:
+        try:
+            with socket.create_connection((host, PORT), timeout=5) as client:
+                client.sendall(b"PING\r\n")
+                if client.recv(16) == b"+PONG\r\n":
+                    return cpu(program.pid)
+        except OSError:
+            time.sleep(0.005)
+    raise SystemExit("a process did not start")
+
+
+def measure(root: Path, count: int, compiled: bool) -> tuple[list[float], float]:
+    """So many at once: CPU seconds of each, and the time until the last was ready."""
+    with tempfile.TemporaryDirectory() as folder, socket.create_server(("127.0.0.1", 0)) as discovery:
+        began, port = time.monotonic(), discovery.getsockname()[1]
+        started = [start(root, Path(folder, f"n{i}"), i, port, compiled) for i in range(count)]
+        try:
+            used = [ready(*one) for one in started]
+            return used, time.monotonic() - began
+        finally:
+            for program, _ in started:
+                program.kill()
+                program.wait()
+
+
+def main() -> None:
+    """Print one line for each case, as JSON."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--rounds", type=int, default=20)
+    parser.add_argument("--together", type=int, default=32)
+    parser.add_argument("--uncompiled", action="store_true")
+    asked = parser.parse_args()
+    with tempfile.TemporaryDirectory() as copy:
+        root = ROOT
+        if asked.uncompiled:
+            root = Path(copy)
+            left_out = shutil.ignore_patterns("__pycache__")
+            shutil.copytree(ROOT / "honeyhitch", root / "honeyhitch", ignore=left_out)
+        else:
+            measure(root, 1, True)  # compiles what is not compiled yet
+        single = [one for _ in range(asked.rounds) for one in measure(root, 1, not asked.uncompiled)[0]]
+        many, last = measure(root, asked.together, not asked.uncompiled)
+    print(
+        json.dumps(
+            {
+                "compiled": not asked.uncompiled,
+                "cpu_s_alone_median": round(statistics.median(single), 3),
+                "cpu_s_alone_most": round(max(single), 3),
+                "together": asked.together,
+                "cpu_s_together_median": round(statistics.median(many), 3),
+                "last_ready_s": round(last, 2),
+            }
+        )
+    )
+
+
+if __name__ == "__main__":
+    main()
--- a/honeyhitch/lifecycle/cli.py
+++ b/honeyhitch/lifecycle/cli.py
@@ -6,16 +6,31 @@
 import secrets
 import socket
 import sys
+from importlib import import_module
 
 import click
 
 from honeyhitch import __version__, logs
 from honeyhitch.lifecycle import config as configuration
-from honeyhitch.lifecycle.tls_commands import tls
-from honeyhitch.lifecycle.undelivered import undelivered
 
+GROUPS = {"tls": "honeyhitch.lifecycle.tls_commands", "undelivered": "honeyhitch.lifecycle.undelivered"}
 
-@click.group()
+
+class Main(click.Group):
+    """Groups with a module of their own are imported when they are asked for: `serve` starts without them."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        """All names, in the order of the alphabet."""
+        return sorted({*super().list_commands(ctx), *GROUPS})
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        """The command of this name."""
+        if cmd_name in GROUPS and cmd_name not in self.commands:
+            self.add_command(getattr(import_module(GROUPS[cmd_name]), cmd_name))
+        return super().get_command(ctx, cmd_name)
+
+
+@click.group(cls=Main)
 def main() -> None:
     """A dispatcher of messages to outside receivers."""
 
@@ -78,10 +93,6 @@
     sys.exit(0 if answer.startswith("+") else 1)
 
 
-main.add_command(tls)
-main.add_command(undelivered)
-
-
 def _read(path: str | None, operator: str | None) -> configuration.Config:
     try:
         return configuration.read(os.environ, path, operator)
--- a/honeyhitch/lifecycle/serve.py
+++ b/honeyhitch/lifecycle/serve.py
@@ -24,15 +24,15 @@
 from honeyhitch.wire import resp
 from honeyhitch.wire.agent_check import AgentSession, HealthSession
 from honeyhitch.wire.control import Asked, Verbs
-from honeyhitch.wire.drivers.broker import MqttCarrier, MqttFront, Way
-from honeyhitch.wire.drivers.control import ControlServer, ControlUnusable
 from honeyhitch.wire.drivers.discovery import Discovery
 from honeyhitch.wire.drivers.members import HttpCarrier
 from honeyhitch.wire.drivers.tasks import LoopScheduler, Tasks
 from honeyhitch.wire.drivers.virtual_server import ServerSession, VirtualServer
 
-if TYPE_CHECKING:
+if TYPE_CHECKING:  # what a start without an operator's file needs none of
     from honeyhitch.undelivered.keeping import Keeping
+    from honeyhitch.wire.drivers.broker import Way
+    from honeyhitch.wire.drivers.control import ControlServer
 
 log = logs.get()
 ACCEPT_ON, SEND_ON, LEAVE_AT = 0.6, 2.8, 3.3  # seconds after SIGTERM; SIGKILL comes after 3.7 at the soonest
@@ -138,6 +138,8 @@
         return TlsWay(self.loop, partners, partners.known[broker]) if broker is not None else None
 
     def _mqtt(self, setup: MqttSetup, way: Way | None) -> None:
+        from honeyhitch.wire.drivers.broker import MqttCarrier, MqttFront
+
         front = MqttFront(setup, self.dispatcher, self.scheduler, self.tasks, way)
         carrier = MqttCarrier(setup, self.dispatcher, self.scheduler, self.tasks, way)
         self.dispatcher.fronts["mqtt"], self.dispatcher.carriers["mqtt"] = front, carrier
@@ -200,6 +202,8 @@
         self.dispatcher.resume()
 
     def _control(self, setup: Control) -> None:
+        from honeyhitch.wire.drivers.control import ControlServer, ControlUnusable
+
         try:
             self.control = ControlServer(setup.at(self.config.state), self.verbs, self.tasks)
         except ControlUnusable as error:  # messages are served all the same
--- /dev/null
+++ b/tests/test_start.py
@@ -0,0 +1,50 @@
+"""A plain `serve` is started by the hundred at once: it loads nothing that it does not use."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+
+import pytest
+from click.testing import CliRunner
+
+from honeyhitch.lifecycle.cli import GROUPS, main
+
+LOOK = "import json, sys; import honeyhitch.lifecycle.cli, honeyhitch.lifecycle.serve; "
+LOOK += "print(json.dumps(sorted(sys.modules)))"
+
+
+@pytest.fixture(scope="module")
+def loaded() -> set[str]:
+    told = subprocess.run([sys.executable, "-c", LOOK], capture_output=True, check=True, timeout=60)
+    return set(json.loads(told.stdout))
+
+
+@pytest.mark.parametrize(
+    "name",
+    [
+        "cryptography",
+        "blake3",
+        "jinja2",
+        "tabulate",
+        "zstandard",
+        "sqlite3",
+        "http.client",
+        "honeyhitch.tls.machine",
+        "honeyhitch.undelivered.store",
+        "honeyhitch.wire.mqtt",
+        "honeyhitch.wire.drivers.broker",
+        "honeyhitch.wire.drivers.control",
+        *GROUPS.values(),
+    ],
+)
+def test_a_plain_start_does_not_load(loaded: set[str], name: str) -> None:
+    assert "honeyhitch.core" in loaded and name not in loaded
+
+
+@pytest.mark.parametrize("name", sorted(GROUPS))
+def test_each_group_is_named_and_loaded_when_it_is_asked_for(name: str) -> None:
+    assert name in CliRunner().invoke(main, ["--help"]).output
+    told = CliRunner().invoke(main, [name, "--help"])
+    assert told.exit_code == 0 and "Commands:" in told.output
