Test two hundred instances with uneven traffic: one limit, and a partner's cold return

tests/fleet.py can now spread messages unevenly and take its partner down; it counts the calls after a return that come from instances that knew of the outage.

Guess excluded, with it: that the cap of 16 s on gaps between trials lets 200 instances push a cold partner over.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,11 +1,12 @@
 """Many seeded Brains against one scripted destination in virtual time: what each does is summed over all.
 
-The destination has a limit that may change, and a table of connections. It reports its allowance and
-its limit late, as of the last refresh.
+The destination has a limit that may change, a table of connections, and may be down for a while. It reports
+its allowance and its limit late, as of the last refresh.
 """
 
 from __future__ import annotations
 
+import bisect
 import heapq
 import itertools
 from collections import Counter
@@ -38,6 +39,25 @@
     told: tuple[float, float] = (1.0, 0.0)
     told_next: tuple[float, float] = (1.0, 0.0)
     told_at: int = 0
+    down: tuple[int, int] = (0, 0)  # no connection comes up from the one until the other
+    reached: list[tuple[int, int]] = field(default_factory=list)  # when calls came after that, and whose
+    knew: set[int] = field(default_factory=set)  # instances that saw a call fail while it was down
+
+    def is_down(self, now: int) -> bool:
+        """Whether it is down."""
+        return self.down[0] <= now < self.down[1]
+
+    def pushed(self, s: api.Settings, span: int, capacity: float) -> float:
+        """Most calls in a window after the return from instances that knew of the outage, as a share of what
+        a cold destination bears in it.
+        """
+        came = [at for at, i in self.reached if i in self.knew and at < self.down[1] + s.cold]
+        most = 0.0
+        for i, start in enumerate(came):
+            warm = min(1.0, (start - self.down[1]) / s.cold)
+            bears = s.fall_multiple * (s.cold_share + (1 - s.cold_share) * warm) * capacity * span / SECOND
+            most = max(most, (bisect.bisect(came, start + span) - i) / bears)
+        return most
 
     def take(self, now: int) -> bool:
         """Whether a call is inside the limit."""
@@ -68,13 +88,21 @@
     """`count` Brains, a Poisson stream of messages over all of them, and the partner."""
 
     def __init__(
-        self, partner: Partner, seed: int, count: int = 40, scale: float = 26.0, **more: Any
+        self,
+        partner: Partner,
+        seed: int,
+        count: int = 40,
+        scale: float = 26.0,
+        uneven: bool = False,
+        **more: Any,
     ) -> None:
+        """`uneven`: some instances see several times the mean of the messages, others next to none."""
         given = {"instances": count, "slots": 6, "resolution": MS, "scale": api.Scale.ROUGH, **more}
         self.s = settings(**given)
         self.cls = self.s.classes[CLASS]
         self.rng, self.partner, self.sum = Random(seed), partner, Sum()
         self.brains = [Brain(self.s, seed * 1000 + i) for i in range(count)]
+        self.weights = [self.rng.expovariate(1.0) for _ in range(count)] if uneven else None
         self.heap: list[tuple[int, int, int, tuple[api.Event, ...]]] = []
         self.number = itertools.count()
         self.idle: Counter[int] = Counter()
@@ -97,7 +125,9 @@
             self.came[name] = now
             self.sum.handed_in += 1
             event = api.NewMessage(name, CLASS, 0, self.cls.deadline)
-            self.at(now, self.rng.randrange(len(self.brains)), event)
+            every = range(len(self.brains))
+            i = self.rng.choices(every, self.weights)[0] if self.weights else self.rng.choice(every)
+            self.at(now, i, event)
 
     def run(self, until: int) -> Sum:
         """Play on."""
@@ -125,7 +155,15 @@
         fresh = not self.idle[i]
         took += HANDSHAKE * fresh
         self.sum.handshakes += fresh
-        if fresh and self.open >= self.partner.table:
+        down = self.partner.is_down(now)
+        if now >= self.partner.down[1] > 0:
+            self.partner.reached.append((now, i))
+        if down:
+            self.partner.knew.add(i)
+            outcome, took = Outcome.CONNECT_FAILED, ROUND_TRIP
+            self.idle[i] -= not fresh
+            self.open -= not fresh
+        elif fresh and self.open >= self.partner.table:
             outcome, crowded = Outcome.REFUSED, True
             self.sum.crowded += 1
         else:
@@ -134,7 +172,7 @@
             outcome = Outcome.DELIVERED if self.partner.take(now) else Outcome.REFUSED
             if outcome is Outcome.REFUSED and self.rng.random() < self.partner.tells:
                 wait = self.partner.wait
-        allowance, limit = (1.0, 0.0) if crowded else told
+        allowance, limit = (1.0, 0.0) if crowded or down else told
         took = int(took * self.rng.uniform(0.8, 1.2))
         self.at(
             now + took,
@@ -171,5 +209,5 @@
                 self.sum.in_time += age <= self.cls.aim
         elif outcome is Outcome.REFUSED and not crowded:
             self.sum.refused[now // SECOND] += 1
-        if not crowded:
+        if not crowded and outcome is not Outcome.CONNECT_FAILED:
             self.idle[i] += 1
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -62,3 +62,33 @@
     told = fleet.run(40 * SECOND)
     assert sum(told.refused.values()) <= 0.07 * told.handed_in
     assert told.in_time >= 0.95 * told.handed_in
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize(
+    ("load", "delivered", "refused"),  # load by the limit; shares of what was handed in
+    [(0.5, 0.97, 0.02), (1.0, 0.75, 0.06), (1.5, 0.4, 0.18)],
+)
+def test_two_hundred_with_uneven_traffic_share_one_limit(
+    seed: int, load: float, delivered: float, refused: float
+) -> None:
+    """Each sees next to nothing of the destination, and some see several times the mean."""
+    fleet = Fleet(Partner(limit=lambda now: 40.0, table=24), seed, count=200, scale=40.0, uneven=True)
+    fleet.offer(0, 20 * SECOND, 40.0 * load)
+    told = fleet.run(45 * SECOND)
+    assert sum(told.delivered.values()) >= delivered * told.handed_in
+    assert sum(told.refused.values()) <= refused * told.handed_in
+    assert told.handshakes <= 1.2 * told.handed_in
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_two_hundred_do_not_push_a_cold_partner_over_and_find_its_return_soon(seed: int) -> None:
+    partner = Partner(limit=lambda now: 40.0, down=(5 * SECOND, 10 * SECOND))
+    cold = {"fall_multiple": 1.5, "cold_share": 0.31, "cold": 14 * SECOND}
+    fleet = Fleet(partner, seed, count=200, scale=40.0, uneven=True, **cold)
+    fleet.offer(0, 24 * SECOND, 30.0)
+    told = fleet.run(24 * SECOND)
+    assert len(partner.knew) >= 60
+    assert partner.pushed(fleet.s, 3 * SECOND, 40.0) <= 1.0
+    back = partner.reached[0][0] - partner.down[1]
+    assert back <= 1 * SECOND and sum(told.delivered[second] for second in (11, 12, 13)) >= 40
