Give up at a stop what cannot outlive the restart, and say so at once

At fault: serve.py, leave(): at 2.8 s after SIGTERM `sending` ends and core.py, _tick(), drops all decisions, so a message whose time ends before the next process is up (SIGKILL at 3.7 s at the soonest, the start 0.6 s after that) could not be answered by anyone, though this was known before the process ended.

Change: the core has a last round, in which the module is told (Leaving) how long at the least nothing will be decided. It gives up what cannot outlive that by the rule that every message is given up by: a refusal where that is true. The process waits for its notices to be taken, within the 3.3 s it had.

Tests: test_core.py, what is brief is refused with a time to come back, what lives longer and what is out stay as they are.

--- a/honeyhitch/brain.py
+++ b/honeyhitch/brain.py
@@ -244,7 +244,7 @@
         self.actions: list[api.Action] = []
         self.on: dict[type, Callable[..., object]] = {api.NewMessage: self._taken, api.ListNews: self._news}
         self.on |= {api.AttemptEnded: self._outcome, api.Withdrawn: self._drop, api.TimerFired: self._rang}
-        self.on[api.Room] = self._room
+        self.on |= {api.Room: self._room, api.Leaving: self._leave}
         if settings.must_ask:
             self._wake(0, self._act, api.Subscribe())
 
@@ -393,6 +393,11 @@
             if message.key is not None:
                 self._advance(message.key)
 
+    def _leave(self, event: api.Leaving) -> None:  # what cannot outlive the absence is given up at once
+        for message in list(self.messages.values()):
+            if message.call is None and self.now + event.gap >= message.until() - self._reach(message):
+                self._finish(message)
+
     def _drop(self, event: api.Withdrawn) -> None:
         message = self.messages.get(event.message)
         if message is not None and not message.ended:
--- a/honeyhitch/core.py
+++ b/honeyhitch/core.py
@@ -349,6 +349,16 @@
         if self.guard is not None:
             self.guard.attempt_ended(transaction, outcome)
 
+    def leave(self, gap: int) -> None:
+        """The last round: what cannot outlive so many nanoseconds without decisions is given up, and all else
+        that is owed is the next process's, by the journal.
+        """
+        if self.sending:
+            self._add(api.Leaving(gap))
+            self.tick_at = self.scheduler.now()
+            self._tick(self.tick_at)
+            self.sending = False
+
     # Rounds: events that come within one resolution are handled together, as in the simulator.
 
     def _add(self, event: api.Event | Transaction, behind: bool = False) -> None:
--- a/honeyhitch/interface.py
+++ b/honeyhitch/interface.py
@@ -245,12 +245,19 @@
     message: str
 
 
+@dataclass(frozen=True, slots=True)
+class Leaving:
+    """The process is about to end, and nothing is decided for so long at the least."""
+
+    gap: int
+
+
 @dataclass(frozen=True, slots=True)
 class TimerFired:
     """A timer that was asked for has come."""
 
 
-Event = ListNews | NewMessage | AttemptEnded | Room | Withdrawn | TimerFired
+Event = ListNews | NewMessage | AttemptEnded | Room | Withdrawn | Leaving | TimerFired
 
 
 @dataclass(frozen=True, slots=True)
--- a/honeyhitch/lifecycle/serve.py
+++ b/honeyhitch/lifecycle/serve.py
@@ -36,9 +36,11 @@
 
 log = logs.get()
 ACCEPT_ON, SEND_ON, LEAVE_AT = 0.6, 2.8, 3.3  # seconds after SIGTERM; SIGKILL comes after 3.7 at the soonest
+BACK_AT = 4.3  # seconds after SIGTERM; the next process starts 0.6 s after SIGKILL
 BESIDE_SOCKETS = 16  # connections at once to the agent-check, and as many to health
 CONTROL_FILES, STORE_FILES = 10, 10  # descriptors: a listener and its connections; database, log, lock
 REDELIVERY = 600 * 10**9  # ns for which ids are remembered that a broker may hand in again
+NS = 10**9
 LOOK = 0.02  # seconds between looks at what is still out
 AT_START_ONLY = ("name", "listen", "state", "seed", "limits", "known", "settings", "operator")
 
@@ -253,8 +255,8 @@
             if gone > ACCEPT_ON and not dispatcher.held.by_id:
                 return
             if gone > SEND_ON:
-                dispatcher.sending = False
-                if not dispatcher.out:
+                dispatcher.leave(int((BACK_AT - gone) * NS))
+                if not dispatcher.out and not self.discovery.waiting:
                     return
             await asyncio.sleep(LOOK)
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -169,3 +169,29 @@
     stand.core.news(stand.core.pool.update(changes))
     stand.hand_in("a")
     assert not stand.run(1)
+
+
+def test_what_cannot_outlive_a_restart_is_given_up_before_it(tmp_path: Path) -> None:
+    stand = Stand(tmp_path)
+    stand.hand_in("first")
+    (call,) = stand.run(0.1)
+    stand.end(call, Outcome.REFUSED, wait=10 * SECOND)
+    stand.hand_in("brief", left=3 * SECOND)
+    stand.hand_in("long", left=12 * SECOND)
+    stand.run(1)
+    assert not stand.answers
+    stand.core.leave(2500 * MS)
+    (answer,) = stand.answers
+    assert answer.id == "brief" and answer.ending is Ending.REJECTED and answer.come_back > 0
+    assert {"first", "long"} == set(stand.core.held.by_id)
+    assert not stand.run(20), "nothing is decided any more"
+
+
+def test_a_call_that_is_out_at_a_restart_keeps_its_own_end(tmp_path: Path) -> None:
+    stand = Stand(tmp_path)
+    stand.hand_in("out", left=2 * SECOND)
+    (call,) = stand.run(0.1)
+    stand.core.leave(5 * SECOND)
+    assert not stand.answers
+    stand.end(call, Outcome.DELIVERED)
+    assert not stand.core.held.by_id and not stand.answers
