Leave out late changes of the list, and ask less often for a list that cannot be used

Seen in the code, confirmed by tests that failed on it (10 cases): a change of an older revision than the one known was entered, so that a member that had drained or gone since became ready again; a revision or cell of infinity escaped as OverflowError, from `known` as a refused start; sizes below 0, infinite or not a number and ports above 65535 were taken. A list that could not be used was asked for again within a second since pauses without an answer are bounded: 200 dispatchers with one bad row would ask for some 400 whole lists a second. `replicas-of-me` of 0 was named `instances`.

Change: a change older than what is known is left out, a whole list of any revision holds, as an agent may count anew; what cannot be read is refused naming its field, and changes nothing. Pauses after any answer, be it 503 or an unusable list, grow to 8 s; only where none came are they bounded by the drain's grace. Counts below 1 are named by the platform's key, with the value; one expectation in test_config.py follows.

--- a/honeyhitch/lifecycle/config/instance.py
+++ b/honeyhitch/lifecycle/config/instance.py
@@ -56,6 +56,13 @@
         """The value as a whole number."""
         return whole(self.text(path, default), path)
 
+    def count(self, path: str, default: str | None = None) -> int:
+        """The value as a whole number of at least 1."""
+        value = self.whole(path, default)
+        if value < 1:
+            raise ConfigError(f"{path}: must be at least 1, got {value}")
+        return value
+
     def number(self, path: str, default: str | None = None) -> float:
         """The value as a number."""
         return decimal(self.text(path, default), path)
@@ -103,14 +110,14 @@
         return api.Settings(
             classes=tuple(self.message_class(i) for i in range(self.whole("classes.count"))),
             kinds=self.kinds(),
-            slots=self.whole("family-info.call-slots"),
+            slots=self.count("family-info.call-slots"),
             fall_multiple=self.number("invariants.fall-multiple"),
             cold_share=self.number("invariants.cold-share"),
-            cold=self.whole("invariants.cold"),
+            cold=self.count("invariants.cold"),
             order_pause=self.whole("invariants.order-pause", "0"),
-            instances=self.whole("replicas-of-me", "1"),
+            instances=self.count("replicas-of-me", "1"),
             zone=self.whole("zone", "0"),
-            max_attempts=self.whole("caps.most-tries", "5"),
+            max_attempts=self.count("caps.most-tries", "5"),
             cancel=self.flag("caps.cancel", "false"),
             retry_after=self.flag("caps.retry-after", "true"),
             max_retry_after=self.whole("caps.max-retry-after", "0"),
@@ -125,7 +132,7 @@
             tenant_names=tuple(self.text(f"tenants.{i}.name", "") for i in tenants),
             zone_names=tuple(self.items("zones")),
             report_fields=tuple(self.items("report.fields")),
-            max_open=self.whole("caps.max-open", str(1 << 30)),
+            max_open=self.count("caps.max-open", str(1 << 30)),
             conn_idle=self.whole("caps.conn-idle", "0"),
             drain_grace=self.whole("invariants.drain-grace", "2000000000"),
         )
--- a/honeyhitch/memory/pool.py
+++ b/honeyhitch/memory/pool.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from math import inf
 from typing import Any
 
 from honeyhitch import interface as api
@@ -35,6 +36,10 @@
     """A list from discovery that cannot be read."""
 
 
+def _is_port(text: str) -> bool:
+    return text.isascii() and text.isdigit() and len(text) <= 5 and int(text) < 1 << 16
+
+
 def _index(names: tuple[str, ...], value: object, default: int = 0) -> int:
     return names.index(value) if isinstance(value, str) and value in names else default
 
@@ -65,8 +70,10 @@
         try:
             rows, revision = told["members"], int(told["revision"])
             read = [self._member(row) for row in rows]
-        except (KeyError, TypeError, ValueError) as error:
+        except (KeyError, TypeError, ValueError, OverflowError) as error:
             raise PoolError(f"members: {type(error).__name__}: {error}") from error
+        if revision < self.revision and not told.get("complete", False):
+            return api.ListNews(api.ListMode.CHANGES)  # late: it would bring back what went since
         members = [one for one in read if one.status is not api.Status.GONE or one.id in self.members]
         self.revision, news = revision, tuple(member.entry() for member in members)
         if told.get("complete", False):  # what a whole list leaves out is gone as well
@@ -93,15 +100,18 @@
         destination = int(cell) if cell is not None else old.destination if old else -1
         address = str(row.get("host_port") or (old.address if old else ""))
         host, _, port = address.rpartition(":")
-        if status is not api.Status.GONE and not (host and port.isdigit()):
+        if status is not api.Status.GONE and not (host and _is_port(port)):
             raise PoolError(f"host_port: expected HOST:PORT, got {address!r}")
+        size = float(row.get("size", 1.0))
+        if not 0 <= size < inf:  # nor a NaN, which would spoil every pace computed from it
+            raise PoolError(f"size: expected a number of 0 or more, got {size}")
         member = PoolMember(
             id=name,
             address=address,
             destination=destination,
             kind=_index(self.kinds, row.get("flavor")),
             zone=_index(self.zones, row.get("locality")),
-            scale=float(row.get("size", 1.0)),
+            scale=size,
             status=status,
         )
         member.carrier = self.carrier_of(member)
--- a/honeyhitch/wire/asking.py
+++ b/honeyhitch/wire/asking.py
@@ -43,10 +43,10 @@
         """Nothing at all came on a watch, or nothing usable: the agent may not know our revision."""
         self.whole = True
 
-    def again(self, lasted: float, turned_away: bool) -> float:
-        """The pause before the next ask: a growing one, and without an answer that turned us away for the
-        sake of the fleet, no longer than what is granted after a drain allows.
+    def again(self, lasted: float, answered: bool) -> float:
+        """The pause before the next ask: a growing one. Where no answer came, it is no longer than what is
+        granted after a drain allows; one that turned us away, or that could not be used, has nothing for us.
         """
         self.bound = FIRST if lasted >= CALM else min(MOST, 2 * self.bound)
-        most = MOST if turned_away else max(FIRST, UNASKED * self.grace)
+        most = MOST if answered else max(FIRST, UNASKED * self.grace)
         return self.rng.uniform(0, min(self.bound, most))
--- a/honeyhitch/wire/drivers/discovery.py
+++ b/honeyhitch/wire/drivers/discovery.py
@@ -20,7 +20,7 @@
 SILENCE = 5.0  # seconds without even a heartbeat, of which one comes every 2 s
 ANSWER = 1.0  # seconds to connect, and for the answer to notices, which is given at once
 MOST_NOTICES = 200  # in one request
-NS, BUSY = 1_000_000_000, 503
+NS = 1_000_000_000
 
 
 class Discovery:
@@ -51,16 +51,16 @@
         asking = Asking(self.rng, settings.instances, known, self.moved, grace)
         await asyncio.sleep(asking.first())
         while True:
-            began, status = self.loop.time(), 0
+            began, answered = self.loop.time(), False
             try:
                 await self._watch(asking)
             except Exception as error:
                 # A break, an end, or an agent that is busy leaves our revision good; nothing else need.
-                status = getattr(error, "status", 0)
-                if not isinstance(error, OSError) and status not in (200, BUSY):
+                answered = not isinstance(error, OSError)
+                if answered and getattr(error, "status", 0) not in (200, 503):
                     asking.unheard()
                 log.warning("watch.broken", error=f"{type(error).__name__}: {error}", key=self.address)
-            await asyncio.sleep(asking.again(self.loop.time() - began, turned_away=status == BUSY))
+            await asyncio.sleep(asking.again(self.loop.time() - began, answered))
 
     async def _watch(self, asking: Asking) -> None:
         """One watch, till it breaks or falls silent."""
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -91,6 +91,12 @@
         assert one.again(0.1, False) <= UNASKED * GRACE
 
 
+def test_a_list_that_cannot_be_used_is_not_asked_for_in_a_flood() -> None:
+    fleet = [asking(Random(i), 200) for i in range(200)]
+    late = [[one.again(0.05, True) for _ in range(12)][-1] for one in fleet]
+    assert sum(late) / len(late) >= MOST / 3
+
+
 def test_an_agent_that_cannot_be_reached_is_never_asked_in_a_loop() -> None:
     one = Asking(Random(1), 200, True, False, 0.0)
     assert sum(one.again(0.0, False) for _ in range(100)) >= 100 * FIRST / 4
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -38,7 +38,7 @@
         ("classes.0.semantics", "odd", "settings.classes.0.semantics: expected one of pure, token"),
         ("classes.0.aim", 0, "settings.classes.aim: must be above 0"),
         ("invariants.cold-share", 7, "settings.cold_share: must be above 0 and at most 1"),
-        ("caps.max-open", 0, "settings.max_open: must be at least 1"),
+        ("caps.max-open", 0, "settings.caps.max-open: must be at least 1"),
     ],
 )
 def test_a_faulty_setting_is_named(tmp_path: Path, path: str, value: object, says: str) -> None:
--- /dev/null
+++ b/tests/test_pool.py
@@ -0,0 +1,81 @@
+"""Lists from discovery that are late, repeated or broken: each has one stated outcome."""
+
+from __future__ import annotations
+
+import copy
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from honeyhitch import interface as api
+from honeyhitch.lifecycle import config
+from honeyhitch.memory.pool import Pool, PoolError
+
+from .program import SETTINGS, write
+from .rig import row
+from .world import settings
+
+
+def pool() -> Pool:
+    made = Pool(settings())
+    made.update({"revision": 5, "complete": True, "members": [row("a", 1), row("b", 1)]})
+    return made
+
+
+def change(revision: object, *members: object) -> dict[str, Any]:
+    return {"revision": revision, "complete": False, "members": list(members)}
+
+
+def test_a_late_change_does_not_bring_back_what_went_since() -> None:
+    one = pool()
+    one.update(change(6, row("a", 1, phase="Terminating")))
+    one.update(change(7, row("b", 1, phase="Gone")))
+    late = one.update(change(4, row("a", 1), row("b", 1)))
+    assert late == api.ListNews(api.ListMode.CHANGES) and one.revision == 7
+    assert one.members["a"].status is api.Status.DRAINING and "b" not in one.members
+
+
+def test_a_repeated_change_is_harmless_and_a_whole_list_of_any_revision_holds() -> None:
+    one = pool()
+    for _ in range(2):
+        one.update(change(6, row("c", 2)))
+    assert sorted(one.members) == ["a", "b", "c"]
+    one.update({"revision": 2, "complete": True, "members": [row("a", 1)]})  # an agent that counts anew
+    assert sorted(one.members) == ["a"] and one.revision == 2
+
+
+@pytest.mark.parametrize(
+    ("bad", "named"),
+    [
+        ({"size": float("nan")}, "size"),
+        ({"size": float("inf")}, "size"),
+        ({"size": -1}, "size"),
+        ({"host_port": "x"}, "host_port"),
+        ({"host_port": "127.0.0.1:65536"}, "host_port"),
+        ({"host_port": "127.0.0.1:" + chr(0x661)}, "host_port"),
+        ({"cell": float("inf")}, "members"),
+        ({"cell": "q"}, "members"),
+        ({"size": None}, "members"),
+    ],
+)
+def test_a_row_that_cannot_be_read_is_named_and_changes_nothing(bad: dict[str, Any], named: str) -> None:
+    one = pool()
+    with pytest.raises(PoolError, match=named):
+        one.update(change(6, row("c", 1), {**row("d", 1), **bad}))
+    assert sorted(one.members) == ["a", "b"] and one.revision == 5
+
+
+@pytest.mark.parametrize("revision", [None, "x", float("inf"), float("nan"), [1]])
+def test_a_revision_that_is_no_number_is_no_crash(revision: object) -> None:
+    with pytest.raises(PoolError):
+        pool().update(change(revision, row("c", 1)))
+
+
+@pytest.mark.parametrize("value", [0, -3])
+def test_a_count_below_one_is_named_by_the_platforms_key(tmp_path: Path, value: int) -> None:
+    told = copy.deepcopy(SETTINGS) | {"replicas-of-me": value}
+    with pytest.raises(config.ConfigError, match=r"settings\.replicas-of-me: must be at least 1"):
+        config.read({}, *write(tmp_path, 1, 1, [], settings=told))
+    del told["replicas-of-me"]
+    assert config.read({}, *write(tmp_path, 1, 1, [], settings=told)).settings.instances == 1
