Ask for the whole list where a change is older than what is known

Now the change is refused, which breaks the watch, and the whole list is asked for next: that holds whatever its revision.

--- a/honeyhitch/memory/pool.py
+++ b/honeyhitch/memory/pool.py
@@ -73,7 +73,8 @@
         except (KeyError, TypeError, ValueError, OverflowError) as error:
             raise PoolError(f"members: {type(error).__name__}: {error}") from error
         if revision < self.revision and not told.get("complete", False):
-            return api.ListNews(api.ListMode.CHANGES)  # late: it would bring back what went since
+            # Late, it would bring back what went since; an agent that counts anew has to give its whole list.
+            raise PoolError(f"revision: a change of {revision} after {self.revision}")
         members = [one for one in read if one.status is not api.Status.GONE or one.id in self.members]
         self.revision, news = revision, tuple(member.entry() for member in members)
         if told.get("complete", False):  # what a whole list leaves out is gone as well
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -31,8 +31,9 @@
     one = pool()
     one.update(change(6, row("a", 1, phase="Terminating")))
     one.update(change(7, row("b", 1, phase="Gone")))
-    late = one.update(change(4, row("a", 1), row("b", 1)))
-    assert late == api.ListNews(api.ListMode.CHANGES) and one.revision == 7
+    with pytest.raises(PoolError, match="revision"):  # the watch breaks, and the whole list is asked for
+        one.update(change(4, row("a", 1), row("b", 1)))
+    assert one.revision == 7
     assert one.members["a"].status is api.Status.DRAINING and "b" not in one.members
 
 
