--- a/honeyhitch/interface.py
+++ b/honeyhitch/interface.py
@@ -141,9 +141,7 @@
     report_fields: tuple[str, ...] = ()
     max_open: int = 1 << 30  # transactions held at most
     conn_idle: int = 0  # a member closes an idle connection after this; 0 if never
-    drain_grace: int = (
-        2_000_000_000  # something new may still go to a member for so long once its drain was told
-    )
+    drain_grace: int = 2_000_000_000  # for so long something new may go to a member told to drain
 
     def __post_init__(self) -> None:
         _need(len(self.classes) > 0, "classes", "at least one is needed")
