Listen at management: status, and figures counted beside the core

The change: figures.py counts ends and tries where the core decides them, whichever front or wire; wire/management.py is a machine that is fed bytes; the driver is the virtual server, which lets go of a caller with half a line where places are taken. An address that cannot be bound is one error with its key, for every listener, and ends the start with 2. 'honeyhitch status' and 'honeyhitch stats' call it.

--- a/honeyhitch/brain.py
+++ b/honeyhitch/brain.py
@@ -267,6 +267,10 @@
             self.actions.append(api.SetTimer(self.timer_at))
         return self.actions
 
+    def avoided(self, now: int) -> int:  # listed endpoints that nothing goes to at present
+        listed = (e for dest in self.dests.values() for e in dest.endpoints.values() if e.listed)
+        return sum(e.lane.out or max(e.lane.wait_until, e.shut) > now for e in listed)
+
     def _rang(self, _: object) -> None:  # also a timer that rang a moment early: it is set again
         self.timer_at = NEVER
 
--- a/honeyhitch/core.py
+++ b/honeyhitch/core.py
@@ -9,11 +9,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import Protocol
+from typing import Any, Protocol
 
 from honeyhitch import interface as api
 from honeyhitch import logs
 from honeyhitch.brain import Brain
+from honeyhitch.figures import Figures
 from honeyhitch.memory.journal import Journal, JournalFull
 from honeyhitch.memory.pool import Pool, PoolMember
 from honeyhitch.memory.transactions import RESEND, Ending, Transaction, Try
@@ -166,6 +167,7 @@
     ) -> None:
         self.s, self.pool, self.journal, self.scheduler = settings, pool, journal, scheduler
         self.brain, self.held = Brain(settings, seed), journal.held
+        self.figures = Figures(cls.name for cls in settings.classes)
         self.carriers: dict[str, Carrier] = {}
         self.openers: dict[str, Opener] = {}
         self.fronts: dict[str, Front] = {}
@@ -209,13 +211,13 @@
         if transaction.id in self.held.by_id or transaction.id in self.held.ended:
             return Offered(True)
         if not self.taking or len(self.held) >= self.s.max_open:
-            return Offered(False, BUSY)
+            return self._turned_away(transaction)
         transaction.came_at = self.scheduler.now()
         try:
             self.journal.taken(transaction)
         except JournalFull as error:
             log.warning("journal.full", what="message", error=str(error))
-            return Offered(False, BUSY)
+            return self._turned_away(transaction)
         now = self.scheduler.now()
         if transaction.front != "resp" and self._keyed(transaction) and self.held.delivered(transaction, now):
             self._delivered_before(transaction)  # as the receiver would say of a repeat
@@ -223,6 +225,10 @@
             self._admit(transaction)
         return Offered(True)
 
+    def _turned_away(self, transaction: Transaction) -> Offered:
+        self.figures.turned_away(transaction)
+        return Offered(False, BUSY)
+
     def offer_resend(self, transaction: Transaction) -> bool:
         """Write a resend down; it goes to the module by `go_on` once the store has claimed it."""
         full = len(self.held) >= self.s.max_open
@@ -295,6 +301,16 @@
         phase = Phase.READY if self.taking and not self.leaving else phase
         return State(phase, len(self.held), self.s.max_open)
 
+    def told(self) -> dict[str, Any]:
+        """The figures as operators read them; those of messages and calls begin at 0 with the process."""
+        return {
+            "responses": self.figures.told(),
+            "tries": sum(one.tries for one in self.figures.classes),
+            "active": len(self.held),
+            "pool_size": len(self.pool.members),
+            "pool_ejected": self.brain.avoided(self.scheduler.now()),
+        }
+
     def news(self, news: api.ListNews) -> None:
         """The pool changed."""
         self._add(news)
@@ -303,6 +319,10 @@
         """The connections to a gated member changed."""
         self._add(room)
 
+    def written(self, call: Call) -> None:
+        """The last byte of a call was handed to its connection."""
+        self.figures.written(call.parts)
+
     def ended(self, call: Call, result: Result) -> None:
         """A call ended; its slot is free."""
         for i, (outcome, over) in enumerate(result.outcomes):
@@ -460,6 +480,7 @@
         elif keep and transaction.key:  # a copy that was delivered meanwhile leaves nothing to keep
             keep = self.held.delivered(transaction, self.scheduler.now()) is None
         silent = ending is Ending.OVER or (ending is Ending.DELIVERED and transaction.front == "resp")
+        self.figures.ended(transaction, ending)
         if keep or not silent:
             self.journal.decided(transaction, ending, come_back, keep)
         if silent:
--- a/honeyhitch/lifecycle/cli.py
+++ b/honeyhitch/lifecycle/cli.py
@@ -7,17 +7,23 @@
 import socket
 import sys
 from importlib import import_module
+from typing import NoReturn
 
 import click
 
 from honeyhitch import __version__, logs
 from honeyhitch.lifecycle import config as configuration
 
-GROUPS = {"tls": "honeyhitch.lifecycle.tls_commands", "undelivered": "honeyhitch.lifecycle.undelivered"}
+GROUPS = {
+    "stats": "honeyhitch.lifecycle.management_commands",
+    "status": "honeyhitch.lifecycle.management_commands",
+    "tls": "honeyhitch.lifecycle.tls_commands",
+    "undelivered": "honeyhitch.lifecycle.undelivered",
+}
 
 
 class Main(click.Group):
-    """Groups with a module of their own are imported when they are asked for: `serve` starts without them."""
+    """Commands with modules of their own are imported when asked for: `serve` starts without them."""
 
     def list_commands(self, ctx: click.Context) -> list[str]:
         """All names, in the order of the alphabet."""
@@ -46,7 +52,10 @@
 
     config = _read(path, operator)
     logs.setup(log_format or config.operator.log_format, log_level or config.operator.log_level)
-    run(config, lambda before: configuration.read(os.environ, path, operator, before))
+    try:
+        run(config, lambda before: configuration.read(os.environ, path, operator, before))
+    except configuration.ConfigError as error:
+        _refused(error)
 
 
 @main.command()
@@ -97,5 +106,9 @@
     try:
         return configuration.read(os.environ, path, operator)
     except configuration.ConfigError as error:
-        click.echo(f"configuration: {error}", err=True)
-        sys.exit(2)
+        _refused(error)
+
+
+def _refused(error: configuration.ConfigError) -> NoReturn:
+    click.echo(f"configuration: {error}", err=True)
+    sys.exit(2)
--- a/honeyhitch/lifecycle/config/file.py
+++ b/honeyhitch/lifecycle/config/file.py
@@ -14,6 +14,8 @@
 from honeyhitch.lifecycle.config.operator import read as read_operator
 from honeyhitch.setup import Address, ConfigError, Limits, Operator
 
+KEYS = ("name", "listen", "discovery", "management", "state")
+OFF_IF_MISSING = ("management",)
 FIXED_SOCKETS = 32  # standard streams, loop, journal, listeners, discovery, broker, one just accepted
 MOST_SOCKET_PATH = 107  # bytes of a Unix-domain socket's path (unix(7))
 LEAST_ROOM = 16  # descriptors for calls, clients and idle connections together
@@ -26,6 +28,7 @@
     name: str
     listen: Address
     discovery: Address
+    management: Address | None  # where operators call
     state: Path
     seed: int
     limits: Limits
@@ -79,14 +82,14 @@
     if not path:
         raise ConfigError("ROUTER_CONFIG: this variable is missing; it names the configuration's JSON file")
     told = _json(path)
-    words = {key: told.get(key) for key in ("name", "listen", "discovery", "state")}
+    words = {key: told.get(key) for key in KEYS}
     first = before.words if before is not None else words
     values = {
         key: word if word and word != first[key] else environ.get(f"ROUTER_{key.upper()}") or word
         for key, word in words.items()
     }
     for key, value in values.items():
-        if not value:
+        if not value and key not in OFF_IF_MISSING:
             raise ConfigError(f"{key}: missing; give it in the file or as ROUTER_{key.upper()}")
     if not isinstance(told.get("settings"), dict):
         raise ConfigError("settings: expected an object")
@@ -111,10 +114,21 @@
     if beside.control is not None and len(os.fsencode(beside.control.at(state))) > MOST_SOCKET_PATH:
         at = beside.control.at(state)
         raise ConfigError(f"control.path: over {MOST_SOCKET_PATH} bytes: {at}; give a shorter one")
+    addresses = {
+        key: Address.parse(values[key], key)
+        for key in ("listen", "discovery", "management")
+        if values[key] or key not in OFF_IF_MISSING
+    }
+    management = addresses.get("management")
+    taken = {"listen": addresses["listen"], "beside.agent-check": beside.agent_check}
+    for key, other in (taken | {"beside.health": beside.health}).items():
+        if management is not None and management == other:
+            raise ConfigError(f"management: {management} is the address of {key} already")
     return Config(
         name=str(values["name"]),
-        listen=Address.parse(values["listen"], "listen"),
-        discovery=Address.parse(values["discovery"], "discovery"),
+        listen=addresses["listen"],
+        discovery=addresses["discovery"],
+        management=management,
         state=state,
         seed=_seed(told.get("seed", 0)),
         limits=limits,
--- a/honeyhitch/lifecycle/serve.py
+++ b/honeyhitch/lifecycle/serve.py
@@ -18,7 +18,7 @@
 from honeyhitch.lifecycle.signals import Stop, on_reload
 from honeyhitch.memory.journal import Journal
 from honeyhitch.memory.pool import GATED, Pool, PoolError, PoolMember
-from honeyhitch.setup import Control, MqttSetup
+from honeyhitch.setup import Address, Control, MqttSetup
 from honeyhitch.tls.settings import TlsSetup
 from honeyhitch.undelivered.settings import Undelivered
 from honeyhitch.wire import resp
@@ -28,6 +28,7 @@
 from honeyhitch.wire.drivers.members import HttpCarrier
 from honeyhitch.wire.drivers.tasks import LoopScheduler, Tasks
 from honeyhitch.wire.drivers.virtual_server import ServerSession, VirtualServer
+from honeyhitch.wire.management import ManagementSession
 
 if TYPE_CHECKING:  # what a start without an operator's file needs none of
     from honeyhitch.undelivered.keeping import Keeping
@@ -37,12 +38,12 @@
 log = logs.get()
 ACCEPT_ON, SEND_ON, LEAVE_AT = 0.6, 2.8, 3.3  # seconds after SIGTERM; SIGKILL comes after 3.7 at the soonest
 BACK_AT = 4.3  # seconds after SIGTERM; the next process starts 0.6 s after SIGKILL
-BESIDE_SOCKETS = 16  # connections at once to the agent-check, and as many to health
+BESIDE_SOCKETS = 16  # connections at once to the agent-check, and as many to health and to management
 CONTROL_FILES, STORE_FILES = 10, 10  # descriptors: a listener and its connections; database, log, lock
 REDELIVERY = 600 * 10**9  # ns for which ids are remembered that a broker may hand in again
 NS = 10**9
 LOOK = 0.02  # seconds between looks at what is still out
-AT_START_ONLY = ("name", "listen", "state", "seed", "limits", "known", "settings", "operator")
+AT_START_ONLY = ("name", "listen", "management", "state", "seed", "limits", "known", "settings", "operator")
 
 
 def budget(config: Config) -> tuple[int, int]:
@@ -51,7 +52,8 @@
     ones.
     """
     beside = config.operator
-    others = BESIDE_SOCKETS * ((beside.agent_check is not None) + (beside.health is not None))
+    listeners = (beside.agent_check, beside.health, config.management)
+    others = BESIDE_SOCKETS * sum(address is not None for address in listeners)
     others += CONTROL_FILES if beside.control is not None else 0
     others += STORE_FILES if beside.undelivered is not None else 0
     left = config.limits.sockets - FIXED_SOCKETS - config.settings.slots - others
@@ -168,20 +170,22 @@
         if listen:
             fields = resp.Fields(config.settings, dispatcher.pool.serves)
             self._listen(
-                (config.listen.host, config.listen.port),
+                "listen",
+                config.listen,
                 lambda: resp.Session(
                     fields, dispatcher.offer, lambda: not dispatcher.leaving, self.scheduler.now
                 ),
                 self.most_clients,
             )
         beside, state = config.operator, dispatcher.state
-        if beside.agent_check is not None:
-            address = (beside.agent_check.host, beside.agent_check.port)
-            self._listen(address, lambda: AgentSession(state), BESIDE_SOCKETS)
-        if beside.health is not None:
-            self._listen(
-                (beside.health.host, beside.health.port), lambda: HealthSession(state), BESIDE_SOCKETS
-            )
+        calls: tuple[tuple[str, Address | None, Callable[[], ServerSession]], ...] = (
+            ("beside.agent-check", beside.agent_check, lambda: AgentSession(state)),
+            ("beside.health", beside.health, lambda: HealthSession(state)),
+            ("management", config.management, lambda: ManagementSession(state, dispatcher.told)),
+        )
+        for name, address, session in calls:
+            if address is not None:
+                self._listen(name, address, session, BESIDE_SOCKETS, once=name == "management")
         if beside.control is not None:
             self._control(beside.control)
         for work in self.works:
@@ -234,8 +238,18 @@
                 log.warning("reload.needs-restart", setting=name, key=name)
         self.config = new
 
-    def _listen(self, address: tuple[str, int], session: Callable[[], ServerSession], most: int) -> None:
-        server = VirtualServer(address, session, most, self.tasks)
+    def _listen(
+        self,
+        name: str,
+        address: Address,
+        session: Callable[[], ServerSession],
+        most: int,
+        once: bool = False,
+    ) -> None:
+        try:
+            server = VirtualServer((address.host, address.port), session, most, self.tasks, once)
+        except OSError as error:
+            raise ConfigError(f"{name}: cannot listen on {address}: {error.strerror}") from error
         self.servers.append(server)
         self.tasks.keep(server.accept)
         self.tasks.keep(server.sweep)
--- a/honeyhitch/wire/drivers/broker.py
+++ b/honeyhitch/wire/drivers/broker.py
@@ -217,7 +217,9 @@
 
     def _finish(self, call: Call, result: Result) -> None:
         if call in self.running:
-            del self.running[call]
+            one = self.running.pop(call)
+            if one is not None and one.sent:
+                self.dispatcher.written(call)
             self.dispatcher.ended(call, result)
 
     def _stop(self, call: Call, outcome: api.Outcome) -> None:
--- a/honeyhitch/wire/drivers/members.py
+++ b/honeyhitch/wire/drivers/members.py
@@ -153,6 +153,7 @@
         left = call.timeout - (self.scheduler.now() - call.sent)
         await connection.channel.send(calls.encode(call.parts, left, connection.address))
         progress.written = True
+        self.dispatcher.written(call)
         while True:
             data = await self._read(call, connection)
             answer = connection.machine.feed(data) if data else connection.machine.ended()
--- a/honeyhitch/wire/drivers/virtual_server.py
+++ b/honeyhitch/wire/drivers/virtual_server.py
@@ -65,11 +65,16 @@
     """One listener and its clients' connections."""
 
     def __init__(
-        self, address: tuple[str, int], session: Callable[[], ServerSession], most: int, tasks: Tasks
+        self,
+        address: tuple[str, int],
+        session: Callable[[], ServerSession],
+        most: int,
+        tasks: Tasks,
+        once: bool = False,
     ) -> None:
         self.session, self.most, self.tasks, self.loop = session, most, tasks, tasks.loop
         self.clients: dict[Client, None] = {}  # those that have stood as they stand for longest come first
-        self.draining = False
+        self.draining, self.once = False, once
         self.listener = sockets.fresh()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind(address)
@@ -103,11 +108,12 @@
         """Close the connection that has stood unused for longest, if any may be closed.
 
         One that was answered may be closed at any time, since its client asks again on a new one; waiting for
-        it to have rested would leave a crowd of new clients out.
+        it to have rested would leave a crowd of new clients out. Where a connection brings `once` a line, one
+        that has not brought it whole makes room as a mute one does.
         """
         mute_since = self.loop.time() - MUTE
         for one in self.clients:
-            if one.resting or (one.since < mute_since and one.mute):
+            if one.resting or (one.since < mute_since and (one.mute or (self.once and not one.sending))):
                 self._end(one)
                 return True
         return False
--- /dev/null
+++ b/honeyhitch/wire/management.py
@@ -0,0 +1,76 @@
+"""What operators call: one line a connection, answered at once, as a machine that knows no socket."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from typing import Any
+
+from honeyhitch.core import Phase, State
+from honeyhitch.memory.buffer import Buffer
+
+MOST_LINE = 256  # bytes of a call, its line end included
+CALLS = ("status", "stats")
+
+
+class ManagementSession:
+    """One connection: the first line is the call, and its answer is the end of the connection.
+
+    `+OK` or `-ERR` opens each answer but that of `stats`: the figures as a line of JSON, and a line `.`.
+    """
+
+    opening = b""
+
+    def __init__(self, state: Callable[[], State], figures: Callable[[], dict[str, Any]]) -> None:
+        self.state, self.figures = state, figures
+        self.closing = self.more = self.half = False
+
+    def receive(self, buffer: Buffer) -> bytes:
+        """The answer once the line is whole, nothing before."""
+        end = buffer.find(b"\n", 0, MOST_LINE)
+        self.half = end < 0 and 0 < len(buffer) < MOST_LINE
+        if self.half or not len(buffer):
+            return b""
+        self.closing = True
+        line = buffer.take()[: max(0, end)]
+        return (
+            self._answer(line.strip().decode("latin-1"))
+            if end >= 0
+            else _error(f"call: longer than {MOST_LINE} bytes")
+        )
+
+    def _answer(self, call: str) -> bytes:
+        if call == "status":
+            state = self.state()
+            if state.phase is Phase.READY:
+                return b"+OK ready\r\n"
+            return _error(f"status: {state.phase.value}")
+        if call == "stats":
+            text = json.dumps(self.figures(), separators=(",", ":"))
+            return f"{text}\r\n.\r\n".encode()
+        return _error(f"call: unknown, expected {' or '.join(CALLS)}, got {call[:40]!r}")
+
+
+def _error(why: str) -> bytes:
+    return f"-ERR {why}\r\n".encode("ascii", "backslashreplace")
+
+
+class Answer:
+    """One answer read from its bytes, for those who call."""
+
+    def __init__(self) -> None:
+        self.text = b""
+
+    def feed(self, data: bytes) -> bool:
+        """Take bytes; true once the answer is whole."""
+        self.text += data
+        lines = self.text.split(b"\r\n")
+        return len(lines) > 1 and (not lines[0].startswith(b"{") or b"." in lines[1:-1])
+
+    def told(self) -> tuple[bool, str, dict[str, Any]]:
+        """Whether it says yes, its first line's words, and the figures if it brought some."""
+        line = self.text.decode("ascii", "replace").partition("\r\n")[0]
+        if line.startswith("{"):
+            return True, "", json.loads(line)
+        mark, _, words = line.partition(" ")
+        return mark == "+OK", words, {}
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -18,7 +18,18 @@
 from honeyhitch.memory.buffer import Buffer
 from honeyhitch.memory.pool import Pool, PoolError, PoolMember
 from honeyhitch.memory.transactions import Ending, Transaction
-from honeyhitch.wire import agent_check, calls, control, discovery, http1, mqtt, mqtt_messages, notices, resp
+from honeyhitch.wire import (
+    agent_check,
+    calls,
+    control,
+    discovery,
+    http1,
+    management,
+    mqtt,
+    mqtt_messages,
+    notices,
+    resp,
+)
 
 from .rig import SETTINGS, START
 from .world import settings
@@ -205,6 +216,17 @@
         yield self.session.opening + b"closes\n" * self.session.closing
 
 
+class Management(Beside):
+    """What operators call; the argument is the phase."""
+
+    def __init__(self, phase: str) -> None:
+        super().__init__(phase, lambda state: management.ManagementSession(state, lambda: {"active": 2}))
+
+    def end(self) -> Out:
+        yield from super().end()
+        yield b"half\n" * self.session.half
+
+
 class Control:
     """The control socket's side of a connection."""
 
@@ -261,8 +283,16 @@
     "mqtt-call": MqttCall,
     "mqtt-take": MqttTake,
     "control": Control,
+    "management": Management,
 }
-STREAMS = ("resp", "call", "watch", "health", "control")  # a connection's bytes, which may come in any pieces
+STREAMS = (
+    "resp",
+    "call",
+    "watch",
+    "health",
+    "control",
+    "management",
+)  # a connection's bytes, which may come in any pieces
 FAULTS = (http1.HttpError, discovery.WatchError, mqtt.MqttError, PoolError, resp.FieldError)
 
 
--- /dev/null
+++ b/tests/test_management.py
@@ -0,0 +1,172 @@
+"""Where operators call: figures beside the core, callers that stall, and the two commands."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from honeyhitch import interface as api
+from honeyhitch.lifecycle import config
+from honeyhitch.lifecycle.cli import main
+from honeyhitch.lifecycle.serve import BESIDE_SOCKETS, budget, run
+from honeyhitch.memory.transactions import Ending
+
+from .program import Peer, free_port, play, started, write
+from .rig import Stand, row
+from .world import SECOND
+
+Outcome = api.Outcome
+
+
+def test_each_end_is_counted_once_where_it_belongs(tmp_path: Path) -> None:
+    stand = Stand(tmp_path, max_open=4)
+    for name in "abcd":
+        assert stand.hand_in(name)
+    assert not stand.hand_in("e"), "full: turned away"
+    (first, *_) = stand.run(0.1)
+    stand.core.written(first)
+    stand.end(first, Outcome.DELIVERED)
+    assert stand.core.told()["responses"]["standard"] == {"ok": 1, "shed": 1, "errors": 0, "tries": 1}
+    assert stand.core.told() | {"responses": 0} == {
+        "responses": 0,
+        "tries": 1,
+        "active": 3,
+        "pool_size": 2,
+        "pool_ejected": 0,
+    }
+    left = list(stand.core.held.by_id)
+    stand.core.withdraw(left[0])  # nobody waits for it: it counts under nothing
+    stand.core.conclude(stand.core.held.by_id[left[1]], Ending.FAILED)
+    stand.core.conclude(stand.core.held.by_id[left[2]], Ending.REJECTED)
+    told = stand.core.told()
+    assert told["responses"]["standard"] == {"ok": 1, "shed": 2, "errors": 1, "tries": 1}
+    assert told["active"] == 0
+
+
+def test_a_process_counts_from_nothing_and_what_it_took_up_is_active(tmp_path: Path) -> None:
+    stand = Stand(tmp_path)
+    for name in "abc":
+        stand.hand_in(name)
+    again = Stand(tmp_path, stand.time)
+    assert again.core.told()["active"] == 3
+    assert again.core.told()["responses"]["standard"] == {"ok": 0, "shed": 0, "errors": 0, "tries": 0}
+
+
+def test_an_endpoint_that_told_a_wait_is_avoided_till_its_end(tmp_path: Path) -> None:
+    stand = Stand(tmp_path)
+    stand.hand_in("a")
+    (call,) = stand.run(0.1)
+    stand.end(call, Outcome.REFUSED, wait=2 * SECOND)
+    stand.run(0.1)
+    assert stand.core.told()["pool_ejected"] == 1
+    stand.run(2)
+    assert stand.core.told()["pool_ejected"] == 0
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_figures_agree_with_an_independent_count(tmp_path: Path, seed: int) -> None:
+    """Random runs in virtual time: what the members and clients saw, against what the process says."""
+    rng, stand = random.Random(seed), Stand(tmp_path, max_open=20)
+    saw = {"ok": 0, "shed": 0, "errors": 0, "tries": 0}
+    taken, over = 0, set[str]()
+    ends = (Outcome.DELIVERED, Outcome.DELIVERED, Outcome.ERROR, Outcome.REFUSED, Outcome.RESET)
+    for number in range(300):
+        if stand.hand_in(f"m{number}", dest=rng.choice((1, 2)), left=rng.choice((1, 4, 20)) * SECOND):
+            taken += 1
+        else:
+            saw["shed"] += 1
+        for call in stand.run(rng.random() / 20):
+            written = rng.random() < 0.9
+            if written:
+                saw["tries"] += len(call.parts)
+                stand.core.written(call)
+            outcome = rng.choice(ends) if written else Outcome.CONNECT_FAILED
+            if outcome is Outcome.DELIVERED:
+                saw["ok"] += len([part for part in call.parts if part.id not in over])
+                over |= {part.id for part in call.parts}
+            stand.end(call, outcome)
+    told = stand.core.told()
+    for answer in stand.answers:
+        saw["errors" if answer.ending is Ending.FAILED else "shed"] += 1
+    assert told["responses"]["standard"] == saw
+    assert told["active"] == taken - len(over) - len(stand.answers)
+
+
+def test_callers_who_stall_keep_nobody_from_an_answer(tmp_path: Path) -> None:
+    async def work() -> None:
+        at, agent = free_port(), await Peer().start()
+        async with started(tmp_path, agent.port, [row("s", 1)], management=f"127.0.0.1:{at}"):
+            crowd = [await asyncio.open_connection("127.0.0.1", at) for _ in range(2 * BESIDE_SOCKETS)]
+            for _, writer in crowd:
+                writer.write(b"stat")  # and never the rest
+            began = asyncio.get_running_loop().time()
+            reader, writer = await asyncio.open_connection("127.0.0.1", at)
+            writer.write(b"status\r\n")
+            assert await reader.read() == b"+OK ready\r\n"
+            assert asyncio.get_running_loop().time() - began < 1
+            for _, writer in crowd:
+                writer.close()
+
+    play(work())
+
+
+def test_the_two_commands(tmp_path: Path) -> None:
+    async def work() -> None:
+        at, agent = free_port(), await Peer().start()
+        where = ["--at", f"127.0.0.1:{at}"]
+
+        async def call(*words: str) -> tuple[int, str]:
+            result = await asyncio.to_thread(CliRunner().invoke, main, [*words, *where])
+            return result.exit_code, result.output
+
+        code, output = await call("status")
+        assert code == 1 and "no answer" in output
+        async with started(tmp_path, agent.port, [row("s", 1)], management=where[1]):
+            assert await call("status") == (0, f"{where[1]}: ready\n")
+            code, output = await call("status", "--json")
+            assert code == 0 and json.loads(output)["ready"] is True
+            code, output = await call("stats", "--json")
+            assert code == 0 and json.loads(output)["pool_size"] == 1
+            code, output = await call("stats")
+            assert code == 0 and "active: 0" in output and "standard" in output
+
+    play(work())
+
+
+@pytest.mark.parametrize(
+    ("told", "says"),
+    [
+        ("nowhere", "management: expected HOST:PORT, got 'nowhere'"),
+        ("127.0.0.1:0", "management: expected HOST:PORT, got '127.0.0.1:0'"),
+        ("127.0.0.1:6379", "management: 127.0.0.1:6379 is the address of listen already"),
+    ],
+)
+def test_an_address_that_cannot_be_is_named(tmp_path: Path, told: str, says: str) -> None:
+    path, _ = write(tmp_path, 6379, 8500, [], management=told)
+    with pytest.raises(config.ConfigError) as error:
+        config.read({}, path)
+    assert str(error.value) == says
+
+
+def test_the_variable_wins_and_descriptors_are_set_aside(tmp_path: Path) -> None:
+    path, _ = write(tmp_path, 6379, 8500, [])
+    without = config.read({}, path)
+    told = config.read({"ROUTER_MANAGEMENT": "127.0.0.1:9"}, path)
+    assert without.management is None and str(told.management) == "127.0.0.1:9"
+    assert sum(budget(without)) - sum(budget(told)) == BESIDE_SOCKETS
+
+
+def test_an_address_that_is_taken_ends_the_start_with_its_key(tmp_path: Path) -> None:
+    async def work() -> None:
+        at = (await Peer().start()).port
+        path, _ = write(tmp_path, free_port(), at, [], management=f"127.0.0.1:{at}")
+        told = config.read({}, path)
+        with pytest.raises(config.ConfigError, match=r"^management: cannot listen on 127.0.0.1:\d+: Address"):
+            await run(told, lambda before: before)
+
+    play(work())
