Let make test write its files in memory where there is such a place

Seen: on a machine whose disk is slow the suite took 17 minutes and a test ended at its time-out (test_a_copy_and_a_resend_never_go_out_together[copy-mqtt]); a stack of the process showed it waiting in open(O_TRUNC) of test_cut_at_every_offset.

--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,9 @@
 try-undelivered: $(VENV)/.test
 	$(VENV)/bin/python example/try.py --undelivered
 
-# Installs what the tests need and runs them.
+# Installs what the tests need and runs them, their files in memory where there is such a place: on some machines
+# each file that is written anew waits for the disk.
+MEMORY := $(wildcard /dev/shm)
+
 test: $(VENV)/.test
-	$(VENV)/bin/python -m pytest
+	$(if $(MEMORY),TMPDIR=$(MEMORY)) $(VENV)/bin/python -m pytest
