--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from honeyhitch.memory.journal import Journal, JournalFull, unpack
+from honeyhitch.memory.account import unpack
+from honeyhitch.memory.journal import Journal, JournalFull
 from honeyhitch.memory.transactions import Ending, Transaction
 
 NOW = 1_000
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -22,7 +22,7 @@
 from paho.mqtt.packettypes import PacketTypes
 from paho.mqtt.properties import Properties
 
-from honeyhitch.memory.journal import unpack
+from honeyhitch.memory.account import unpack
 from honeyhitch.wire import calls
 from honeyhitch.wire.mqtt import Kind, Packet
 
