--- a/honeyhitch/brain.py
+++ b/honeyhitch/brain.py
@@ -4,6 +4,7 @@
 
 from collections import defaultdict, deque
 from collections.abc import Callable
+from dataclasses import replace
 from heapq import heappop, heappush
 from math import exp, inf
 from random import Random
@@ -244,7 +245,7 @@
         self.actions: list[api.Action] = []
         self.on: dict[type, Callable[..., object]] = {api.NewMessage: self._taken, api.ListNews: self._news}
         self.on |= {api.AttemptEnded: self._outcome, api.Withdrawn: self._drop, api.TimerFired: self._rang}
-        self.on |= {api.Room: self._room, api.Leaving: self._leave}
+        self.on |= {api.Room: self._room, api.Leaving: self._leave, api.Told: self._told}
         if settings.must_ask:
             self._wake(0, self._act, api.Subscribe())
 
@@ -267,6 +268,9 @@
             self.actions.append(api.SetTimer(self.timer_at))
         return self.actions
 
+    def share(self, slots: int) -> None:  # so many are this process's from now on
+        self.s = replace(self.s, slots=slots)
+
     def avoided(self, now: int) -> int:  # listed endpoints that nothing goes to at present
         listed = (e for dest in self.dests.values() for e in dest.endpoints.values() if e.listed)
         return sum(e.lane.out or max(e.lane.wait_until, e.shut) > now for e in listed)
@@ -402,6 +406,11 @@
             if message.call is None and self.now + event.gap >= message.until() - self._reach(message):
                 self._finish(message)
 
+    def _told(self, event: api.Told) -> None:
+        dest = self.dests.get(event.destination)
+        if dest is not None and (endpoint := dest.endpoints.get(event.endpoint)) is not None:
+            endpoint.lane.wait_until = max(endpoint.lane.wait_until, event.until)
+
     def _drop(self, event: api.Withdrawn) -> None:
         message = self.messages.get(event.message)
         if message is not None and not message.ended:
--- a/honeyhitch/core.py
+++ b/honeyhitch/core.py
@@ -129,6 +129,16 @@
         """Take it over when there is time; the journal holds it until then."""
 
 
+class Neighbour(Protocol):
+    """Another process of the same dispatcher, while an upgrade lasts."""
+
+    def news(self) -> list[api.Event]:
+        """What the module must know of what that process was told."""
+
+    def knows(self, name: str) -> bool:
+        """That process has taken this message on: it owes the answer."""
+
+
 class Came(Enum):
     """What becomes of a transaction that comes, in view of what was resent."""
 
@@ -173,6 +183,7 @@
         self.fronts: dict[str, Front] = {}
         self.keeper: Keeper | None = None
         self.guard: Guard | None = None
+        self.beside: Neighbour | None = None
         self.events: list[api.Event | Transaction] = []
         self.live = False  # one of them is not behind others
         self.out: dict[str, Call] = {}  # calls out, by the id of each transaction in them
@@ -185,14 +196,17 @@
         """After a start: give the module each owed transaction with its attempts so far, and the keeper what
         it has not taken over yet.
         """
-        unmoved = list(self.held.unmoved.values())
+        self.take_up(list(self.held.by_id.values()), list(self.held.unmoved.values()))
+
+    def take_up(self, owed: list[Transaction], unmoved: list[Transaction]) -> None:
+        """Go on with what a process left: it is in the journal, and nobody else goes on with it."""
         if unmoved and self.keeper is None:
             log.warning("undelivered.off", waiting=len(unmoved))  # they stay for a start with a keeper
         if self.keeper is not None:
             for transaction in unmoved:
                 self.keeper.keep(transaction)
         # Resends first: what came later may be a copy of one.
-        for transaction in sorted(self.held.by_id.values(), key=lambda one: one.front != RESEND):
+        for transaction in sorted(owed, key=lambda one: one.front != RESEND):
             if transaction.ending is not None:  # decided already; only its answer may not have been sent
                 self._answer(transaction)
                 if transaction.keep and not transaction.moved and self.keeper is not None:
@@ -210,6 +224,8 @@
         """Take a transaction on, or reject it at once; one that is held already is not taken twice."""
         if transaction.id in self.held.by_id or transaction.id in self.held.ended:
             return Offered(True)
+        if self.beside is not None and self.beside.knows(transaction.id):
+            return Offered(True)
         if not self.taking or len(self.held) >= self.s.max_open:
             return self._turned_away(transaction)
         transaction.came_at = self.scheduler.now()
@@ -315,6 +331,11 @@
         """The pool changed."""
         self._add(news)
 
+    def told_elsewhere(self, events: list[api.Event]) -> None:
+        """What another process of this dispatcher was told before it ended."""
+        for event in events:
+            self._add(event)
+
     def room(self, room: api.Room) -> None:
         """The connections to a gated member changed."""
         self._add(room)
@@ -344,6 +365,8 @@
             took, wait = self.scheduler.now() - call.sent, result.wait
             told = Try(number, call.member.id, call.sent, outcome.value, took, wait, result.why)
             self.journal.outcome(transaction, told)
+        if result.wait:
+            self.journal.wait(call.member.destination, call.member.id, self.scheduler.now() + result.wait)
         over = over or transaction.id not in self.held.by_id or transaction.ending is not None
         if over and transaction.id in self.held.by_id and transaction.ending is None:
             if outcome is api.Outcome.DELIVERED:
@@ -379,6 +402,12 @@
             self._tick(self.tick_at)
             self.sending = False
 
+    def hand_over(self) -> None:
+        """Begin nothing more: calls that are out end here, and all else is the other process's, which has it
+        from the journal once this one is gone.
+        """
+        self.sending = False
+
     # Rounds: events that come within one resolution are handled together, as in the simulator.
 
     def _add(self, event: api.Event | Transaction, behind: bool = False) -> None:
@@ -402,6 +431,8 @@
             return
         sends: list[api.Send] = []
         events = [self._taken(event) if isinstance(event, Transaction) else event for event in came]
+        if self.beside is not None:
+            events += self.beside.news()  # after the list: a wait counts where its member is known
         for action in self.brain.handle(self.last_tick, events):
             match action:
                 case api.Send():
--- a/honeyhitch/interface.py
+++ b/honeyhitch/interface.py
@@ -250,12 +250,21 @@
     gap: int
 
 
+@dataclass(frozen=True, slots=True)
+class Told:
+    """An endpoint told another process of this dispatcher to wait until then."""
+
+    destination: int
+    endpoint: str
+    until: int
+
+
 @dataclass(frozen=True, slots=True)
 class TimerFired:
     """A timer that was asked for has come."""
 
 
-Event = ListNews | NewMessage | AttemptEnded | Room | Withdrawn | Leaving | TimerFired
+Event = ListNews | NewMessage | AttemptEnded | Room | Withdrawn | Leaving | Told | TimerFired
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/honeyhitch/lifecycle/beside.py
@@ -0,0 +1,99 @@
+"""The other process on the same state folder, while an upgrade lasts: its journal is followed, and what it
+leaves is taken over as soon as the kernel has let go of its lock.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from honeyhitch import interface as api
+from honeyhitch import logs
+from honeyhitch.core import Dispatcher
+from honeyhitch.memory.folder import FIRST, SECOND, StateFolder
+from honeyhitch.memory.follower import Follower
+from honeyhitch.memory.journal import Journal, JournalFull
+
+log = logs.get()
+LOOK, REST = 0.02, 0.25  # seconds between looks while another process is there, and while none is
+
+
+class Beside:
+    """Sees the other process come and go. `changed` is called with whether one is there."""
+
+    def __init__(
+        self, folder: StateFolder, journal: Journal, dispatcher: Dispatcher, changed: Callable[[bool], None]
+    ) -> None:
+        self.folder, self.journal, self.dispatcher, self.changed = folder, journal, dispatcher, changed
+        self.follower = self._fresh()
+        self.there = self.resumed = False  # the latter: the dispatcher goes on with what the journal held
+
+    def _fresh(self) -> Follower:
+        path = self.folder.journal(self.folder.other)
+        return Follower(path, self.journal.held.most, self.journal.remember)
+
+    def look(self) -> None:
+        """See whether another process holds the other place; if one left something there, take it over."""
+        if self.folder.place == FIRST and not self.folder.journal(SECOND).exists():
+            self._now(False)
+        elif not self.folder.lock(self.folder.other):
+            self._now(True)
+        else:
+            self._inherit()
+
+    def _now(self, there: bool) -> None:
+        if there != self.there:
+            self.there = there
+            self.dispatcher.beside = self if there else None
+            log.info("beside.came" if there else "beside.went", place=self.folder.other)
+            self.changed(there)
+
+    def _inherit(self) -> None:
+        """Nobody writes the other journal any more, and the lock keeps it so."""
+        self.follower.read()
+        first, second = self.folder.journal(FIRST), self.folder.journal(SECOND)
+        self.journal.beside = self.follower.at
+        try:
+            new, late = self.journal.take_over(self.follower, first, second)
+        except JournalFull as error:  # what is held here ends with time, and then there is room
+            log.error("beside.no-room", error=str(error))
+            return
+        self.folder.place = FIRST
+        self.folder.unlock(SECOND)
+        self.follower.close()
+        waits, self.follower, self.journal.beside = self._waits(), self._fresh(), 0
+        self._now(False)
+        self.dispatcher.told_elsewhere(waits)
+        if new:
+            log.info("beside.inherited", messages=len(new))
+        if self.resumed:
+            self.dispatcher.take_up(new, late)
+
+    async def watch(self) -> None:
+        """Look for ever."""
+        while True:
+            await asyncio.sleep(LOOK if self.there else REST)
+            self.look()
+
+    def close(self) -> None:
+        """Let go of the other's journal."""
+        self.follower.close()
+
+    # What the dispatcher asks while another process is there.
+
+    def news(self) -> list[api.Event]:
+        """The waits that the other process was told, all that last: a member may be listed here only now."""
+        self.follower.read()
+        self.journal.beside = self.follower.room()
+        return self._waits()
+
+    def _waits(self) -> list[api.Event]:
+        now = self.journal.clock()
+        waits = self.follower.waits.items()
+        return [api.Told(destination, name, until) for (destination, name), until in waits if until > now]
+
+    def knows(self, name: str) -> bool:
+        """The other process has taken this message on."""
+        self.follower.read()
+        held = self.follower.held
+        return name in held.by_id or name in held.ended
--- a/honeyhitch/lifecycle/serve.py
+++ b/honeyhitch/lifecycle/serve.py
@@ -14,9 +14,11 @@
 
 from honeyhitch import __version__, logs
 from honeyhitch.core import Dispatcher
+from honeyhitch.lifecycle.beside import Beside
 from honeyhitch.lifecycle.config import FIXED_SOCKETS, Config, ConfigError
 from honeyhitch.lifecycle.signals import Stop, on_reload
-from honeyhitch.memory.journal import Journal
+from honeyhitch.memory.folder import FIRST, FolderHeld, StateFolder
+from honeyhitch.memory.journal import Journal, JournalUnusable
 from honeyhitch.memory.pool import GATED, Pool, PoolError, PoolMember
 from honeyhitch.setup import Address, Control, MqttSetup
 from honeyhitch.tls.settings import TlsSetup
@@ -24,6 +26,7 @@
 from honeyhitch.wire import resp
 from honeyhitch.wire.agent_check import AgentSession, HealthSession
 from honeyhitch.wire.control import Asked, Verbs
+from honeyhitch.wire.drivers import sockets
 from honeyhitch.wire.drivers.discovery import Discovery
 from honeyhitch.wire.drivers.members import HttpCarrier
 from honeyhitch.wire.drivers.tasks import LoopScheduler, Tasks
@@ -64,21 +67,27 @@
 class Service:
     """One dispatcher with all that stands around it; it belongs to the running loop."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, listen: bool = True) -> None:
         self.config, self.loop = config, asyncio.get_running_loop()
         settings, self.tasks, self.scheduler = config.settings, Tasks(self.loop), LoopScheduler(self.loop)
-        config.state.mkdir(parents=True, exist_ok=True)
+        self.folder = self._hold(config, listen)
         longest = max(cls.deadline for cls in settings.classes)
         # A broker may hand an id in again long after; a client of the other front does so at once or never.
-        self.journal = Journal(
-            config.state,
-            config.limits.disk,
-            self.scheduler.now,
-            lambda ended: max(longest, REDELIVERY) if ended.front == "mqtt" else longest,
-            detailed=config.operator.undelivered is not None,
-        )
+        try:
+            self.journal = Journal(
+                config.state,
+                config.limits.disk,
+                self.scheduler.now,
+                lambda ended: max(longest, REDELIVERY) if ended.front == "mqtt" else longest,
+                detailed=config.operator.undelivered is not None,
+                file=self.folder.journal(self.folder.place).name,
+            )
+        except (JournalUnusable, OSError) as error:
+            raise ConfigError(f"state: {error}") from error
+        self.journal.begin(config.name)
         pool = Pool(settings)
         self.dispatcher = Dispatcher(settings, config.seed, pool, self.journal, self.scheduler)
+        self.beside = Beside(self.folder, self.journal, self.dispatcher, self._shared)
         self.most_clients, most_idle = budget(config)
         secure = config.operator.tls is not None  # then both carriers keep idle connections
         most_plain = max(1, most_idle // 2) if secure else most_idle
@@ -87,7 +96,11 @@
             str(config.discovery), self.dispatcher, self.tasks, Random(config.seed ^ 0xD15C)
         )
         self.dispatcher.carriers["http"], self.dispatcher.fronts["resp"] = carrier, self.discovery
-        self.works: list[Callable[[], Awaitable[None]]] = [carrier.sweep, self.tell_left_out]
+        self.works: list[Callable[[], Awaitable[None]]] = [
+            carrier.sweep,
+            self.tell_left_out,
+            self.beside.watch,
+        ]
         self.look_at_files: Callable[[bool], Coroutine[Any, Any, None]] | None = None
         way = self._tls(max(1, most_idle - most_plain))
         if config.operator.mqtt is not None:
@@ -100,6 +113,29 @@
         if config.operator.undelivered is not None:
             self._undelivered(config.operator.undelivered)
 
+    @staticmethod
+    def _hold(config: Config, listen: bool) -> StateFolder:
+        """A place in the lasting folder. The first one's holder must find nobody at its address: one that
+        listens there without a place is an earlier version, which shares neither, or another dispatcher.
+        """
+        try:
+            folder = StateFolder(config.state)
+        except (FolderHeld, OSError) as error:
+            raise ConfigError(f"state: {error}") from error
+        if listen and folder.place == FIRST:
+            try:
+                sockets.refuse_strangers((config.listen.host, config.listen.port))
+            except OSError as error:
+                folder.close()
+                raise ConfigError(f"listen: cannot listen on {config.listen}: {error.strerror}") from error
+        return folder
+
+    def _shared(self, shared: bool) -> None:
+        """Another process of this dispatcher came or went: slots and places are shared out evenly."""
+        self.dispatcher.brain.share(max(1, self.config.settings.slots // (1 + shared)))
+        for server in self.servers[:1]:
+            server.most = max(1, self.most_clients // (1 + shared))
+
     def _undelivered(self, setup: Undelivered) -> None:
         from honeyhitch.undelivered.keeping import Keeping  # needs the extra honeyhitch[undelivered]
         from honeyhitch.undelivered.verbs import register
@@ -162,11 +198,16 @@
             dispatcher.news(dispatcher.pool.update(config.known, cached=True))
         except PoolError as error:
             log.warning("known.unusable", error=str(error))
+        self.beside.look()
+        if self.beside.there:
+            self.beside.follower.read()
+            if (other := self.beside.follower.name) != config.name:
+                raise ConfigError(f"name: the state folder is held by {other!r}, which runs")
         if self.keeping is not None:  # what is handed in may be a copy of what is kept
             dispatcher.taking = False
             self.keeping.begin(self._resume)
         else:
-            dispatcher.resume()
+            self._resume()
         if listen:
             fields = resp.Fields(config.settings, dispatcher.pool.serves)
             self._listen(
@@ -175,8 +216,11 @@
                 lambda: resp.Session(
                     fields, dispatcher.offer, lambda: not dispatcher.leaving, self.scheduler.now
                 ),
-                self.most_clients,
+                max(1, self.most_clients // (1 + self.beside.there)),
+                shared=True,
             )
+            if self.beside.there:
+                log.info("listen.beside", steered=sockets.steer(self.servers[0].listener))
         beside, state = config.operator, dispatcher.state
         calls: tuple[tuple[str, Address | None, Callable[[], ServerSession]], ...] = (
             ("beside.agent-check", beside.agent_check, lambda: AgentSession(state)),
@@ -206,6 +250,7 @@
     def _resume(self) -> None:
         self.dispatcher.taking = not self.dispatcher.leaving and self.dispatcher.sending
         self.dispatcher.resume()
+        self.beside.resumed = True
 
     def _control(self, setup: Control) -> None:
         from honeyhitch.wire.drivers.control import ControlServer, ControlUnusable
@@ -245,9 +290,10 @@
         session: Callable[[], ServerSession],
         most: int,
         once: bool = False,
+        shared: bool = False,
     ) -> None:
         try:
-            server = VirtualServer((address.host, address.port), session, most, self.tasks, once)
+            server = VirtualServer((address.host, address.port), session, most, self.tasks, once, shared)
         except OSError as error:
             raise ConfigError(f"{name}: cannot listen on {address}: {error.strerror}") from error
         self.servers.append(server)
@@ -264,6 +310,12 @@
         dispatcher.leaving = True
         for server in self.servers:
             server.drain()
+        self.beside.look()
+        while self.beside.there and self.loop.time() - began < LEAVE_AT:
+            dispatcher.hand_over()
+            if not dispatcher.out and not self.discovery.waiting and self.servers_settled():
+                return
+            await asyncio.sleep(LOOK)
         while (gone := self.loop.time() - began) < LEAVE_AT:
             dispatcher.taking = gone <= ACCEPT_ON
             if gone > ACCEPT_ON and not dispatcher.held.by_id:
@@ -274,6 +326,10 @@
                     return
             await asyncio.sleep(LOOK)
 
+    def servers_settled(self) -> bool:
+        """No client of this process has a request on its way."""
+        return all(server.settled for server in self.servers[:1])
+
     async def tell_left_out(self) -> None:
         """Say from time to time which repeated events were left out of the log."""
         while True:
@@ -290,7 +346,9 @@
         await self.tasks.stop()
         if self.keeping is not None:
             await self.keeping.stop()
+        self.beside.close()
         self.journal.close()
+        self.folder.close()
         logs.flush(everything=True)
 
 
--- a/honeyhitch/memory/account.py
+++ b/honeyhitch/memory/account.py
@@ -50,6 +50,11 @@
         self.live = 0  # bytes of the records that compaction would keep, roughly
         self.waiting = 0  # and of these, what belongs to messages that only wait for the store
         self.sizes: dict[str, int] = {}
+        self.waits: dict[tuple[int, str], int] = {}  # told by a member of a destination: until when
+        self.name, self.version = (
+            "",
+            0,
+        )  # of the dispatcher, and of the journal's form; 0 before there was one
 
     def _hold(self, transaction: Transaction) -> None:
         self.held.by_id[transaction.id] = transaction
@@ -99,6 +104,10 @@
                 self.waiting += self._room(transaction)
             else:
                 self._hold(transaction)
+        elif kind == "wait":
+            self.waits[int(str(fields["dest"])), str(fields["of"])] = int(str(fields["until"]))
+        elif kind == "born":
+            self.name, self.version = str(fields["name"]), int(str(fields["v"]))
         elif kind == "kept":
             self._moved(str(fields["id"]), int(str(fields["at"])))
         elif kind == "past":
--- a/honeyhitch/memory/journal.py
+++ b/honeyhitch/memory/journal.py
@@ -22,6 +22,13 @@
 TAKE_SHARE, WRITE_SHARE, COMPACT_SHARE = 0.75, 0.95, 0.3  # of the disk: take, write at all, tidy up
 
 
+VERSION = 1  # of the records' form
+
+
+class JournalUnusable(Exception):
+    """The journal is not this program's to go on with."""
+
+
 class JournalFull(Exception):
     """There is no room for the record, even after compaction."""
 
@@ -36,14 +43,21 @@
         clock: Callable[[], int],
         remember: Callable[[Transaction], int],
         detailed: bool = False,
+        file: str = "journal",
     ) -> None:
-        self.path, self.spare, self.disk = folder / "journal", folder / "journal.new", disk
+        self.path, self.spare, self.disk = folder / file, folder / f"{file}.new", disk
+        self.beside = 0  # bytes that another process uses of the same disk
         super().__init__(disk // DISK_A_NAME, remember)
         self.clock, self.detailed = clock, detailed  # members, outcomes and times are there for later readers
         self.spare.unlink(missing_ok=True)  # a compaction that was cut short; the old file still holds all
         self.fd = os.open(self.path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
         self.size = 0
         self._replay()
+        if self.version > VERSION:
+            self.close()
+            raise JournalUnusable(
+                f"{self.path} has form {self.version}, this program knows {VERSION} at most"
+            )
 
     def close(self) -> None:
         """Let go of the file."""
@@ -102,6 +116,54 @@
         self._note({"t": "end", "id": transaction.id, "as": ending.value, "at": self.clock()})
         self._end(transaction, ending, self.clock())
 
+    def begin(self, name: str) -> None:
+        """Write down whose it is and in which form, for a process that comes beside this one."""
+        if (self.name, self.version) != (name, VERSION):
+            self.name, self.version = name, VERSION
+            self._note(self._born())
+
+    def wait(self, destination: int, member: str, until: int) -> None:
+        """A member told to wait: the process beside this one heeds it, too."""
+        self.waits[destination, member] = until
+        self._note({"t": "wait", "dest": destination, "of": member, "until": until})
+
+    def _born(self) -> dict[str, object]:
+        return {"t": "born", "v": self.version, "name": self.name}
+
+    # What another process left, once its lock is free.
+
+    def take_over(
+        self, other: Account, path: Path, left: Path
+    ) -> tuple[list[Transaction], list[Transaction]]:
+        """Hold what another journal holds as well, and what it remembers. Returned are those new here, and
+        those that only wait for the store.
+
+        One file with both takes the place of `path` at one stroke, and only then is `left` removed: after a
+        kill in between, the one at `path` counts. JournalFull, with all as it was, if there is no room.
+        """
+        known = self.held
+        ids = known.by_id.keys() | known.ended.keys()
+        new = [one for one in other.held.by_id.values() if one.id not in ids]
+        late = {key: one for key, one in other.held.unmoved.items() if key not in known.unmoved}
+        before = dict(known.ended), dict(known.keys), dict(known.unmoved), self.live, self.waiting
+        for transaction in new:
+            self._hold(transaction)
+        for key, transaction in late.items():
+            known.unmoved[key], size = transaction, self._room(transaction)
+            self.live, self.waiting = self.live + size, self.waiting + size
+        self.waits = other.waits | self.waits
+        known.ended = other.held.ended | known.ended
+        known.keys = other.held.keys | known.keys
+        spare = path.with_name(f"{path.name}.new")
+        if not self._rewrite(self._all(), path, spare):
+            for transaction in new:
+                del known.by_id[transaction.id], self.sizes[transaction.id]
+            known.ended, known.keys, known.unmoved, self.live, self.waiting = before
+            raise JournalFull("no room for what another process left")
+        self.path, self.spare = path, spare
+        left.unlink(missing_ok=True)
+        return new, list(late.values())
+
     def _whole(self, transaction: Transaction) -> dict[str, object]:
         fields: dict[str, object] = {
             name: getattr(transaction, name)
@@ -140,9 +202,10 @@
         if self.size > COMPACT_SHARE * self.disk and self.size > 2 * self.live:
             self.compact()
         # Old and new file lie side by side while one is compacted, so both must always fit.
-        if self.size + self.live + 2 * len(record) + 4 * BLOCK > share * self.disk:
+        more = self.beside + 2 * len(record) + 4 * BLOCK
+        if self.size + self.live + more > share * self.disk:
             self.compact()
-            if self.size + self.live + 2 * len(record) + 4 * BLOCK > share * self.disk:
+            if self.size + self.live + more > share * self.disk:
                 raise JournalFull("the disk's share is used up")
         try:
             written = os.write(self.fd, record)
@@ -155,30 +218,42 @@
 
     def compact(self) -> None:
         """Write what is still of use to a new file and put it in the old one's place at one stroke."""
+        data = self._all()
+        if len(data) < self.size:
+            self._rewrite(data, self.path, self.spare)
+
+    def _all(self) -> bytes:
         self.held.forget(self.clock())
+        self.waits = {key: until for key, until in self.waits.items() if until > self.clock()}
         ended, keys = list(self.held.ended.items()), list(self.held.keys.items())
-        parts = [  # in pieces, so that no record outgrows what a replay accepts
+        parts = [pack(self._born())] if self.version else []
+        parts += [  # in pieces, so that no record outgrows what a replay accepts
             pack({"t": "past", "ended": dict(ended[at : at + PIECE]), "keys": dict(keys[at : at + PIECE])})
             for at in range(0, max(len(ended), len(keys)), PIECE)
         ]
         parts += [pack(self._whole(known), known.body) for known in self.held.by_id.values()]
         late = self.held.unmoved.values()
         parts += [pack(self._whole(known) | {"over": True}, known.body) for known in late]
-        data = b"".join(parts)
-        if len(data) >= self.size or self.size + len(data) + 4 * BLOCK > self.disk:
-            return
+        for (destination, member), until in self.waits.items():
+            parts.append(pack({"t": "wait", "dest": destination, "of": member, "until": until}))
+        return b"".join(parts)
+
+    def _rewrite(self, data: bytes, path: Path, spare: Path) -> bool:
+        if self.size + self.beside + len(data) + 4 * BLOCK > self.disk:
+            return False
         try:
-            fd = os.open(self.spare, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
+            fd = os.open(spare, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
             try:
                 done = os.write(fd, data)
             except OSError:
                 done = -1
             if done < len(data):
                 os.close(fd)
-                self.spare.unlink(missing_ok=True)
-                return
-            os.rename(self.spare, self.path)
+                spare.unlink(missing_ok=True)
+                return False
+            os.rename(spare, path)
         except OSError:
-            return
+            return False
         os.close(self.fd)
         self.fd, self.size = fd, len(data)
+        return True
--- a/honeyhitch/middleware.py
+++ b/honeyhitch/middleware.py
@@ -139,7 +139,7 @@
             await send({"type": "http.response.body", "body": b""})
 
     async def _start(self) -> None:
-        service = Service(self.config or configuration.read(os.environ))
+        service = Service(self.config or configuration.read(os.environ), self.listen)
         front = service.dispatcher.fronts["app"] = AppFront(service.dispatcher)
         try:
             service.start(self.listen)
--- a/honeyhitch/wire/drivers/sockets.py
+++ b/honeyhitch/wire/drivers/sockets.py
@@ -4,10 +4,14 @@
 
 import asyncio
 import contextlib
+import ctypes
 import socket
+import struct
 
 from honeyhitch.memory.buffer import Buffer
 
+SO_ATTACH_REUSEPORT_CBPF, BPF_RET_K = 51, 0x06  # asm-generic/socket.h; linux/filter.h
+
 
 def fresh() -> socket.socket:
     """A non-blocking TCP socket that sends at once."""
@@ -18,6 +22,29 @@
     return sock
 
 
+def refuse_strangers(address: tuple[str, int]) -> None:
+    """OSError if anything listens there already, also one that would share the address."""
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(address)
+
+
+def steer(listener: socket.socket) -> bool:
+    """New connections to an address that two listeners share go to the second one, this: the older one's
+    queue can run empty. False where the system has no such thing; they are then shared out by chance.
+
+    A classic BPF program of one instruction, `return 1`, which picks a listener by its number (socket(7),
+    SO_ATTACH_REUSEPORT_CBPF). With one listener left the number fits none, and the system chooses as always.
+    """
+    program = ctypes.create_string_buffer(struct.pack("HBBI", BPF_RET_K, 0, 0, 1))
+    try:
+        told = struct.pack("HP", 1, ctypes.addressof(program))
+        listener.setsockopt(socket.SOL_SOCKET, SO_ATTACH_REUSEPORT_CBPF, told)
+    except OSError:
+        return False
+    return True
+
+
 async def connect(loop: asyncio.AbstractEventLoop, address: str) -> socket.socket:
     """Connect to HOST:PORT; the socket is closed if that fails or is cancelled."""
     host, _, port = address.rpartition(":")
--- a/honeyhitch/wire/drivers/virtual_server.py
+++ b/honeyhitch/wire/drivers/virtual_server.py
@@ -23,6 +23,7 @@
 PAUSE = 0.05  # seconds before accepting again when no descriptor was left
 PATIENCE = 2.0  # seconds for a first request, for the rest of a half one, and for replies to be read
 MUTE = 0.1  # seconds without a first byte after which one may make room: a request would have come with it
+FRESH = 0.3  # seconds that a new connection is given to begin, where another process takes the next ones
 SWEEP = 0.25  # seconds between looks at connections that are out of time
 LOOK = 0.01  # seconds between looks for a place when all are taken
 SLOW = b"-ERR request: not whole in time\r\n"
@@ -71,12 +72,15 @@
         most: int,
         tasks: Tasks,
         once: bool = False,
+        shared: bool = False,
     ) -> None:
         self.session, self.most, self.tasks, self.loop = session, most, tasks, tasks.loop
         self.clients: dict[Client, None] = {}  # those that have stood as they stand for longest come first
         self.draining, self.once = False, once
         self.listener = sockets.fresh()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if shared:
+            self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         self.listener.bind(address)
         self.listener.listen(BACKLOG)
 
@@ -169,6 +173,14 @@
             self.clients.pop(client, None)
             sock.close()
 
+    @property
+    def settled(self) -> bool:
+        """No request is on its way here, as far as can be told: none in part, and nobody new."""
+        fresh = self.loop.time() - FRESH
+        return not any(
+            one.half or one.sending or (not one.answered and one.since > fresh) for one in self.clients
+        )
+
     def drain(self) -> None:
         """Close each connection once nothing is open on it: the client's next request goes elsewhere."""
         self.draining = True
--- /dev/null
+++ b/tests/test_beside.py
@@ -0,0 +1,315 @@
+"""Two processes on one state folder: who holds what, at each moment and after each kind of end."""
+
+from __future__ import annotations
+
+import os
+import socket
+from pathlib import Path
+
+import pytest
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
+
+from honeyhitch import interface as api
+from honeyhitch.lifecycle import config
+from honeyhitch.lifecycle.beside import Beside
+from honeyhitch.lifecycle.serve import run
+from honeyhitch.memory.folder import FIRST, SECOND, FolderHeld, StateFolder
+from honeyhitch.memory.follower import Follower
+from honeyhitch.memory.journal import Journal, JournalUnusable
+from honeyhitch.memory.transactions import Ending, Transaction
+from honeyhitch.wire.drivers import sockets
+
+from .program import Peer, play, write
+from .rig import START, Stand, VirtualTime
+from .world import SECOND as S
+
+KEEP = 20 * S
+
+
+def transaction(name: str) -> Transaction:
+    return Transaction(name, 0, 1, START + 20 * S, b"body", key=f"k-{name}")
+
+
+def opened(folder: Path, place: int = FIRST, disk: int = 3_000_000, now: int = START) -> Journal:
+    name = {FIRST: "journal", SECOND: "journal-2"}[place]
+    return Journal(folder, disk, lambda: now, lambda _: KEEP, file=name)
+
+
+def test_a_third_process_is_refused_and_a_place_is_free_when_its_holder_has_gone(tmp_path: Path) -> None:
+    first, second = StateFolder(tmp_path), StateFolder(tmp_path)
+    assert (first.place, second.place) == (FIRST, SECOND)
+    with pytest.raises(FolderHeld):
+        StateFolder(tmp_path)
+    assert not second.lock(FIRST)
+    first.close()
+    assert second.lock(FIRST)
+
+
+class Process(Stand):
+    """A stand-in process of an upgrade; `kill` ends it as the kernel would, with the file as it is."""
+
+    def __init__(self, folder: Path, time: VirtualTime) -> None:
+        self.folder = StateFolder(folder)
+        super().__init__(folder, time)
+
+    def make_journal(self, folder: Path, disk: int) -> Journal:
+        file = self.folder.journal(self.folder.place).name
+        return Journal(folder, disk, self.time.now, lambda _: KEEP, file=file)
+
+    def resume(self) -> None:
+        self.journal.begin("n0")
+        self.beside = Beside(self.folder, self.journal, self.core, lambda _: None)
+        self.beside.look()
+        self.core.resume()
+        self.beside.resumed = True
+
+    def kill(self) -> None:
+        self.core.sending = self.core.taking = False
+        self.folder.close()
+        self.beside.close()
+        self.journal.close()
+
+    def held(self) -> set[str]:
+        return set(self.core.held.by_id)
+
+
+def test_what_the_old_one_leaves_is_the_new_ones_and_goes_on(tmp_path: Path) -> None:
+    time = VirtualTime()
+    old = Process(tmp_path, time)
+    old.hand_in("a")
+    (call,) = old.run(0.1)
+    new = Process(tmp_path, time)
+    assert new.core.beside is not None and not new.held() and not new.run(0.5)
+    old.end(call, api.Outcome.CONNECT_FAILED)
+    old.core.hand_over()
+    assert old.hand_in("b") and not old.run(0.5), "nothing new goes out"
+    old.kill()
+    new.beside.look()
+    assert new.held() == {"a", "b"} and new.core.beside is None and new.folder.place == FIRST
+    sent = [part.id for call in new.run(2) for part in call.parts]
+    assert sorted(sent) == ["a", "b"]
+    assert [file.name for file in sorted(tmp_path.glob("journal*"))] == ["journal"], "the name of old"
+
+
+def test_the_old_one_takes_over_from_a_new_one_that_died(tmp_path: Path) -> None:
+    time = VirtualTime()
+    old = Process(tmp_path, time)
+    new = Process(tmp_path, time)
+    old.beside.look()
+    assert old.core.beside is not None
+    new.hand_in("a")
+    new.kill()
+    old.beside.look()
+    assert old.held() == {"a"} and old.core.beside is None and not (tmp_path / "journal-2").exists()
+
+
+def test_a_wait_told_to_one_binds_the_other_at_once_and_after_its_end(tmp_path: Path) -> None:
+    time = VirtualTime()
+    old = Process(tmp_path, time)
+    old.hand_in("a")
+    (call,) = old.run(0.1)
+    new = Process(tmp_path, time)
+    old.end(call, api.Outcome.REFUSED, wait=2 * S)
+    told = time.time
+    new.hand_in("b")
+    assert not new.run(1)
+    old.core.hand_over()
+    old.kill()
+    new.beside.look()
+    sent = new.run(4)
+    assert sent and all(call.sent >= told + 2 * S for call in sent)
+
+
+def test_a_wait_told_before_the_new_one_came_binds_it(tmp_path: Path) -> None:
+    time = VirtualTime()
+    old = Process(tmp_path, time)
+    old.hand_in("a")
+    (call,) = old.run(0.1)
+    old.end(call, api.Outcome.REFUSED, wait=2 * S)
+    old.journal.compact()
+    new = Process(tmp_path, time)
+    new.hand_in("b")
+    assert not new.run(1.9) and new.run(2)
+
+
+def test_an_id_that_comes_to_both_is_taken_once(tmp_path: Path) -> None:
+    time = VirtualTime()
+    old = Process(tmp_path, time)
+    old.hand_in("a")
+    (call,) = old.run(0.1)
+    new = Process(tmp_path, time)
+    assert new.hand_in("a") and not new.held(), "the other one owes it"
+    old.end(call, api.Outcome.DELIVERED)
+    assert new.hand_in("a") and not new.held() and not new.run(1), "also once it ended"
+
+
+def test_a_kill_between_the_two_strokes_of_a_take_over_leaves_one_owner(tmp_path: Path) -> None:
+    time = VirtualTime()
+    old, new = Process(tmp_path, time), Process(tmp_path, time)
+    old.hand_in("a")
+    new.hand_in("b")
+    stale = (tmp_path / "journal-2").read_bytes()
+    old.kill()
+    new.beside.look()
+    new.core.conclude(new.core.held.by_id["b"], Ending.OVER)
+    new.kill()
+    (tmp_path / "journal-2").write_bytes(stale)  # as if it had not been removed yet
+    again = Process(tmp_path, time)
+    assert again.held() == {"a"}
+
+
+def test_a_journal_of_a_later_form_is_refused(tmp_path: Path) -> None:
+    journal = opened(tmp_path)
+    journal._write({"t": "born", "v": 99, "name": "n0"})
+    with pytest.raises(JournalUnusable, match="form 99"):
+        opened(tmp_path)
+
+
+class Two(RuleBasedStateMachine):
+    """Takes, attempts, ends, compactions, kills and starts of two processes: what was taken and has not ended
+    is held by one living process, or by none that lives and by the next one to look."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        import tempfile
+
+        self.root = tempfile.TemporaryDirectory(dir="/dev/shm" if Path("/dev/shm").is_dir() else None)
+        self.folder, self.time = Path(self.root.name), VirtualTime()
+        self.alive: list[Process] = []
+        self.owed: set[str] = set()
+        self.count = 0
+
+    def teardown(self) -> None:
+        for process in self.alive:
+            process.kill()
+        self.root.cleanup()
+
+    @precondition(lambda self: len(self.alive) < 2)
+    @rule()
+    def start(self) -> None:
+        self.alive.append(Process(self.folder, self.time))
+
+    @precondition(lambda self: self.alive)
+    @rule(data=st.data())
+    def take(self, data: st.DataObject) -> None:
+        name = f"m{self.count}"
+        self.count += 1
+        if data.draw(st.sampled_from(self.alive)).hand_in(name):
+            self.owed.add(name)
+
+    @precondition(lambda self: self.alive)
+    @rule(data=st.data(), ending=st.sampled_from(list(Ending)))
+    def end(self, data: st.DataObject, ending: Ending) -> None:
+        process = data.draw(st.sampled_from(self.alive))
+        if process.held():
+            name = data.draw(st.sampled_from(sorted(process.held())))
+            process.core.conclude(process.core.held.by_id[name], ending)
+            self.owed.discard(name)
+
+    @precondition(lambda self: self.alive)
+    @rule(data=st.data())
+    def attempt(self, data: st.DataObject) -> None:
+        process = data.draw(st.sampled_from(self.alive))
+        for held in list(process.core.held.by_id.values())[:1]:
+            process.journal.attempt(held, self.time.time, 0)
+
+    @precondition(lambda self: self.alive)
+    @rule(data=st.data())
+    def compact(self, data: st.DataObject) -> None:
+        data.draw(st.sampled_from(self.alive)).journal.compact()
+
+    @precondition(lambda self: self.alive)
+    @rule(data=st.data())
+    def kill(self, data: st.DataObject) -> None:
+        process = data.draw(st.sampled_from(self.alive))
+        self.alive.remove(process)
+        process.kill()
+
+    @precondition(lambda self: self.alive)
+    @rule(cut=st.integers(0, 40))
+    def torn(self, cut: int) -> None:
+        """A kill in the midst of a write: what it covered was not said yet."""
+        process = self.alive.pop()
+        process.kill()
+        with process.journal.path.open("ab") as file:
+            file.write(bytes(range(1, cut + 1)))
+
+    @precondition(lambda self: self.alive)
+    @rule()
+    def look(self) -> None:
+        for process in self.alive:
+            process.beside.look()
+        holds = [process.held() for process in self.alive]
+        assert len(holds) < 2 or not holds[0] & holds[1], "never two owners"
+        assert set().union(*holds) == self.owed
+        size = sum(file.stat().st_size for file in self.folder.iterdir())
+        assert size <= 3_000_000
+
+
+TestTwo = Two.TestCase
+
+
+def test_a_follower_reads_what_grows_what_is_replaced_and_what_was_cut_back(tmp_path: Path) -> None:
+    journal = opened(tmp_path)
+    follower = Follower(tmp_path / "journal", 100, lambda _: KEEP)
+    for number in range(3):
+        journal.taken(transaction(f"m{number}"))
+        follower.read()
+    journal.end(journal.held.by_id["m0"], Ending.DELIVERED)
+    journal.compact()
+    journal.taken(transaction("m3"))
+    follower.read()
+    assert set(follower.held.by_id) == {"m1", "m2", "m3"} and "m0" in follower.held.ended
+    os.write(journal.fd, b"\x10\x00\x00")  # half of a record's head
+    follower.read()
+    os.ftruncate(journal.fd, journal.size)
+    journal.taken(transaction("m4"))
+    follower.read()
+    assert set(follower.held.by_id) == {"m1", "m2", "m3", "m4"}
+
+
+def test_new_connections_go_to_the_newer_listener_and_the_older_ones_queue_stays(tmp_path: Path) -> None:
+    def listener(port: int = 0) -> socket.socket:
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        sock.bind(("127.0.0.1", port))
+        sock.listen(64)
+        sock.setblocking(False)
+        return sock
+
+    def accepted(sock: socket.socket) -> int:
+        count = 0
+        while True:
+            try:
+                sock.accept()[0].close()
+                count += 1
+            except BlockingIOError:
+                return count
+
+    old = listener()
+    address = old.getsockname()
+    clients = [socket.create_connection(address) for _ in range(8)]
+    new = listener(address[1])
+    if not sockets.steer(new):
+        pytest.skip("this system cannot steer")
+    clients += [socket.create_connection(address) for _ in range(32)]
+    assert (accepted(old), accepted(new)) == (8, 32)
+    old.close()
+    clients += [socket.create_connection(address) for _ in range(8)]
+    assert accepted(new) == 8
+    for sock in (*clients, new):
+        sock.close()
+
+
+def test_an_address_with_a_stranger_is_refused_before_the_journal_is_opened(tmp_path: Path) -> None:
+    """An earlier version neither shares its address nor holds a place: its journal must stay as it is."""
+
+    async def work() -> None:
+        stranger = await Peer().start()
+        path, _ = write(tmp_path, stranger.port, 9, [])
+        with pytest.raises(config.ConfigError, match=r"^listen: cannot listen on 127.0.0.1:\d+: Address"):
+            await run(config.read({}, path), lambda before: before)
+        assert not list((tmp_path / "state").glob("journal*"))
+
+    play(work())
