--- a/example/try.py
+++ b/example/try.py
@@ -115,12 +115,13 @@
 
 def main() -> int:
     """Try it; the exit code."""
-    listen, discovery, partner = free_ports(3)
+    listen, discovery, partner, management = free_ports(4)
     told = json.loads((HERE / "config.json").read_text())
     with tempfile.TemporaryDirectory() as folder:
         told |= {
             "listen": f"127.0.0.1:{listen}",
             "discovery": f"127.0.0.1:{discovery}",
+            "management": f"127.0.0.1:{management}",
             "state": f"{folder}/state",
         }
         path = Path(folder, "config.json")
@@ -163,6 +164,11 @@
                 print("toy         is mended; the rule resends what is safe", flush=True)
             if not shown(toy.stdout, HELLO) or (fails and not listed(store, "settled")):
                 return 1
+            stats = [*command, "stats", "--config", str(path)]
+            figures = subprocess.run(stats, cwd=HERE.parent, capture_output=True, text=True, timeout=PATIENCE)
+            print(figures.stdout.strip() or figures.stderr.strip(), flush=True)
+            if figures.returncode:
+                return 1
             print("delivered")
             return 0
         finally:
--- a/honeyhitch/lifecycle/serve.py
+++ b/honeyhitch/lifecycle/serve.py
@@ -203,6 +203,7 @@
             self.beside.follower.read()
             if (other := self.beside.follower.name) != config.name:
                 raise ConfigError(f"name: the state folder is held by {other!r}, which runs")
+            self._refuse_beside()
         if self.keeping is not None:  # what is handed in may be a copy of what is kept
             dispatcher.taking = False
             self.keeping.begin(self._resume)
@@ -236,6 +237,14 @@
             self.tasks.keep(work)
         self.discovery.start()
 
+    def _refuse_beside(self) -> None:
+        """What two processes cannot have at once yet: a store, a socket in the folder, a broker's session."""
+        operator = self.config.operator
+        told = {"undelivered": operator.undelivered, "control": operator.control, "mqtt": operator.mqtt}
+        for key, setup in told.items():
+            if setup is not None:
+                raise ConfigError(f"{key}: cannot be had beside a running process; stop that one first")
+
     def _take_rules(self, new: Config) -> None:
         """Rules for undelivered messages change at once; the rest of that table holds from a start on."""
         told = new.operator.undelivered
--- a/tests/test_beside.py
+++ b/tests/test_beside.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import json
 import os
 import socket
 from pathlib import Path
@@ -20,8 +22,8 @@
 from honeyhitch.memory.transactions import Ending, Transaction
 from honeyhitch.wire.drivers import sockets
 
-from .program import Peer, play, write
-from .rig import START, Stand, VirtualTime
+from .program import Peer, play, started, write
+from .rig import START, Stand, VirtualTime, row
 from .world import SECOND as S
 
 KEEP = 20 * S
@@ -313,3 +315,44 @@
         assert not list((tmp_path / "state").glob("journal*"))
 
     play(work())
+
+
+@pytest.mark.parametrize(
+    ("change", "operator", "says"),
+    [
+        ({"name": "n1"}, None, "name: the state folder is held by 'n0', which runs"),
+        ({}, "[control]", "control: cannot be had beside a running process; stop that one first"),
+        ({}, None, ""),
+    ],
+)
+def test_beside_a_running_process(
+    tmp_path: Path, change: dict[str, str], operator: str | None, says: str
+) -> None:
+    """The second one is refused with its key, or both take clients and a third one is refused."""
+
+    async def work() -> None:
+        agent = await Peer().start()
+        async with started(tmp_path, agent.port, [row("s", 1)]) as port:
+            beside = tmp_path / "beside"
+            beside.mkdir()
+            path = write(beside, port, agent.port, [row("s", 1)], operator, **{"name": "n0", **change})
+            told = json.loads(Path(path[0]).read_text()) | {"state": str(tmp_path / "state")}
+            Path(path[0]).write_text(json.dumps(told))
+            task = asyncio.ensure_future(run(config.read({}, *path), lambda before: before))
+            if says:
+                with pytest.raises(config.ConfigError) as error:
+                    await task
+                assert str(error.value) == says
+                return
+            while not (tmp_path / "state" / "journal-2").exists():
+                await asyncio.sleep(0.01)
+            with pytest.raises(config.ConfigError, match=r"^state: two processes hold"):
+                await run(config.read({}, *path), lambda before: before)
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(b"PING\r\n")
+            assert await reader.readline() == b"+PONG\r\n"
+            writer.close()
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+    play(work())
