Do not end an upgrade's old process while connections wait at its listener

The change: settled is false while one waits for a place or the listener is readable (poll, no limit on the descriptor's number). The test fails with those two lines taken away.

--- a/honeyhitch/wire/drivers/sockets.py
+++ b/honeyhitch/wire/drivers/sockets.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import ctypes
+import select
 import socket
 import struct
 
@@ -65,6 +66,17 @@
     return count
 
 
+def _ready(sock: socket.socket) -> list[tuple[int, int]]:
+    poll = select.poll()  # no limit on the descriptor's number, as select(2) has
+    poll.register(sock, select.POLLIN)
+    return poll.poll(0)
+
+
+def waited_at(listener: socket.socket) -> bool:
+    """True if a connection waits there to be accepted: closing the listener would reset it."""
+    return bool(_ready(listener))
+
+
 def quiet(sock: socket.socket) -> bool:
     """True if the connection is alive and nothing has come on it: safe to use again."""
     try:
--- a/honeyhitch/wire/drivers/virtual_server.py
+++ b/honeyhitch/wire/drivers/virtual_server.py
@@ -77,6 +77,7 @@
         self.session, self.most, self.tasks, self.loop = session, most, tasks, tasks.loop
         self.clients: dict[Client, None] = {}  # those that have stood as they stand for longest come first
         self.draining, self.once = False, once
+        self.placing = False  # one was accepted and waits for a place
         self.listener = sockets.fresh()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         if shared:
@@ -100,8 +101,10 @@
                 continue
             # Closing it now would fail a request that may be on its way: it waits for a place instead, and
             # those behind it wait in the backlog.
+            self.placing = True
             while len(self.clients) >= self.most and not self._make_room():
                 await asyncio.sleep(LOOK)
+            self.placing = False
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             client = Client(sock, self.loop.time())
@@ -175,7 +178,11 @@
 
     @property
     def settled(self) -> bool:
-        """No request is on its way here, as far as can be told: none in part, and nobody new."""
+        """No request is on its way here, as far as can be told: none in part, nobody new, and nobody whose
+        connection still waits to be accepted or to get a place.
+        """
+        if self.placing or sockets.waited_at(self.listener):
+            return False
         fresh = self.loop.time() - FRESH
         return not any(
             one.half or one.sending or (not one.answered and one.since > fresh) for one in self.clients
--- a/tests/test_virtual_server.py
+++ b/tests/test_virtual_server.py
@@ -71,6 +71,26 @@
     play(work())
 
 
+def test_a_server_is_not_settled_while_connections_wait_for_a_place() -> None:
+    """Closed then, as at the end of an upgrade's old process, it would reset them."""
+
+    async def work() -> None:
+        async with served(1) as server:
+            assert server.settled
+            half = await dial(server)
+            half[1].write(b"*1\r\n$4\r\nPI")
+            await asyncio.sleep(0.05)
+            queued = [await dial(server) for _ in range(3)]
+            half[1].write(b"NG\r\n")
+            assert await half[0].readline() == PONG
+            assert not server.settled, "one waits for a place, two to be accepted"
+            for one in queued:
+                await ping(one)
+            assert server.settled
+
+    play(work())
+
+
 def test_a_connection_that_never_ends_what_it_began_is_told_and_closed(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
