Bind a whole destination where a told wait's member is no longer listed

At fault: Brain._told dropped a wait whose member its own list had replaced already; the lane is shared.

The test fails with the mend taken away.

--- a/honeyhitch/brain.py
+++ b/honeyhitch/brain.py
@@ -407,8 +407,9 @@
                 self._finish(message)
 
     def _told(self, event: api.Told) -> None:
-        dest = self.dests.get(event.destination)
-        if dest is not None and (endpoint := dest.endpoints.get(event.endpoint)) is not None:
+        dest = self.dests.get(event.destination, Destination())
+        told = dest.endpoints.get(event.endpoint)  # one that has gone told it for all that are left
+        for endpoint in [told] if told else dest.endpoints.values():
             endpoint.lane.wait_until = max(endpoint.lane.wait_until, event.until)
 
     def _drop(self, event: api.Withdrawn) -> None:
--- a/tests/test_beside.py
+++ b/tests/test_beside.py
@@ -135,6 +135,20 @@
     assert not new.run(1.9) and new.run(2)
 
 
+def test_a_wait_told_by_a_member_that_has_gone_binds_those_in_its_place(tmp_path: Path) -> None:
+    time = VirtualTime()
+    old = Process(tmp_path, time)
+    old.hand_in("a")
+    (call,) = old.run(0.1)
+    new = Process(tmp_path, time)
+    new.core.news(new.core.pool.update({"revision": 2, "complete": True, "members": [row("s-9", 1)]}))
+    old.end(call, api.Outcome.REFUSED, wait=2 * S)
+    told = time.time
+    new.hand_in("b")
+    assert not new.run(1.9)
+    assert all(call.sent >= told + 2 * S and call.member.id == "s-9" for call in new.run(2))
+
+
 def test_an_id_that_comes_to_both_is_taken_once(tmp_path: Path) -> None:
     time = VirtualTime()
     old = Process(tmp_path, time)
