--- a/honeyhitch/lifecycle/management_commands.py
+++ b/honeyhitch/lifecycle/management_commands.py
@@ -6,6 +6,7 @@
 import os
 import socket
 import sys
+from collections.abc import Callable
 from typing import Any
 
 import click
@@ -43,10 +44,20 @@
         raise click.ClickException(f"no answer from {at}: {error}") from error
 
 
+def _options(command: Callable[..., None]) -> Callable[..., None]:
+    for option in (
+        click.option("--json", "as_json", is_flag=True, help="For programs."),
+        click.option(
+            "--config", "path", type=click.Path(), help="The JSON file; ROUTER_CONFIG names it otherwise."
+        ),
+        click.option("--at", help="HOST:PORT; ROUTER_MANAGEMENT or the configuration names it otherwise."),
+    ):
+        command = option(command)
+    return command
+
+
 @click.command()
-@click.option("--at", help="HOST:PORT; ROUTER_MANAGEMENT or the configuration names it otherwise.")
-@click.option("--config", "path", type=click.Path(), help="The JSON file; ROUTER_CONFIG names it otherwise.")
-@click.option("--json", "as_json", is_flag=True, help="For programs.")
+@_options
 def status(at: str | None, path: str | None, as_json: bool) -> None:
     """Say whether a dispatcher takes clients; exit code 0 if it does."""
     address = _where(at, path)
@@ -57,9 +68,7 @@
 
 
 @click.command()
-@click.option("--at", help="HOST:PORT; ROUTER_MANAGEMENT or the configuration names it otherwise.")
-@click.option("--config", "path", type=click.Path(), help="The JSON file; ROUTER_CONFIG names it otherwise.")
-@click.option("--json", "as_json", is_flag=True, help="For programs.")
+@_options
 def stats(at: str | None, path: str | None, as_json: bool) -> None:
     """Print the figures of a dispatcher; they count from its process's start."""
     address = _where(at, path)
