--- a/honeyhitch/memory/account.py
+++ b/honeyhitch/memory/account.py
@@ -61,6 +61,12 @@
         self.sizes[transaction.id] = size = self._room(transaction)
         self.live += size
 
+    def _leave_to_store(self, transaction: Transaction) -> None:
+        """It was answered, and only waits for the store."""
+        self.held.unmoved[transaction.id, transaction.ended_at] = transaction
+        size = self._room(transaction)
+        self.live, self.waiting = self.live + size, self.waiting + size
+
     def _end(self, transaction: Transaction, ending: Ending, at: int) -> None:
         transaction.ending = ending
         self.held.by_id.pop(transaction.id, None)
@@ -99,9 +105,7 @@
             transaction.tries = [Try(*told) for told in tries]  # type: ignore[attr-defined]
             transaction.ending, transaction.come_back = Ending(ending) if ending else None, int(str(back))
             if over:  # answered: it only waits for the store
-                self.held.unmoved[transaction.id, transaction.ended_at] = transaction
-                self.live += self._room(transaction)
-                self.waiting += self._room(transaction)
+                self._leave_to_store(transaction)
             else:
                 self._hold(transaction)
         elif kind == "wait":
--- a/honeyhitch/memory/journal.py
+++ b/honeyhitch/memory/journal.py
@@ -144,13 +144,12 @@
         known = self.held
         ids = known.by_id.keys() | known.ended.keys()
         new = [one for one in other.held.by_id.values() if one.id not in ids]
-        late = {key: one for key, one in other.held.unmoved.items() if key not in known.unmoved}
+        late = [one for key, one in other.held.unmoved.items() if key not in known.unmoved]
         before = dict(known.ended), dict(known.keys), dict(known.unmoved), self.live, self.waiting
         for transaction in new:
             self._hold(transaction)
-        for key, transaction in late.items():
-            known.unmoved[key], size = transaction, self._room(transaction)
-            self.live, self.waiting = self.live + size, self.waiting + size
+        for transaction in late:
+            self._leave_to_store(transaction)
         self.waits = other.waits | self.waits
         known.ended = other.held.ended | known.ended
         known.keys = other.held.keys | known.keys
@@ -162,7 +161,7 @@
             raise JournalFull("no room for what another process left")
         self.path, self.spare = path, spare
         left.unlink(missing_ok=True)
-        return new, list(late.values())
+        return new, late
 
     def _whole(self, transaction: Transaction) -> dict[str, object]:
         fields: dict[str, object] = {
