Answer +PONG only once messages are taken

At fault: Service.start gave resp.Session 'ready' as 'not leaving' alone. With [undelivered] the process listens while the store's thread still looks for copies (dispatcher.taking is false, at most 2 s), said +PONG, and turned messages away. The tests' hand_in had a loop round -BUSY that hid it.

The change: +PONG is said in the phase READY alone; before it is -LOADING, status says 'starting', and the loop in the tests is gone. The test holds the store back; without the mend it reads +PONG where -LOADING is due.

--- a/example/try.py
+++ b/example/try.py
@@ -35,15 +35,17 @@
 
 
 def serves(port: int, program: subprocess.Popen[str]) -> bool:
-    """Wait till the dispatcher answers a PING."""
+    """Wait till the dispatcher answers a PING with +PONG: it takes messages from then on."""
     until = time.monotonic() + PATIENCE
     while time.monotonic() < until and program.poll() is None:
         try:
             with socket.create_connection(("127.0.0.1", port), timeout=1) as client:
                 client.sendall(b"PING\r\n")
-                return client.recv(16) == b"+PONG\r\n"
+                if client.recv(16) == b"+PONG\r\n":
+                    return True
         except OSError:
-            time.sleep(0.05)
+            pass
+        time.sleep(0.05)
     return False
 
 
--- a/honeyhitch/core.py
+++ b/honeyhitch/core.py
@@ -29,6 +29,7 @@
 class Phase(Enum):
     """How a dispatcher stands to new work."""
 
+    STARTING = "starting"
     READY = "ready"
     DRAINING = "draining"
     DOWN = "down"
@@ -313,8 +314,10 @@
 
     def state(self) -> State:
         """How it stands to new work."""
-        phase = Phase.DRAINING if self.sending else Phase.DOWN
-        phase = Phase.READY if self.taking and not self.leaving else phase
+        if self.leaving or not self.sending:
+            phase = Phase.DRAINING if self.sending else Phase.DOWN
+        else:
+            phase = Phase.READY if self.taking else Phase.STARTING
         return State(phase, len(self.held), self.s.max_open)
 
     def told(self) -> dict[str, Any]:
--- a/honeyhitch/lifecycle/serve.py
+++ b/honeyhitch/lifecycle/serve.py
@@ -13,7 +13,7 @@
 import uvloop
 
 from honeyhitch import __version__, logs
-from honeyhitch.core import Dispatcher
+from honeyhitch.core import Dispatcher, Phase
 from honeyhitch.lifecycle.beside import Beside
 from honeyhitch.lifecycle.config import FIXED_SOCKETS, Config, ConfigError
 from honeyhitch.lifecycle.signals import Stop, on_reload
@@ -215,7 +215,10 @@
                 "listen",
                 config.listen,
                 lambda: resp.Session(
-                    fields, dispatcher.offer, lambda: not dispatcher.leaving, self.scheduler.now
+                    fields,
+                    dispatcher.offer,
+                    lambda: dispatcher.state().phase is Phase.READY,
+                    self.scheduler.now,
                 ),
                 max(1, self.most_clients // (1 + self.beside.there)),
                 shared=True,
--- a/honeyhitch/wire/agent_check.py
+++ b/honeyhitch/wire/agent_check.py
@@ -23,7 +23,7 @@
     """HAProxy's words for a state: `ready` ends an earlier drain, and the percentage sets the weight."""
     if state.phase is Phase.READY:
         return b"up ready %d%%\n" % weight(state)
-    return b"drain\n" if state.phase is Phase.DRAINING else b"down #not serving\n"
+    return b"down #not serving\n" if state.phase is Phase.DOWN else b"drain\n"
 
 
 class AgentSession:
--- a/tests/program.py
+++ b/tests/program.py
@@ -103,12 +103,14 @@
                 reader, writer = await asyncio.open_connection("127.0.0.1", port)
             except OSError:
                 assert not task.done(), task.exception()
-                await asyncio.sleep(0.01)
-                continue
-            writer.write(b"PING\r\n")
-            assert await reader.readline() == b"+PONG\r\n"
-            writer.close()
-            break
+            else:
+                writer.write(b"PING\r\n")
+                answer = await reader.readline()
+                writer.close()
+                if answer == b"+PONG\r\n":
+                    break
+                assert answer.startswith(b"-LOADING"), answer
+            await asyncio.sleep(0.01)
         yield port
         if stopped:  # it was told to stop, and must do so by itself
             await task
--- a/tests/test_undelivered_program.py
+++ b/tests/test_undelivered_program.py
@@ -17,10 +17,13 @@
 import pytest
 from click.testing import CliRunner, Result
 
+from honeyhitch.lifecycle import config
 from honeyhitch.lifecycle.cli import main
+from honeyhitch.lifecycle.serve import run
 from honeyhitch.undelivered.filters import Filter
 from honeyhitch.undelivered.records import Standing
 from honeyhitch.undelivered.report import Fate, Report
+from honeyhitch.undelivered.resending import Resending
 from honeyhitch.undelivered.settings import Terms
 from honeyhitch.undelivered.store import Store
 from honeyhitch.wire.drivers.control_client import ControlClient, ControlRefused
@@ -28,7 +31,7 @@
 from .agent import Agent
 from .broker import Broker
 from .partner import Partner
-from .program import play, started
+from .program import free_port, play, started, write
 from .rig import START, row
 from .test_program import Client
 from .test_undelivered_store import record
@@ -50,11 +53,8 @@
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
     fields = f"c=standard,t=studio,d={left},dest=1,k={key or f'key-{name}'}"
     parts = [b"ENQUEUE", b"0" * 16, name.encode(), fields.encode(), body]
-    answer = b"-BUSY"
-    while answer.startswith(b"-BUSY"):  # till it knows what is kept
-        writer.write(b"*5\r\n" + b"".join(b"$%d\r\n%s\r\n" % (len(part), part) for part in parts))
-        answer = await reader.readline()
-    assert answer.startswith(b"+")
+    writer.write(b"*5\r\n" + b"".join(b"$%d\r\n%s\r\n" % (len(part), part) for part in parts))
+    assert (await reader.readline()).startswith(b"+")
     writer.close()
 
 
@@ -373,3 +373,45 @@
         assert partner.calls == 2, partner.seen
 
     play(work())
+
+
+def test_it_does_not_say_that_it_serves_before_it_takes_messages(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    held: list[Any] = []
+    monkeypatch.setattr(Resending, "begin", lambda self, ready: held.append(ready))
+    management = free_port()
+
+    async def asked(port: int, line: bytes) -> bytes:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(line)
+        answer = await reader.readline()
+        writer.close()
+        return answer
+
+    async def work() -> None:
+        port = free_port()
+        path = write(tmp_path, port, free_port(), [], OPERATOR, management=f"127.0.0.1:{management}")
+        task = asyncio.ensure_future(run(config.read({}, *path), lambda now: now))
+        try:
+            while not held:
+                assert not task.done(), task.exception()
+                await asyncio.sleep(0)
+            await until(lambda: waits_at(port))
+            assert await asked(port, b"PING\r\n") == b"-LOADING not ready\r\n"
+            assert await asked(management, b"status\n") == b"-ERR status: starting\r\n"
+            held[0]()
+            assert await asked(port, b"PING\r\n") == b"+PONG\r\n"
+            assert await asked(management, b"status\n") == b"+OK ready\r\n"
+            await hand_in(port, "m1")
+        finally:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+    play(work())
+
+
+def waits_at(port: int) -> bool:
+    """Whether something listens there."""
+    with socket.socket() as sock:
+        return sock.connect_ex(("127.0.0.1", port)) == 0
