Keep no idle connection to a member while handing over

A copy of the tree that printed, each quarter second, destinations with over 15 messages queued and no call out showed e.g. '[9.76] ... shut 13.8 crowded 4' with 16 messages and up to 35 of them till 17.29 s: the endpoint's table of connections was full at four asks in a row, so no connection was tried.

At fault, one of two causes: Dispatcher.hand_over began nothing more but kept the process's idle connections open till its end, up to 3.3 s later, in tables of which its successor needs a place. The test counts them; it fails without the change. Excluded on these plays: slots (free), told waits (over), a lost wake-up (the wake-up is set to the pause's end).

--- a/honeyhitch/core.py
+++ b/honeyhitch/core.py
@@ -352,6 +352,8 @@
         for i, (outcome, over) in enumerate(result.outcomes):
             if call.open[i]:
                 self._outcome(call, i, outcome, over, result)
+        if not self.sending:
+            self.carriers[call.member.carrier].close_idle(call.member)
 
     def expired(self, call: Call, i: int) -> None:
         """One part of a call that is still out is out of time."""
@@ -407,9 +409,12 @@
 
     def hand_over(self) -> None:
         """Begin nothing more: calls that are out end here, and all else is the other process's, which has it
-        from the journal once this one is gone.
+        from the journal once this one is gone. Members have few places for connections: none is kept here.
         """
-        self.sending = False
+        if self.sending:
+            self.sending = False
+            for member in self.pool.members.values():
+                self.carriers[member.carrier].close_idle(member)
 
     # Rounds: events that come within one resolution are handled together, as in the simulator.
 
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -65,6 +65,7 @@
         self.time = time or VirtualTime()
         self.journal = self.make_journal(folder, disk)
         self.calls: list[Call] = []
+        self.closed: list[str] = []  # members whose idle connections were closed
         self.answers: list[Transaction] = []
         self.confirm = True
         self.core = Dispatcher(self.s, 7, Pool(self.s), self.journal, self.time)
@@ -92,7 +93,7 @@
         self.end(call, api.Outcome.CANCELLED)
 
     def close_idle(self, member: PoolMember) -> None:
-        pass
+        self.closed.append(member.id)
 
     def answer(self, transaction: Transaction) -> None:
         self.answers.append(transaction)
--- a/tests/test_beside.py
+++ b/tests/test_beside.py
@@ -94,6 +94,21 @@
     assert [file.name for file in sorted(tmp_path.glob("journal*"))] == ["journal"], "the name of old"
 
 
+def test_one_that_hands_over_keeps_no_connection_that_its_successor_could_use(tmp_path: Path) -> None:
+    """A member's table of connections is shared by both: what is idle here would be missing there."""
+    time = VirtualTime()
+    old = Process(tmp_path, time)
+    old.hand_in("a")
+    (call,) = old.run(0.1)
+    assert not old.closed
+    old.core.hand_over()
+    assert sorted(old.closed) == ["s-1", "s-2"]
+    old.core.hand_over()
+    assert len(old.closed) == 2, "once"
+    old.end(call, api.Outcome.DELIVERED)
+    assert old.closed[2:] == ["s-1"], "and each that its last call leaves"
+
+
 def test_the_old_one_takes_over_from_a_new_one_that_died(tmp_path: Path) -> None:
     time = VirtualTime()
     old = Process(tmp_path, time)
