Ask an endpoint with a full table again as often as the number of dispatchers bears

At fault: Brain._learned's pause after a full table grew to LADDER's 16 s whatever the fleet's size. Rejected: a lower fixed end (200 would ask four times as often, each ask a handshake); ending the pause when the other process goes (the table may be another dispatcher's). The test fails for 1 and 2 instances without it.

--- a/honeyhitch/brain.py
+++ b/honeyhitch/brain.py
@@ -451,8 +451,8 @@
             self.rested |= {other: None for other in every if other.lane.tight is lane.tight}
         if event.crowded:  # that tells nothing of the limit or of health
             endpoint.crowded = min(endpoint.crowded + 1, len(LADDER))
-            pause = LADDER[endpoint.crowded - 1] * self.rng.uniform(1 - lane.spread, 1)
-            endpoint.shut = self.now + int(pause)
+            pause = min(LADDER[endpoint.crowded - 1], TRIAL_SLACK * self.s.instances)
+            endpoint.shut = self.now + int(pause * self.rng.uniform(1 - lane.spread, 1))
             return
         endpoint.crowded, lane.answered = 0, lane.answered + 1
         lane.limit = event.limit or lane.limit
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -54,6 +54,23 @@
     assert len(world.messages["m"].attempts) == 2
 
 
+@pytest.mark.parametrize(("instances", "most"), [(1, 700 * MS), (2, 1400 * MS), (200, 16 * SECOND)])
+def test_a_full_table_is_asked_again_as_often_as_the_fleet_bears(instances: int, most: int) -> None:
+    """Each asks less often the more of them there are, so that the few are not shut out for long."""
+    world, tried = World(settings(instances=instances), ONE), list[int]()
+    for number in range(60):
+        world.batch([world.hand_in(f"m{number}", cls=0)])
+    while world.now < 15 * SECOND:
+        for name, known in list(world.messages.items()):
+            if not known.over and known.attempts and known.attempts[-1].outcome is None:
+                tried.append(world.now)
+                world.batch([world.end(name, Outcome.REFUSED, crowded=True)])
+        world.run(world.now + 50 * MS)
+    gaps = [after - before for before, after in itertools.pairwise(sorted(set(tried)))]
+    assert max(gaps) <= most + 100 * MS
+    assert instances > 2 or max(gaps) > 0.4 * most, "and it is no hammering"
+
+
 def test_untold_refusal_doubles_the_step() -> None:
     world = World(settings(), TWO)
     assert 400 * MS <= fail_all("m", Outcome.REFUSED, world)[0] <= 610 * MS
