Pass what waits on to an upgrade's new process at the old one's SIGTERM

For 3.3 s the old process held 593 messages, began none (sending is false) and waited for its last calls; the new one had 11 of 23 slots and 15 messages.

At fault: Dispatcher.hand_over left what is neither out nor decided to the take-over after the process's end.

--- a/honeyhitch/core.py
+++ b/honeyhitch/core.py
@@ -197,7 +197,8 @@
         """After a start: give the module each owed transaction with its attempts so far, and the keeper what
         it has not taken over yet.
         """
-        self.take_up(list(self.held.by_id.values()), list(self.held.unmoved.values()))
+        owed = [one for one in self.held.by_id.values() if one.id not in self.journal.passed]
+        self.take_up(owed, list(self.held.unmoved.values()))
 
     def take_up(self, owed: list[Transaction], unmoved: list[Transaction]) -> None:
         """Go on with what a process left: it is in the journal, and nobody else goes on with it."""
@@ -223,7 +224,7 @@
 
     def offer(self, transaction: Transaction) -> Offered:
         """Take a transaction on, or reject it at once; one that is held already is not taken twice."""
-        if transaction.id in self.held.by_id or transaction.id in self.held.ended:
+        if self.journal.knows(transaction.id):
             return Offered(True)
         if self.beside is not None and self.beside.knows(transaction.id):
             return Offered(True)
@@ -249,7 +250,7 @@
     def offer_resend(self, transaction: Transaction) -> bool:
         """Write a resend down; it goes to the module by `go_on` once the store has claimed it."""
         full = len(self.held) >= self.s.max_open
-        if full or not self.taking or transaction.id in self.held.by_id or transaction.id in self.held.ended:
+        if full or not self.taking or self.journal.knows(transaction.id):
             return False
         transaction.came_at = self.scheduler.now()
         try:
@@ -272,15 +273,20 @@
 
     def go_on(self, transaction: Transaction) -> None:
         """It need not wait any longer."""
-        if transaction.id in self.held.by_id and transaction.ending is None:
+        if self._owes(transaction.id):
             self._add(transaction, behind=transaction.front == RESEND)
 
     def conclude(self, transaction: Transaction, ending: Ending, come_back: int = 0) -> None:
         """It ends so; whatever the module still had in mind for it is left out."""
-        if transaction.id in self.held.by_id and transaction.ending is None:
+        if self._owes(transaction.id):
             self._conclude(transaction, ending, come_back)
             self._add(api.Withdrawn(transaction.id), behind=transaction.front == RESEND)
 
+    def _owes(self, name: str) -> Transaction | None:
+        """The transaction of this name, if its end is still this process's to decide."""
+        found = self.held.by_id.get(name)
+        return found if found and found.ending is None and name not in self.journal.passed else None
+
     def _keyed(self, transaction: Transaction) -> bool:
         return bool(transaction.key) and self.s.classes[transaction.cls].effect is api.Effect.KEYED
 
@@ -305,8 +311,8 @@
 
     def withdraw(self, name: str) -> None:
         """Nobody wants it any more: nothing further is tried, and no answer is sent."""
-        transaction = self.held.by_id.get(name)
-        if transaction is not None and transaction.ending is None:
+        transaction = self._owes(name)
+        if transaction is not None:
             self.journal.end(transaction, Ending.OVER)
             self._add(api.Withdrawn(name))
             if self.guard is not None:
@@ -325,7 +331,7 @@
         return {
             "responses": self.figures.told(),
             "tries": sum(one.tries for one in self.figures.classes),
-            "active": len(self.held),
+            "active": len(self.held) - len(self.journal.passed),
             "pool_size": len(self.pool.members),
             "pool_ejected": self.brain.avoided(self.scheduler.now()),
         }
@@ -408,13 +414,23 @@
             self.sending = False
 
     def hand_over(self) -> None:
-        """Begin nothing more: calls that are out end here, and all else is the other process's, which has it
-        from the journal once this one is gone. Members have few places for connections: none is kept here.
+        """Begin nothing more: calls that are out end here, as do notices, and all else is passed on to the
+        other process. Members have few places for connections: none is kept here. To be called till the end.
         """
         if self.sending:
             self.sending = False
             for member in self.pool.members.values():
                 self.carriers[member.carrier].close_idle(member)
+        passed, calls = self.journal.passed, {id(call) for call in self.out.values()}
+        waits = [
+            one
+            for name, one in self.held.by_id.items()
+            if one.ending is None and one.front != RESEND and name not in passed and name not in self.out
+        ]
+        try:
+            self.journal.pass_on(waits, len(calls))
+        except JournalFull as error:  # the other one finds them once this process is gone
+            log.warning("journal.full", what="passed", error=str(error))
 
     # Rounds: events that come within one resolution are handled together, as in the simulator.
 
@@ -508,8 +524,8 @@
     # Final answers.
 
     def _final(self, name: str, ending: Ending, come_back: int) -> None:
-        transaction = self.held.by_id.get(name)
-        if transaction is not None and transaction.ending is None:
+        transaction = self._owes(name)
+        if transaction is not None:
             self._conclude(transaction, ending, come_back)
 
     def _conclude(self, transaction: Transaction, ending: Ending, come_back: int) -> None:
--- a/honeyhitch/lifecycle/beside.py
+++ b/honeyhitch/lifecycle/beside.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 
 from honeyhitch import interface as api
 from honeyhitch import logs
@@ -19,25 +20,39 @@
 
 
 class Beside:
-    """Sees the other process come and go. `changed` is called with whether one is there."""
+    """Sees the other process come and go. `changed` is called with whether one is there, and how many calls
+    it has out if it passes on what it holds.
+    """
 
     def __init__(
-        self, folder: StateFolder, journal: Journal, dispatcher: Dispatcher, changed: Callable[[bool], None]
+        self,
+        folder: StateFolder,
+        journal: Journal,
+        dispatcher: Dispatcher,
+        changed: Callable[[bool, int | None], None],
     ) -> None:
         self.folder, self.journal, self.dispatcher, self.changed = folder, journal, dispatcher, changed
         self.follower = self._fresh()
         self.there = self.resumed = False  # the latter: the dispatcher goes on with what the journal held
+        self.out: int | None = None
 
     def _fresh(self) -> Follower:
         path = self.folder.journal(self.folder.other)
         return Follower(path, self.journal.held.most, self.journal.remember)
 
+    def begin(self) -> None:
+        """The first look, before the dispatcher goes on with what the journal holds."""
+        self.look()
+        if not self.there:
+            self.journal.take_back()
+
     def look(self) -> None:
         """See whether another process holds the other place; if one left something there, take it over."""
         if self.folder.place == FIRST and not self.folder.journal(SECOND).exists():
             self._now(False)
         elif not self.folder.lock(self.folder.other):
             self._now(True)
+            self._take_up()
         else:
             self._inherit()
 
@@ -46,7 +61,35 @@
             self.there = there
             self.dispatcher.beside = self if there else None
             log.info("beside.came" if there else "beside.went", place=self.folder.other)
-            self.changed(there)
+            self.out = None
+            self.changed(there, None)
+
+    def _take_up(self) -> None:
+        """Go on with what the other one passes on: from here on it is in this process's journal, too.
+
+        One that passes on takes up nothing more: what was passed on to it and it does not know comes back.
+        """
+        if not self.resumed or not self.dispatcher.sending:
+            return
+        self.follower.read()
+        if self.follower.out != self.out:
+            self.out = self.follower.out
+            self.changed(True, self.out)
+        came, mine, theirs = [], self.journal, self.follower
+        back = {} if theirs.out is None else {k: v for k, v in mine.passed.items() if not theirs.knows(k)}
+        for name, one in (theirs.passed | back).items():
+            if name in mine.passed or not mine.knows(name):
+                copy = replace(one, ran=list(one.ran), tries=list(one.tries))
+                try:
+                    mine.taken(copy)
+                except JournalFull as error:  # what is held here ends with time
+                    log.warning("beside.no-room", error=str(error))
+                    break
+                came.append(copy)
+            theirs.passed.pop(name, None)
+        if came:
+            log.info("beside.passed", messages=len(came))
+            self.dispatcher.take_up(came, [])
 
     def _inherit(self) -> None:
         """Nobody writes the other journal any more, and the lock keeps it so."""
@@ -95,5 +138,4 @@
     def knows(self, name: str) -> bool:
         """The other process has taken this message on."""
         self.follower.read()
-        held = self.follower.held
-        return name in held.by_id or name in held.ended
+        return self.follower.knows(name)
--- a/honeyhitch/lifecycle/serve.py
+++ b/honeyhitch/lifecycle/serve.py
@@ -130,9 +130,12 @@
                 raise ConfigError(f"listen: cannot listen on {config.listen}: {error.strerror}") from error
         return folder
 
-    def _shared(self, shared: bool) -> None:
-        """Another process of this dispatcher came or went: slots and places are shared out evenly."""
-        self.dispatcher.brain.share(max(1, self.config.settings.slots // (1 + shared)))
+    def _shared(self, shared: bool, out: int | None) -> None:
+        """Another process of this dispatcher came or went: slots and places are shared out evenly. Once it
+        passes on what it holds, the slots that its last calls do not use are this one's.
+        """
+        slots = self.config.settings.slots
+        self.dispatcher.brain.share(max(1, slots // (1 + shared) if out is None else slots - out))
         for server in self.servers[:1]:
             server.most = max(1, self.most_clients // (1 + shared))
 
@@ -198,7 +201,7 @@
             dispatcher.news(dispatcher.pool.update(config.known, cached=True))
         except PoolError as error:
             log.warning("known.unusable", error=str(error))
-        self.beside.look()
+        self.beside.begin()
         if self.beside.there:
             self.beside.follower.read()
             if (other := self.beside.follower.name) != config.name:
--- a/honeyhitch/memory/account.py
+++ b/honeyhitch/memory/account.py
@@ -51,16 +51,22 @@
         self.waiting = 0  # and of these, what belongs to messages that only wait for the store
         self.sizes: dict[str, int] = {}
         self.waits: dict[tuple[int, str], int] = {}  # told by a member of a destination: until when
-        self.name, self.version = (
-            "",
-            0,
-        )  # of the dispatcher, and of the journal's form; 0 before there was one
+        self.passed: dict[str, Transaction] = {}  # held here, but the process beside this one goes on with it
+        self.out: int | None = None  # calls out of one that passes on; none that has not begun to
+        # Of the dispatcher, and of the journal's form; 0 before there was one.
+        self.name, self.version = "", 0
 
     def _hold(self, transaction: Transaction) -> None:
+        self.live -= self.sizes.get(transaction.id, 0)  # one that was passed on may come back
+        self.passed.pop(transaction.id, None)
         self.held.by_id[transaction.id] = transaction
         self.sizes[transaction.id] = size = self._room(transaction)
         self.live += size
 
+    def knows(self, name: str) -> bool:
+        """It is held, or was and is remembered."""
+        return name in self.held.by_id or name in self.held.ended
+
     def _leave_to_store(self, transaction: Transaction) -> None:
         """It was answered, and only waits for the store."""
         self.held.unmoved[transaction.id, transaction.ended_at] = transaction
@@ -70,6 +76,7 @@
     def _end(self, transaction: Transaction, ending: Ending, at: int) -> None:
         transaction.ending = ending
         self.held.by_id.pop(transaction.id, None)
+        self.passed.pop(transaction.id, None)
         size = self.sizes.pop(transaction.id, 0)
         if transaction.keep and not transaction.moved:
             self.held.unmoved[transaction.id, transaction.ended_at] = transaction
@@ -114,6 +121,13 @@
             self.name, self.version = str(fields["name"]), int(str(fields["v"]))
         elif kind == "kept":
             self._moved(str(fields["id"]), int(str(fields["at"])))
+        elif kind == "passed":
+            names = (str(name) for name in fields["ids"])  # type: ignore[attr-defined]
+            self.passed.update({name: self.held.by_id[name] for name in names if name in self.held.by_id})
+        elif kind == "out":
+            self.out = int(str(fields["n"]))
+        elif kind == "back":
+            self.passed, self.out = {}, None
         elif kind == "past":
             self.held.ended.update(fields["ended"])  # type: ignore[call-overload]
             self.held.keys.update({key: tuple(row) for key, row in fields["keys"].items()})  # type: ignore[attr-defined]
--- a/honeyhitch/memory/journal.py
+++ b/honeyhitch/memory/journal.py
@@ -127,6 +127,24 @@
         self.waits[destination, member] = until
         self._note({"t": "wait", "dest": destination, "of": member, "until": until})
 
+    def pass_on(self, transactions: list[Transaction], out: int) -> None:
+        """The process beside this one goes on with these, from the moment of the record; so many calls are
+        out here. JournalFull, and they stay, if there is no room.
+        """
+        for at in range(0, len(transactions), PIECE):
+            part = {one.id: one for one in transactions[at : at + PIECE]}
+            self._write({"t": "passed", "ids": list(part)})
+            self.passed |= part
+        if out != self.out:
+            self.out = out
+            self._note({"t": "out", "n": out})
+
+    def take_back(self) -> None:
+        """Nobody is beside this process: what was passed on is its own."""
+        if self.passed or self.out is not None:
+            self.passed, self.out = {}, None
+            self._note({"t": "back"})
+
     def _born(self) -> dict[str, object]:
         return {"t": "born", "v": self.version, "name": self.name}
 
@@ -138,14 +156,22 @@
         """Hold what another journal holds as well, and what it remembers. Returned are those new here, and
         those that only wait for the store.
 
+        What was passed on counts as the other one has it; what that does not know comes back, and is new.
         One file with both takes the place of `path` at one stroke, and only then is `left` removed: after a
         kill in between, the one at `path` counts. JournalFull, with all as it was, if there is no room.
         """
         known = self.held
+        before = dict(known.by_id), dict(known.ended), dict(known.keys), dict(known.unmoved)
+        sums = self.passed, self.out, self.live, self.waiting, dict(self.sizes)
+        theirs = [name for name in self.passed if other.knows(name)]
+        for name in theirs:
+            del known.by_id[name]
+            self.live -= self.sizes.pop(name)
+        back = [one for name, one in self.passed.items() if name not in theirs]
+        self.passed, self.out = {}, None
         ids = known.by_id.keys() | known.ended.keys()
         new = [one for one in other.held.by_id.values() if one.id not in ids]
         late = [one for key, one in other.held.unmoved.items() if key not in known.unmoved]
-        before = dict(known.ended), dict(known.keys), dict(known.unmoved), self.live, self.waiting
         for transaction in new:
             self._hold(transaction)
         for transaction in late:
@@ -155,13 +181,12 @@
         known.keys = other.held.keys | known.keys
         spare = path.with_name(f"{path.name}.new")
         if not self._rewrite(self._all(), path, spare):
-            for transaction in new:
-                del known.by_id[transaction.id], self.sizes[transaction.id]
-            known.ended, known.keys, known.unmoved, self.live, self.waiting = before
+            known.by_id, known.ended, known.keys, known.unmoved = before
+            self.passed, self.out, self.live, self.waiting, self.sizes = sums
             raise JournalFull("no room for what another process left")
         self.path, self.spare = path, spare
         left.unlink(missing_ok=True)
-        return new, late
+        return new + back, late
 
     def _whole(self, transaction: Transaction) -> dict[str, object]:
         fields: dict[str, object] = {
@@ -233,6 +258,9 @@
         parts += [pack(self._whole(known), known.body) for known in self.held.by_id.values()]
         late = self.held.unmoved.values()
         parts += [pack(self._whole(known) | {"over": True}, known.body) for known in late]
+        names = list(self.passed)
+        parts += [pack({"t": "passed", "ids": names[at : at + PIECE]}) for at in range(0, len(names), PIECE)]
+        parts += [pack({"t": "out", "n": self.out})] if self.out is not None else []
         for (destination, member), until in self.waits.items():
             parts.append(pack({"t": "wait", "dest": destination, "of": member, "until": until}))
         return b"".join(parts)
--- a/tests/agent.py
+++ b/tests/agent.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import re
+from collections.abc import Callable
 from typing import Any
 
 
@@ -15,6 +16,7 @@
         self.members, self.notices, self.port, self.revision = members, dict[str, dict[str, Any]](), 0, 1
         self.watches: list[asyncio.StreamWriter] = []
         self.doubled: list[str] = []
+        self.told: Callable[[], None] = lambda: None  # called after each notice
 
     async def start(self) -> Agent:
         server = await asyncio.start_server(self._client, "127.0.0.1", 0)
@@ -45,6 +47,7 @@
                         if told["id"] in self.notices:
                             self.doubled.append(told["id"])
                         self.notices[told["id"]] = told
+                        self.told()
                     writer.write(b"HTTP/1.1 204 No Content\r\n\r\n")
                 elif b"stream=1" in head:
                     writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
