--- a/honeyhitch/memory/journal.py
+++ b/honeyhitch/memory/journal.py
@@ -20,7 +20,7 @@
 PIECE = 1000  # ids or keys in one record
 BLOCK = 512  # the disk counts files in whole blocks
 TAKE_SHARE, WRITE_SHARE, COMPACT_SHARE = 0.75, 0.95, 0.3  # of the disk: take, write at all, tidy up
-
+WORTH = 0.125  # of the file; for less it is not written anew, which costs milliseconds
 
 VERSION = 1  # of the records' form
 
@@ -47,6 +47,7 @@
     ) -> None:
         self.path, self.spare, self.disk = folder / file, folder / f"{file}.new", disk
         self.beside = 0  # bytes that another process uses of the same disk
+        self.rest = 0  # bytes of the last compaction's file beyond `live`
         super().__init__(disk // DISK_A_NAME, remember)
         self.clock, self.detailed = clock, detailed  # members, outcomes and times are there for later readers
         self.spare.unlink(missing_ok=True)  # a compaction that was cut short; the old file still holds all
@@ -223,13 +224,13 @@
         record = pack(fields, body)
         if len(record) > LARGEST:
             raise JournalFull("the record is too long")
-        if self.size > COMPACT_SHARE * self.disk and self.size > 2 * self.live:
-            self.compact()
+        if self.size > max(COMPACT_SHARE * self.disk, 2 * self.live):
+            self._tidy(0)
         # Old and new file lie side by side while one is compacted, so both must always fit.
-        more = self.beside + 2 * len(record) + 4 * BLOCK
-        if self.size + self.live + more > share * self.disk:
-            self.compact()
-            if self.size + self.live + more > share * self.disk:
+        least = self.live + self.beside + 2 * len(record) + 4 * BLOCK - share * self.disk
+        if self.size + least > 0:
+            self._tidy(self.size + least)
+            if self.size + least > 0:
                 raise JournalFull("the disk's share is used up")
         try:
             written = os.write(self.fd, record)
@@ -240,9 +241,18 @@
             raise JournalFull("a write was cut short")
         self.size += written
 
+    def _tidy(self, wanted: float) -> None:
+        """Compact if that makes so much room, in bytes, and enough to be worth it: a full journal would be
+        written anew for every message that it refuses otherwise.
+        """
+        gain = self.size - self.live - self.rest
+        if gain >= max(wanted, WORTH * self.size):
+            self.compact()
+
     def compact(self) -> None:
         """Write what is still of use to a new file and put it in the old one's place at one stroke."""
         data = self._all()
+        self.rest = len(data) - self.live
         if len(data) < self.size:
             self._rewrite(data, self.path, self.spare)
 
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -105,3 +105,30 @@
 @pytest.mark.parametrize("data", [b"", b"\x00" * 64, b"\xff" * 64, b"\x04\x00\x00\x00" + b"\x00" * 60])
 def test_what_is_no_record_is_not_read(data: bytes) -> None:
     assert not list(unpack(data))
+
+
+def test_a_full_journal_is_not_written_anew_for_each_message_that_it_refuses(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    journal, times = opened(tmp_path, 100_000), list[int]()
+    whole = Journal._all
+    monkeypatch.setattr(Journal, "_all", lambda self: times.append(self.size) or whole(self))
+
+    def refused(count: int, after: str) -> int:
+        found = 0
+        for number in range(count):
+            try:
+                journal.taken(transaction(f"{after}{number}"))
+            except JournalFull:
+                found += 1
+        return found
+
+    assert refused(500, "a") > 300
+    assert len(times) <= 3
+    held = list(journal.held.by_id.values())
+    journal.end(held.pop(), Ending.REJECTED)
+    refused(500, "b")
+    assert len(times) <= 4, "nor for the little that one end gives back"
+    for one in held[: len(held) // 2]:
+        journal.end(one, Ending.REJECTED)
+    assert refused(len(held) // 4, "c") == 0, "what has ended makes room again"
