Leave an upgrade's new process the room on the disk that it needs

Both hold the same messages then, and each counted room for a compaction by both.

One that passes on now compacts once, before, and not again; its successor counts its file alone. The disk's account is refreshed at each look, too, as a process that hands over has no rounds. The test fails without the change.

--- a/honeyhitch/lifecycle/beside.py
+++ b/honeyhitch/lifecycle/beside.py
@@ -52,7 +52,9 @@
             self._now(False)
         elif not self.folder.lock(self.folder.other):
             self._now(True)
-            self._take_up()
+            self._read()
+            if self.resumed and self.dispatcher.sending:
+                self._take_up()
         else:
             self._inherit()
 
@@ -69,9 +71,6 @@
 
         One that passes on takes up nothing more: what was passed on to it and it does not know comes back.
         """
-        if not self.resumed or not self.dispatcher.sending:
-            return
-        self.follower.read()
         if self.follower.out != self.out:
             self.out = self.follower.out
             self.changed(True, self.out)
@@ -126,9 +125,12 @@
 
     def news(self) -> list[api.Event]:
         """The waits that the other process was told, all that last: a member may be listed here only now."""
+        self._read()
+        return self._waits()
+
+    def _read(self) -> None:
         self.follower.read()
         self.journal.beside = self.follower.room()
-        return self._waits()
 
     def _waits(self) -> list[api.Event]:
         now = self.journal.clock()
--- a/honeyhitch/memory/follower.py
+++ b/honeyhitch/memory/follower.py
@@ -41,8 +41,8 @@
         return True
 
     def room(self) -> int:
-        """Bytes of the disk that its writer uses, with those of a compaction."""
-        return self.at + self.live if self.fd >= 0 else 0
+        """Bytes of the disk that its writer uses, also to compact it, which one that passes on does not."""
+        return 0 if self.fd < 0 else self.at + self.live if self.out is None else self.at
 
     def close(self) -> None:
         """Let go of the file."""
--- a/honeyhitch/memory/journal.py
+++ b/honeyhitch/memory/journal.py
@@ -131,7 +131,12 @@
     def pass_on(self, transactions: list[Transaction], out: int) -> None:
         """The process beside this one goes on with these, from the moment of the record; so many calls are
         out here. JournalFull, and they stay, if there is no room.
+
+        The file is compacted once, before; from then on it only grows, so that the other one need not leave
+        room for a compaction here.
         """
+        if self.out is None:
+            self.compact()
         for at in range(0, len(transactions), PIECE):
             part = {one.id: one for one in transactions[at : at + PIECE]}
             self._write({"t": "passed", "ids": list(part)})
@@ -246,7 +251,7 @@
         written anew for every message that it refuses otherwise.
         """
         gain = self.size - self.live - self.rest
-        if gain >= max(wanted, WORTH * self.size):
+        if self.out is None and gain >= max(wanted, WORTH * self.size):
             self.compact()
 
     def compact(self) -> None:
--- a/tests/test_beside.py
+++ b/tests/test_beside.py
@@ -7,6 +7,7 @@
 import os
 import socket
 from pathlib import Path
+from typing import Any
 
 import pytest
 from hypothesis import strategies as st
@@ -51,9 +52,9 @@
 class Process(Stand):
     """A stand-in process of an upgrade; `kill` ends it as the kernel would, with the file as it is."""
 
-    def __init__(self, folder: Path, time: VirtualTime) -> None:
+    def __init__(self, folder: Path, time: VirtualTime, **more: Any) -> None:
         self.folder = StateFolder(folder)
-        super().__init__(folder, time)
+        super().__init__(folder, time, **more)
 
     def make_journal(self, folder: Path, disk: int) -> Journal:
         file = self.folder.journal(self.folder.place).name
@@ -183,6 +184,25 @@
     assert [part.id for call in again.run(1) for part in call.parts] == ["a"]
 
 
+def test_one_that_passes_on_leaves_its_successor_the_room_that_it_needs(tmp_path: Path) -> None:
+    """Both hold the same messages for a while: half as many as fit alone must fit in both."""
+    time, disk, count = VirtualTime(), 200_000, 0
+    old = Process(tmp_path, time, disk=disk, max_open=1000)
+    while old.hand_in(f"m{count}"):
+        if count % 4:  # most of the file is of what has ended
+            old.core.conclude(old.core.held.by_id[f"m{count}"], Ending.REJECTED)
+        count += 1
+    for name in sorted(old.held())[::2]:
+        old.core.conclude(old.core.held.by_id[name], Ending.REJECTED)
+    new, owed = Process(tmp_path, time, disk=disk, max_open=1000), old.held()
+    new.run(0.1)  # a round, in which it sees how full the disk is
+    old.core.hand_over()
+    new.beside.look()
+    assert new.held() == owed and not old.held()
+    assert new.hand_in("one more")
+    assert sum(file.stat().st_size for file in tmp_path.iterdir()) < disk
+
+
 def test_without_room_for_the_record_a_message_stays_where_it_is(tmp_path: Path) -> None:
     time = VirtualTime()
     old, new = Process(tmp_path, time), Process(tmp_path, time)
