Count a message that fails at the door as an error of its class

Fields, which both fronts share, tells the class where the message names one. The test fails without.

--- a/honeyhitch/figures.py
+++ b/honeyhitch/figures.py
@@ -36,6 +36,10 @@
         """It was not taken on."""
         self.classes[transaction.cls].shed += 1
 
+    def unusable(self, cls: int) -> None:
+        """It failed at the door, for a field that cannot be used."""
+        self.classes[cls].errors += 1
+
     def ended(self, transaction: Transaction, ending: Ending) -> None:
         """It was decided how it ends; one that nobody waits for any more counts under nothing."""
         if ending in COUNTED:
--- a/honeyhitch/lifecycle/serve.py
+++ b/honeyhitch/lifecycle/serve.py
@@ -213,7 +213,7 @@
         else:
             self._resume()
         if listen:
-            fields = resp.Fields(config.settings, dispatcher.pool.serves)
+            fields = resp.Fields(config.settings, dispatcher.pool.serves, dispatcher.figures.unusable)
             self._listen(
                 "listen",
                 config.listen,
--- a/honeyhitch/wire/drivers/broker.py
+++ b/honeyhitch/wire/drivers/broker.py
@@ -127,7 +127,7 @@
         way: Way | None = None,
     ) -> None:
         self.dispatcher, self.scheduler = dispatcher, scheduler
-        self.fields = Fields(dispatcher.s, dispatcher.pool.serves)
+        self.fields = Fields(dispatcher.s, dispatcher.pool.serves, dispatcher.figures.unusable)
         self.intake = Session(f"{setup.client_id}-intake", setup.session_expiry, setup.keep_alive, anew=False)
         self.intake.subscriptions, self.intake.on_publish = [setup.intake], self._taken
         self.replies = Session(f"{setup.client_id}-answers", setup.session_expiry, setup.keep_alive)
--- a/honeyhitch/wire/resp.py
+++ b/honeyhitch/wire/resp.py
@@ -108,12 +108,26 @@
 class Fields:
     """Builds transactions from names and values as the settings name them, for every front."""
 
-    def __init__(self, settings: api.Settings, served: Callable[[int], bool]) -> None:
+    def __init__(
+        self,
+        settings: api.Settings,
+        served: Callable[[int], bool],
+        unusable: Callable[[int], None] = lambda cls: None,
+    ) -> None:
+        self.unusable = unusable  # told the class of each message that failed for a field
         self.classes = tuple(cls.name for cls in settings.classes)
         self.tenants, self.settings, self.served = settings.tenant_names, settings, served
 
     def transaction(self, name: bytes, fields: dict[str, str], body: bytes, now: int) -> Transaction:
         """One transaction, or FieldError naming the field at fault. Unknown names are skipped."""
+        try:
+            return self._transaction(name, fields, body, now)
+        except FieldError:
+            if (cls := fields.get("c")) in self.classes:
+                self.unusable(self.classes.index(cls))
+            raise
+
+    def _transaction(self, name: bytes, fields: dict[str, str], body: bytes, now: int) -> Transaction:
         if len(body) > MOST_BULK:
             raise FieldError(f"body: longer than {MOST_BULK} bytes")
         cls = _pick(self.classes, fields, "c")
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -15,6 +15,7 @@
 from honeyhitch.lifecycle.cli import main
 from honeyhitch.lifecycle.serve import BESIDE_SOCKETS, budget, run
 from honeyhitch.memory.transactions import Ending
+from honeyhitch.wire import resp
 
 from .program import Peer, free_port, play, started, write
 from .rig import Stand, row
@@ -48,6 +49,15 @@
     assert told["active"] == 0
 
 
+def test_a_message_that_fails_at_the_door_is_an_error_of_its_class(tmp_path: Path) -> None:
+    stand = Stand(tmp_path)
+    fields = resp.Fields(stand.s, stand.core.pool.serves, stand.core.figures.unusable)
+    for told in ({"c": "standard", "d": "8000"}, {"c": "standard", "d": "9" * 9, "dest": "1", "k": "k"}, {}):
+        with pytest.raises(resp.FieldError):
+            fields.transaction(b"id", told, b"", 0)
+    assert stand.core.told()["responses"]["standard"]["errors"] == 2, "the last one names no class"
+
+
 def test_a_process_counts_from_nothing_and_what_it_took_up_is_active(tmp_path: Path) -> None:
     stand = Stand(tmp_path)
     for name in "abc":
