Let a start wait for a take-over instead of refusing it as a third process

Open since the places came: who takes over what a dead process left holds both places for some milliseconds, and a start that met that moment ended with 'state: two processes hold ... already'. Now a place is taken, and a take-over made, under one more lock (folder.py, alone). Rejected: trying again (how often is a guess). The test starts one within a take-over; without the change it is refused.

--- a/honeyhitch/lifecycle/beside.py
+++ b/honeyhitch/lifecycle/beside.py
@@ -50,13 +50,16 @@
         """See whether another process holds the other place; if one left something there, take it over."""
         if self.folder.place == FIRST and not self.folder.journal(SECOND).exists():
             self._now(False)
-        elif not self.folder.lock(self.folder.other):
+            return
+        with self.folder.alone():
+            gone = self.folder.lock(self.folder.other)
+            if gone:
+                self._inherit()
+        if not gone:
             self._now(True)
             self._read()
             if self.resumed and self.dispatcher.sending:
                 self._take_up()
-        else:
-            self._inherit()
 
     def _now(self, there: bool) -> None:
         if there != self.there:
--- a/honeyhitch/memory/folder.py
+++ b/honeyhitch/memory/folder.py
@@ -8,6 +8,8 @@
 
 import fcntl
 import os
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 
 FIRST, SECOND = 1, 2
@@ -24,12 +26,25 @@
     def __init__(self, path: Path) -> None:
         path.mkdir(parents=True, exist_ok=True)
         self.path, self.locks = path, dict[int, int]()
-        for place in NAMES:
-            if self.lock(place):
-                self.place = place
-                return
+        with self.alone():
+            for place in NAMES:
+                if self.lock(place):
+                    self.place = place
+                    return
         raise FolderHeld(f"two processes hold {path} already")
 
+    @contextmanager
+    def alone(self) -> Iterator[None]:
+        """Meanwhile nobody else takes a place or goes from one to the other: who takes over holds both for
+        some milliseconds, and a start must not take that for two processes.
+        """
+        fd = os.open(self.path / "places", os.O_RDWR | os.O_CREAT, 0o600)
+        try:
+            fcntl.flock(fd, fcntl.LOCK_EX)
+            yield
+        finally:
+            os.close(fd)
+
     def lock(self, place: int) -> bool:
         """Take this place too, unless a living process has it."""
         if place in self.locks:
--- a/tests/test_beside.py
+++ b/tests/test_beside.py
@@ -6,6 +6,7 @@
 import json
 import os
 import socket
+import threading
 from pathlib import Path
 from typing import Any
 
@@ -49,6 +50,27 @@
     assert second.lock(FIRST)
 
 
+def test_a_start_during_a_take_over_waits_for_it_and_is_no_third(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    time, came = VirtualTime(), list[StateFolder]()
+    old, new = Process(tmp_path, time), Process(tmp_path, time)
+    start = threading.Thread(target=lambda: came.append(StateFolder(tmp_path)))
+    whole = Journal.take_over
+
+    def slowly(*told: Any) -> Any:
+        start.start()
+        start.join(0.05)
+        assert not came, "it waits"
+        return whole(*told)
+
+    monkeypatch.setattr(Journal, "take_over", slowly)
+    old.kill()
+    new.beside.look()
+    start.join(10)
+    assert came[0].place == SECOND and new.folder.place == FIRST
+
+
 class Process(Stand):
     """A stand-in process of an upgrade; `kill` ends it as the kernel would, with the file as it is."""
 
