Share the descriptors out when a second process of the dispatcher comes

Open, by reckoning: each process of an upgrade kept idle connections and fixed descriptors by the whole limit, and places already taken stayed taken: up to 1.25 times the limit beyond the fixed ones. The clients' server has a name of its own now, where it was servers[:1] in three places.

--- a/honeyhitch/lifecycle/serve.py
+++ b/honeyhitch/lifecycle/serve.py
@@ -49,17 +49,18 @@
 AT_START_ONLY = ("name", "listen", "management", "state", "seed", "limits", "known", "settings", "operator")
 
 
-def budget(config: Config) -> tuple[int, int]:
+def budget(config: Config, processes: int = 1) -> tuple[int, int]:
     """How many clients and how many idle connections to members there may be; with the calls out and what
     is always open they stay under the limit of descriptors. Connections in a TLS handshake count as idle
-    ones.
+    ones. While an upgrade lasts two processes have one limit.
     """
     beside = config.operator
     listeners = (beside.agent_check, beside.health, config.management)
     others = BESIDE_SOCKETS * sum(address is not None for address in listeners)
     others += CONTROL_FILES if beside.control is not None else 0
     others += STORE_FILES if beside.undelivered is not None else 0
-    left = config.limits.sockets - FIXED_SOCKETS - config.settings.slots - others
+    left = config.limits.sockets - config.settings.slots - processes * (FIXED_SOCKETS + others)
+    left //= processes
     most_idle = max(1, left // 4)
     return max(1, left - most_idle), most_idle
 
@@ -92,6 +93,7 @@
         secure = config.operator.tls is not None  # then both carriers keep idle connections
         most_plain = max(1, most_idle // 2) if secure else most_idle
         carrier = HttpCarrier(self.dispatcher, self.scheduler, self.tasks, most_plain)
+        self.idling = [carrier]  # those that keep idle connections to members, in even parts
         self.discovery = Discovery(
             str(config.discovery), self.dispatcher, self.tasks, Random(config.seed ^ 0xD15C)
         )
@@ -106,6 +108,7 @@
         if config.operator.mqtt is not None:
             self._mqtt(config.operator.mqtt, way)
         self.servers: list[VirtualServer] = []
+        self.clients: VirtualServer | None = None  # the one of them for clients
         self.verbs = Verbs()
         self.control: ControlServer | None = None
         self.verbs.add("GET", "/state", self._state)
@@ -136,8 +139,11 @@
         """
         slots = self.config.settings.slots
         self.dispatcher.brain.share(max(1, slots // (1 + shared) if out is None else slots - out))
-        for server in self.servers[:1]:
-            server.most = max(1, self.most_clients // (1 + shared))
+        self.most_clients, most_idle = budget(self.config, 1 + shared)
+        for carrier in self.idling:
+            carrier.limit(max(1, most_idle // len(self.idling)))
+        if self.clients is not None:
+            self.clients.limit(self.most_clients)
 
     def _undelivered(self, setup: Undelivered) -> None:
         from honeyhitch.undelivered.keeping import Keeping  # needs the extra honeyhitch[undelivered]
@@ -170,6 +176,7 @@
         partners = Partners(every, self.config.settings, os.environ, self.scheduler.now, rng)
         carrier = TlsCarrier(dispatcher, self.scheduler, self.tasks, most, partners)
         dispatcher.carriers[GATED] = dispatcher.openers[GATED] = carrier
+        self.idling.append(carrier)
 
         def carrier_of(member: PoolMember) -> str:
             kind = self.config.settings.kind(member.kind).name
@@ -214,7 +221,7 @@
             self._resume()
         if listen:
             fields = resp.Fields(config.settings, dispatcher.pool.serves, dispatcher.figures.unusable)
-            self._listen(
+            self.clients = self._listen(
                 "listen",
                 config.listen,
                 lambda: resp.Session(
@@ -223,11 +230,11 @@
                     lambda: dispatcher.state().phase is Phase.READY,
                     self.scheduler.now,
                 ),
-                max(1, self.most_clients // (1 + self.beside.there)),
+                self.most_clients,
                 shared=True,
             )
             if self.beside.there:
-                log.info("listen.beside", steered=sockets.steer(self.servers[0].listener))
+                log.info("listen.beside", steered=sockets.steer(self.clients.listener))
         beside, state = config.operator, dispatcher.state
         calls: tuple[tuple[str, Address | None, Callable[[], ServerSession]], ...] = (
             ("beside.agent-check", beside.agent_check, lambda: AgentSession(state)),
@@ -306,7 +313,7 @@
         most: int,
         once: bool = False,
         shared: bool = False,
-    ) -> None:
+    ) -> VirtualServer:
         try:
             server = VirtualServer((address.host, address.port), session, most, self.tasks, once, shared)
         except OSError as error:
@@ -314,6 +321,7 @@
         self.servers.append(server)
         self.tasks.keep(server.accept)
         self.tasks.keep(server.sweep)
+        return server
 
     async def leave(self) -> None:
         """Let what is held finish for a bounded time; the journal keeps the rest.
@@ -343,7 +351,7 @@
 
     def servers_settled(self) -> bool:
         """No client of this process has a request on its way."""
-        return all(server.settled for server in self.servers[:1])
+        return self.clients is None or self.clients.settled
 
     async def tell_left_out(self) -> None:
         """Say from time to time which repeated events were left out of the log."""
--- a/honeyhitch/wire/drivers/members.py
+++ b/honeyhitch/wire/drivers/members.py
@@ -190,9 +190,20 @@
     def _keep(self, member: PoolMember, connection: Connection) -> None:
         connection.idle_since = self.scheduler.now()
         self.idle.setdefault(member.id, []).append(connection)
-        kept = [(one.idle_since, name) for name, ones in self.idle.items() for one in ones[:1]]
-        if sum(map(len, self.idle.values())) > self.most_idle:  # those idle for longest make room
-            self.idle[min(kept)[1]].pop(0).channel.close()
+        self._shed()
+
+    def limit(self, most: int) -> None:
+        """So many connections may be idle from now on."""
+        self.most_idle = most
+        self._shed()
+
+    def _shed(self) -> None:
+        while sum(map(len, self.idle.values())) > self.most_idle:  # those idle for longest make room
+            self._drop_oldest()
+
+    def _drop_oldest(self) -> None:
+        _, name = min((ones[0].idle_since, name) for name, ones in self.idle.items() if ones)
+        self.idle[name].pop(0).channel.close()
 
     def _close(self, member: PoolMember, progress: Progress) -> None:
         if progress.connection is not None:
--- a/honeyhitch/wire/drivers/tls_members.py
+++ b/honeyhitch/wire/drivers/tls_members.py
@@ -165,8 +165,7 @@
             self.loop.call_later(SOON, self._watch)
         self.unwatched[connection] = name
         self._stirred(name, connection)  # what came with the handshake or behind the answer
-        if sum(map(len, self.idle.values())) > self.most_idle:
-            self._drop_oldest()
+        self._shed()
 
     def _watch(self) -> None:
         """Those that the next call has not taken at once, as it does under load, are watched from now on."""
--- a/honeyhitch/wire/drivers/virtual_server.py
+++ b/honeyhitch/wire/drivers/virtual_server.py
@@ -125,6 +125,12 @@
                 return True
         return False
 
+    def limit(self, most: int) -> None:
+        """So many places there are from now on; those too many are taken from who does not use them."""
+        self.most = most
+        while len(self.clients) > most and self._make_room():
+            pass
+
     async def sweep(self) -> None:
         """Close what is out of time: its place is needed, and whoever is behind it waits for a word."""
         while True:
