Give up at once what cannot outlive a told wait

At fault: Brain._hopeless looked at shut doors of gated destinations alone. One rule now serves a shut door, a told wait and the last round of a process that leaves: _bar gives up what cannot outlive a time without sends.

The test fails without.

--- a/honeyhitch/brain.py
+++ b/honeyhitch/brain.py
@@ -226,7 +226,7 @@
         self.endpoints: dict[str, Endpoint] = {}
         self.lane: Lane | None = None  # of the endpoint named last; all share it where limits are shared
         self.waiting: dict[Message, None] = {}  # on the ladder
-        self.used, self.wake_at, self.per_call, self.gated = 0, 0, 1, False
+        self.used, self.wake_at, self.per_call, self.opens = 0, 0, 1, 0  # `opens` as of the last look
 
 
 class Brain:
@@ -245,7 +245,8 @@
         self.actions: list[api.Action] = []
         self.on: dict[type, Callable[..., object]] = {api.NewMessage: self._taken, api.ListNews: self._news}
         self.on |= {api.AttemptEnded: self._outcome, api.Withdrawn: self._drop, api.TimerFired: self._rang}
-        self.on |= {api.Room: self._room, api.Leaving: self._leave, api.Told: self._told}
+        self.on |= {api.Room: self._room, api.Told: self._told}
+        self.on[api.Leaving] = lambda event: self._bar(self.now + event.gap)
         if settings.must_ask:
             self._wake(0, self._act, api.Subscribe())
 
@@ -271,10 +272,6 @@
     def share(self, slots: int) -> None:  # so many are this process's from now on
         self.s = replace(self.s, slots=slots)
 
-    def avoided(self, now: int) -> int:  # listed endpoints that nothing goes to at present
-        listed = (e for dest in self.dests.values() for e in dest.endpoints.values() if e.listed)
-        return sum(e.lane.out or max(e.lane.wait_until, e.shut) > now for e in listed)
-
     def _rang(self, _: object) -> None:  # also a timer that rang a moment early: it is set again
         self.timer_at = NEVER
 
@@ -303,7 +300,6 @@
                     dest.lane = Lane(self.s, self.rng, tight)
                 dest.endpoints[entry.endpoint] = Endpoint(entry, dest.lane)
             endpoint, dest.per_call = dest.endpoints[entry.endpoint], kind.per_call
-            dest.gated = dest.gated or entry.gated
             endpoint.listed, endpoint.lane.scale = entry.status is api.Status.READY, entry.scale
             self.hot[dest] = None
             if entry.status is api.Status.GONE:  # forgotten; its calls out still know it
@@ -323,24 +319,27 @@
             for tally in (endpoint.lane.tight, endpoint.lane.tally, *classes):
                 tally.note(self.now, True)
             endpoint.lane.failed(self.now, Call(endpoint, self.now - event.took), False, 0)
-        for message in list(self.messages.values()) if event.shut else ():
-            if message.dest is dest and message.queued and self._hopeless(message):
-                self._finish(message)
 
-    def _hopeless(self, message: Message) -> bool:  # no connection is tried for as long as it lives
-        listed = [e for e in message.dest.endpoints.values() if e.listed] if message.dest.gated else []
-        shut = min((0 if e.room else e.shut for e in listed), default=0)
-        return shut > self.now and shut >= message.until() - self._reach(message)
+    def _opens(self, dest: Destination) -> int:  # told waits and shut doors: nothing goes there before then
+        listed = (e for e in dest.endpoints.values() if e.listed)
+        return min((max(e.lane.wait_until, 0 if e.room else e.shut) for e in listed), default=0)
+
+    def _bar(self, until: int, dest: Destination | None = None) -> None:
+        """What cannot outlive a time without sends, there or anywhere, is given up at once."""
+        for message in list(self.messages.values()):
+            waits = dest in (None, message.dest) and message.call is None and not message.ended
+            if waits and until >= self._last(message):
+                self._finish(message)
 
     def _taken(self, event: api.NewMessage) -> None:
         dest = self.dests.setdefault(event.destination, Destination())
         message = Message(event, self.s.classes[event.cls], dest, self.now)
         message.worth *= self._share(event.tenant) if self.s.tenant_rates and not event.behind else 1.0
         self.messages[message.id] = message
-        self._wake(message.deadline - self._reach(message), self._expire, message)
         if (message.attempts or message.ran) and not message.may_try(self.now, self.most):
             self._finish(message)  # a restart came between: its tries, its window or its time are used up
         elif message.key is not None:
+            self._wake(self._last(message), self._expire, message)
             self.lines.setdefault(message.key, (deque(), [0]))[0].append(message)
             self._advance(message.key)
         else:
@@ -365,10 +364,9 @@
 
     def _queue(self, message: Message) -> None:
         message.dest.waiting.pop(message, None)
-        if self._hopeless(message):
+        if self._opens(message.dest) >= self._last(message):
             return self._finish(message)
-        if message.ran:  # a keyed message's window may close while it queues
-            self._wake(message.until() - self._reach(message), self._expire, message)
+        self._wake(self._last(message), self._expire, message)
         queue = message.dest.queues.setdefault((message.number, message.zone(), message.behind), ([], []))
         self.seq += 1
         heappush(queue[0], (message.aim, self.seq, message))
@@ -378,12 +376,13 @@
         if message in message.dest.waiting:
             self._queue(message)
 
-    def _reach(self, message: Message) -> int:  # with less time left no try could hope for an answer
-        return self.margin + (int(REACH * message.dest.lane.latency) if message.dest.lane else 0)
+    def _last(self, message: Message) -> int:  # no try from then on could hope for an answer
+        reach = int(REACH * message.dest.lane.latency) if message.dest.lane else 0
+        return message.until() - self.margin - reach
 
     def _expire(self, message: Message) -> None:
         if not message.ended and message.call is None:
-            last = message.until() - self._reach(message)
+            last = self._last(message)
             self._finish(message) if self.now >= last else self._wake(last, self._expire, message)
 
     def _finish(self, message: Message) -> None:  # at once: a refusal where that is true
@@ -401,16 +400,12 @@
             if message.key is not None:
                 self._advance(message.key)
 
-    def _leave(self, event: api.Leaving) -> None:  # what cannot outlive the absence is given up at once
-        for message in list(self.messages.values()):
-            if message.call is None and self.now + event.gap >= message.until() - self._reach(message):
-                self._finish(message)
-
     def _told(self, event: api.Told) -> None:
         dest = self.dests.get(event.destination, Destination())
         told = dest.endpoints.get(event.endpoint)  # one that has gone told it for all that are left
         for endpoint in [told] if told else dest.endpoints.values():
             endpoint.lane.wait_until = max(endpoint.lane.wait_until, event.until)
+        self.hot[dest] = None
 
     def _drop(self, event: api.Withdrawn) -> None:
         message = self.messages.get(event.message)
@@ -508,6 +503,9 @@
             heappush(offers, min(found))
             return
         del self.hot[dest]  # looked at again on news of it or when it may be ready, not at every event
+        if self.now < (opens := self._opens(dest)) != dest.opens:
+            dest.opens = opens
+            self._bar(opens, dest)
         if wake < NEVER and not self.now < dest.wake_at <= wake:
             dest.wake_at = wake
             self._wake(wake, self.hot.setdefault, dest)
--- a/honeyhitch/core.py
+++ b/honeyhitch/core.py
@@ -18,6 +18,7 @@
 from honeyhitch.memory.journal import Journal, JournalFull
 from honeyhitch.memory.pool import Pool, PoolMember
 from honeyhitch.memory.transactions import RESEND, Ending, Transaction, Try
+from honeyhitch.standing import avoided
 
 log = logs.get()
 MS = 1_000_000  # ns
@@ -333,7 +334,7 @@
             "tries": sum(one.tries for one in self.figures.classes),
             "active": len(self.held) - len(self.journal.passed),
             "pool_size": len(self.pool.members),
-            "pool_ejected": self.brain.avoided(self.scheduler.now()),
+            "pool_ejected": avoided(self.brain, self.scheduler.now()),
         }
 
     def news(self, news: api.ListNews) -> None:
--- a/honeyhitch/standing.py
+++ b/honeyhitch/standing.py
@@ -22,3 +22,9 @@
         last_send=max((lane.last_send for lane in lanes), default=0),
         used=brain.used,
     )
+
+
+def avoided(brain: Brain, now: int) -> int:
+    """Listed endpoints that nothing goes to at present. `now` in nanoseconds."""
+    listed = (e for dest in brain.dests.values() for e in dest.endpoints.values() if e.listed)
+    return sum(e.lane.out or max(e.lane.wait_until, e.shut) > now for e in listed)
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -87,6 +87,27 @@
     assert world.sends("n") and len(world.sends("m")) == 2
 
 
+@pytest.mark.parametrize("other", [False, True])
+def test_what_cannot_outlive_a_told_wait_is_given_up_at_once(other: bool) -> None:
+    """Before and after it was told, by this process or by the other one of an upgrade."""
+    world = World(settings(slots=1), ONE)
+    world.batch([world.hand_in("out"), world.hand_in("queued", time_left=4 * SECOND)])
+    world.batch([world.hand_in("long")], at=20 * MS)
+    if other:
+        world.batch([api.Told(0, "a", 9 * SECOND)], at=40 * MS)
+        world.waits[world.bound("a")] = 9 * SECOND
+        world.batch([world.end("out", Outcome.ERROR)], at=50 * MS)
+    else:
+        world.batch([world.end("out", Outcome.REFUSED, wait=9 * SECOND)], at=50 * MS)
+    world.batch([world.hand_in("late", time_left=5 * SECOND)], at=60 * MS)
+    refused = {
+        action.message: (at, action.come_back) for at, action in world.log if isinstance(action, api.Refuse)
+    }
+    assert refused == {"queued": (50 * MS, 3 * SECOND), "late": (60 * MS, 3 * SECOND)}
+    world.run(10 * SECOND)
+    assert world.sends("long") or world.messages["out"].attempts[1:], "what can outlive it waits, and goes"
+
+
 def test_told_wait_binds_one_route_where_routes_are_apart() -> None:
     world = World(settings(kinds=(api.Kind(own_limits=True),)), TWO)
     world.batch([world.hand_in("m")])
