Let what has ended go from the queue of late messages

At fault: brain.head takes ended messages off the top alone, and the freshest late one on top of a destination that stays overloaded is always alive. At each doubling of the heap those that have ended go now, so that it holds twice the living at most; a sorted list is a heap.

--- a/honeyhitch/brain.py
+++ b/honeyhitch/brain.py
@@ -215,6 +215,8 @@
         _, seq, message = heappop(in_time)
         if message.queued:
             heappush(late, (-message.deadline, seq, message))
+            if not len(late) & (len(late) - 1):  # at each doubling, what has ended beneath the top goes
+                late[:] = sorted(one for one in late if one[2].queued)
     while late and not late[0][2].queued:
         heappop(late)
     return in_time[0][2] if in_time else late[0][2] if late else None
@@ -306,9 +308,7 @@
                 del dest.endpoints[entry.endpoint]
 
     def _room(self, event: api.Room) -> None:
-        """Handshakes are no attempts: one that fails tells of the lane, and a shut endpoint of its
-        messages.
-        """
+        """Handshakes are no attempts: one that fails tells of the lane."""
         dest = self.dests.get(event.destination)
         endpoint = dest.endpoints.get(event.endpoint) if dest else None
         if dest is None or endpoint is None:
