--- a/tests/test_long_service.py
+++ b/tests/test_long_service.py
@@ -80,7 +80,7 @@
         stand.answers.clear()
         stand.closed.clear()
         if revision in (101, 201, 301, 401):
-            stand.journal.compact()  # between two, ended ids and keys pile up for as long as the file may grow
+            stand.journal.compact()  # ended ids and keys pile up between two of them
             weights.append(weight(stand.core))
     assert number == 100_000 and stand.core.told()["responses"]["standard"]["ok"] > 5_000
     (_, first), (_, last) = weights[0], weights[-1]
