--- a/honeyhitch/lifecycle/beside.py
+++ b/honeyhitch/lifecycle/beside.py
@@ -45,6 +45,7 @@
         self.look()
         if not self.there:
             self.journal.take_back()
+        self.journal.calls_out(None)  # one that had this place before may have passed on
 
     def look(self) -> None:
         """See whether another process holds the other place; if one left something there, take it over."""
--- a/honeyhitch/memory/account.py
+++ b/honeyhitch/memory/account.py
@@ -125,7 +125,7 @@
             names = (str(name) for name in fields["ids"])  # type: ignore[attr-defined]
             self.passed.update({name: self.held.by_id[name] for name in names if name in self.held.by_id})
         elif kind == "out":
-            self.out = int(str(fields["n"]))
+            self.out = None if fields["n"] is None else int(str(fields["n"]))
         elif kind == "back":
             self.passed, self.out = {}, None
         elif kind == "past":
--- a/honeyhitch/memory/journal.py
+++ b/honeyhitch/memory/journal.py
@@ -141,6 +141,10 @@
             part = {one.id: one for one in transactions[at : at + PIECE]}
             self._write({"t": "passed", "ids": list(part)})
             self.passed |= part
+        self.calls_out(out)
+
+    def calls_out(self, out: int | None) -> None:
+        """So many calls are out of a process that passes on; None as long as it does not."""
         if out != self.out:
             self.out = out
             self._note({"t": "out", "n": out})
--- a/tests/test_beside.py
+++ b/tests/test_beside.py
@@ -225,6 +225,19 @@
     assert sum(file.stat().st_size for file in tmp_path.iterdir()) < disk
 
 
+def test_a_start_in_the_place_of_one_that_passed_on_does_not_pass_on_itself(tmp_path: Path) -> None:
+    time = VirtualTime()
+    old, new = Process(tmp_path, time), Process(tmp_path, time)
+    old.hand_in("a")
+    old.core.hand_over()
+    new.beside.look()
+    old.kill()
+    again = Process(tmp_path, time)  # before the new one has looked
+    assert again.journal.out is None and again.folder.place == FIRST
+    new.beside.look()
+    assert new.shares[-1] is None and new.held() == {"a"} and not again.held()
+
+
 def test_without_room_for_the_record_a_message_stays_where_it_is(tmp_path: Path) -> None:
     time = VirtualTime()
     old, new = Process(tmp_path, time), Process(tmp_path, time)
