--- a/honeyhitch/memory/journal.py
+++ b/honeyhitch/memory/journal.py
@@ -173,7 +173,7 @@
         known = self.held
         before = dict(known.by_id), dict(known.ended), dict(known.keys), dict(known.unmoved)
         sums = self.passed, self.out, self.live, self.waiting, dict(self.sizes)
-        theirs = [name for name in self.passed if other.knows(name)]
+        theirs = {name for name in self.passed if other.knows(name)}
         for name in theirs:
             del known.by_id[name]
             self.live -= self.sizes.pop(name)
