--- a/benchmarks/upgrades.py
+++ b/benchmarks/upgrades.py
@@ -14,7 +14,6 @@
 import argparse
 import asyncio
 import json
-import os
 import signal
 import statistics
 import sys
@@ -27,22 +26,16 @@
 
 ROOT = Path(__file__).parent.parent
 sys.path.insert(0, str(ROOT))
+from benchmarks.start import cpu  # noqa: E402
 from honeyhitch.figures import Figures  # noqa: E402
 from honeyhitch.memory.transactions import Ending, Transaction  # noqa: E402
 from tests.test_upgrade import Rig, loaded  # noqa: E402
 
-TICK = os.sysconf("SC_CLK_TCK")
 STALLED = 16  # callers that never end their line
 EVERY = 0.01  # seconds between calls
 FLOODS, PINGS = 4, 2000  # connections that only keep the process busy, and what they write at once
 
 
-def cpu(pid: int) -> float:
-    """CPU seconds of a process so far, user and system."""
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / TICK
-
-
 async def upgrades(count: int) -> None:
     """So many in a row."""
     yes, gone = list[float](), list[float]()
--- a/honeyhitch/core.py
+++ b/honeyhitch/core.py
@@ -379,8 +379,8 @@
             self.journal.outcome(transaction, told)
         if result.wait:
             self.journal.wait(call.member.destination, call.member.id, self.scheduler.now() + result.wait)
-        over = over or transaction.id not in self.held.by_id or transaction.ending is not None
-        if over and transaction.id in self.held.by_id and transaction.ending is None:
+        owed = self._owes(transaction.id) is not None
+        if over and owed:
             if outcome is api.Outcome.DELIVERED:
                 self._conclude(transaction, Ending.DELIVERED, 0)
             else:
@@ -392,7 +392,7 @@
                 endpoint=call.member.id,
                 outcome=outcome,
                 took=self.scheduler.now() - call.sent,
-                settled=over,
+                settled=over or not owed,
                 wait=result.wait,
                 allowance=result.told.get("x0", 1.0),
                 limit=result.told.get("x1", 0.0),
--- a/honeyhitch/lifecycle/serve.py
+++ b/honeyhitch/lifecycle/serve.py
@@ -210,7 +210,6 @@
             log.warning("known.unusable", error=str(error))
         self.beside.begin()
         if self.beside.there:
-            self.beside.follower.read()
             if (other := self.beside.follower.name) != config.name:
                 raise ConfigError(f"name: the state folder is held by {other!r}, which runs")
             self._refuse_beside()
