--- a/honeyhitch/brain.py
+++ b/honeyhitch/brain.py
@@ -37,8 +37,6 @@
 REACH = 0.5  # x mean latency; with less time left a message is given up
 ASK_GAP, ASK_MOST, AVOID_STEPS = 500 * MS, 8 * SECOND, 4  # ns, asking again; steps an endpoint is ranked by
 RESTING = (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED)  # after these it may still run: a key rests
-MAY_HAVE_RUN = (Outcome.ERROR, *RESTING)
-NEVER_RAN = (Outcome.REFUSED, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
 
 
 class Tally:
@@ -424,12 +422,12 @@
             self.used, message.dest.used = self.used - 1, message.dest.used - 1
             call.endpoint.calls -= 1
             del lane.calls[call]
-        if event.outcome in NEVER_RAN:
+        if event.outcome.never_ran:
             message.ran.pop()
         if event.outcome in RESTING and message.key in self.lines:
             self.lines[message.key][1][0] = self.now + self.s.order_pause
         call.passed = call.passed or event.outcome is Outcome.DELIVERED
-        if call.size > 1 and not call.left and not call.passed and event.outcome in MAY_HAVE_RUN:
+        if call.size > 1 and not call.left and not call.passed and not event.outcome.never_ran:
             lane.most = call.size / 2  # each message may break the call and all that ride along
         hasty = event.outcome is Outcome.TIMEOUT and event.took < lane.overdue()  # cut to its own deadline
         if event.outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT) and not event.stale and not hasty:
--- a/honeyhitch/core.py
+++ b/honeyhitch/core.py
@@ -22,7 +22,6 @@
 
 log = logs.get()
 MS = 1_000_000  # ns
-NEVER_RAN = (api.Outcome.REFUSED, api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT)
 NEVER = 1 << 62  # ns
 BUSY = 500 * MS  # ns; told to clients that are turned away before the module
 
@@ -371,7 +370,7 @@
         transaction, number = call.parts[i], call.numbers[i]
         call.open[i] = False
         self.out.pop(transaction.id, None)
-        if outcome in NEVER_RAN:
+        if outcome.never_ran:
             self.journal.never_ran(transaction, number)
         if self.keeper is not None and outcome is not api.Outcome.DELIVERED:
             took, wait = self.scheduler.now() - call.sent, result.wait
--- a/honeyhitch/interface.py
+++ b/honeyhitch/interface.py
@@ -51,6 +51,11 @@
     CANCELLED = "cancelled"  # may have run
     NOT_SENT = "not-sent"  # never ran, counts as an attempt
 
+    @property
+    def never_ran(self) -> bool:
+        """It proves that the attempt did not run."""
+        return self in (Outcome.REFUSED, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
+
 
 class Status(Enum):
     """State of an endpoint in the list; it tells nothing of health."""
--- a/honeyhitch/undelivered/records.py
+++ b/honeyhitch/undelivered/records.py
@@ -7,11 +7,10 @@
 from enum import Enum
 from typing import Any
 
-from honeyhitch import core
 from honeyhitch import interface as api
 from honeyhitch.memory.transactions import Ending, Transaction, Try
 
-NEVER_RAN = frozenset(one.value for one in core.NEVER_RAN)
+NEVER_RAN = frozenset(one.value for one in api.Outcome if one.never_ran)
 NOT_TRIED, LOST = "not-tried", "lost"  # reasons that are no outcomes: nothing was sent, or nobody saw the end
 
 
--- a/honeyhitch/wire/calls.py
+++ b/honeyhitch/wire/calls.py
@@ -5,7 +5,7 @@
 import re
 
 from honeyhitch import interface as api
-from honeyhitch.core import NEVER_RAN, Result
+from honeyhitch.core import Result
 from honeyhitch.memory.transactions import Transaction
 from honeyhitch.wire import http1
 
@@ -73,7 +73,7 @@
         result.outcomes = [BATCH.get(told.get(part.id, ""), (api.Outcome.ERROR, False)) for part in parts]
     if answer.more:  # a spoilt length looks like this, too: what says that nothing ran proves nothing
         result.outcomes = [
-            (api.Outcome.RESET, False) if outcome in NEVER_RAN else (outcome, over)
+            (api.Outcome.RESET, False) if outcome.never_ran else (outcome, over)
             for outcome, over in result.outcomes
         ]
     result.wait = wait(answer.headers)
