Look once more right before a call's first byte: waits, drains, ends and stops heard meanwhile

Excluded: no wait was forgotten by the module, and no call was decided inside one.

At fault: HttpCarrier._exchange wrote what was decided, however long its connection took; Dispatcher.expired ended a part and left it in the call. The attempt was also recorded at its decision, so that a kill while connecting made an untried message one that may have run.

Now the core asks the module (Brain.goes) right before the first byte: what has a wait, a drained member, an outage or its own end before it leaves the call, unused: no attempt is counted and its connection is kept. So for members at another address and at a stop or take-over, where calls without a connection are called off. The attempt is recorded there; one that never began counts by the record that it never ran. MQTT asks when a publish leaves its queue. A call nobody waits for any more is given up.

--- a/honeyhitch/brain.py
+++ b/honeyhitch/brain.py
@@ -70,11 +70,10 @@
         began = self.deadline - cls.deadline if event.came_again else now  # little time left is no age
         self.aim = min(began + self.span, self.deadline)
         self.call: Call | None = None  # never two at once
-        self.ran: list[tuple[int, int]] = []  # when and in which zone it may have run, oldest first
+        # When and in which zone it may have run, oldest first.
+        self.ran: list[tuple[int, int]] = [] if event.ran_at is None else [(event.ran_at, event.ran_zone)]
         self.attempts = self.failures = event.attempts  # more than none after a restart of the process
         self.ended, self.queued, self.last = False, False, ""
-        if event.ran_at is not None:
-            self.ran.append((event.ran_at, event.ran_zone))
 
     def until(self) -> int:
         return min(self.deadline, self.ran[0][0] + self.cls.window if self.keyed and self.ran else NEVER)
@@ -161,13 +160,10 @@
         silent = now - sent > self.overdue() and self.ok_sent < sent
         if silent and not self.out:  # a hang: nothing sent since the oldest call was answered
             self.close(now)
-        risky = unsafe and self.tally.share(now) > self.risk
-        if self.out:
-            trial_out = self.calls and next(reversed(self.calls)).sent >= self.closed_at
-            at = NEVER if trial_out else max(self.wait_until, self.trial_at)
-        else:
-            at = max(self.wait_until, self.last_send + int(SECOND / self.pace(now)))
-        return max(at, now + LOOK) if risky else at  # unsafe messages are the last to serve as a trial
+        trial_out = self.out and self.calls and next(reversed(self.calls)).sent >= self.closed_at
+        paced = self.trial_at if self.out else self.last_send + int(SECOND / self.pace(now))
+        risky = unsafe and self.tally.share(now) > self.risk  # unsafe messages are the last to be a trial
+        return NEVER if trial_out else max(self.wait_until, paced, now + LOOK * risky)
 
     def close(self, now: int) -> None:  # out: single trials at growing, jittered gaps from now on
         self.down_at = self.down_at if self.out else now
@@ -269,6 +265,15 @@
             self.actions.append(api.SetTimer(self.timer_at))
         return self.actions
 
+    def goes(self, now: int, name: str) -> bool:
+        """The last look, at a call's first byte: what was told since it was decided counts (rules 1 to 5)."""
+        message = self.messages[name]
+        if (call := message.call) is None or message.ended or not call.endpoint.listed:
+            return False
+        lane = call.endpoint.lane
+        barred = lane.wait_until > now or (lane.out and lane.closed_at > call.sent)
+        return not barred and now < self._last(message)
+
     def share(self, slots: int) -> None:  # so many are this process's from now on
         self.s = replace(self.s, slots=slots)
 
@@ -307,9 +312,8 @@
 
     def _room(self, event: api.Room) -> None:
         """Handshakes are no attempts: one that fails tells of the lane."""
-        dest = self.dests.get(event.destination)
-        endpoint = dest.endpoints.get(event.endpoint) if dest else None
-        if dest is None or endpoint is None:
+        dest = self.dests.get(event.destination, Destination())
+        if (endpoint := dest.endpoints.get(event.endpoint)) is None:
             return
         endpoint.room, endpoint.shut, self.hot[dest] = event.calls, self.now + event.shut, None
         if event.failed:
@@ -318,15 +322,16 @@
                 tally.note(self.now, True)
             endpoint.lane.failed(self.now, Call(endpoint, self.now - event.took), False, 0)
 
-    def _opens(self, dest: Destination) -> int:  # told waits and shut doors: nothing goes there before then
-        listed = (e for e in dest.endpoints.values() if e.listed)
-        return min((max(e.lane.wait_until, 0 if e.room else e.shut) for e in listed), default=0)
+    def _opens(self, dest: Destination, guess: bool = False) -> int:  # nothing goes there before; or may not
+        ones = [(e, e.lane, guess or not e.room) for e in dest.endpoints.values() if e.listed]
+        return min(
+            (max(at.wait_until, guess * at.trial_at, bars * e.shut) for e, at, bars in ones), default=0
+        )
 
     def _bar(self, until: int, dest: Destination | None = None) -> None:
         """What cannot outlive a time without sends, there or anywhere, is given up at once."""
-        for message in list(self.messages.values()):
-            waits = dest in (None, message.dest) and message.call is None and not message.ended
-            if waits and until >= self._last(message):
+        for message in [m for m in self.messages.values() if m.call is None and dest in (None, m.dest)]:
+            if not message.ended and until >= self._last(message):
                 self._finish(message)
 
     def _taken(self, event: api.NewMessage) -> None:
@@ -384,9 +389,8 @@
             self._finish(message) if self.now >= last else self._wake(last, self._expire, message)
 
     def _finish(self, message: Message) -> None:  # at once: a refusal where that is true
-        listed = [e for e in message.dest.endpoints.values() if e.listed]
-        opens = min((max(e.lane.wait_until, e.lane.trial_at, e.shut) for e in listed), default=0)
-        wait = min(max(LADDER[0], opens - self.now), self.s.max_retry_after) if self.s.retry_after else 0
+        wait = max(LADDER[0], self._opens(message.dest, guess=True) - self.now)
+        wait = min(wait, self.s.max_retry_after) if self.s.retry_after else 0
         self.actions.append(api.Refuse(message.id, wait) if message.may_refuse() else api.Fail(message.id))
         self._end(message)
 
@@ -424,6 +428,7 @@
             del lane.calls[call]
         if event.outcome.never_ran:
             message.ran.pop()
+        message.attempts -= event.unused
         if event.outcome in RESTING and message.key in self.lines:
             self.lines[message.key][1][0] = self.now + self.s.order_pause
         call.passed = call.passed or event.outcome is Outcome.DELIVERED
@@ -464,6 +469,8 @@
 
     def _retry(self, message: Message, event: api.AttemptEnded, lane: Lane) -> None:
         """The ladder: a told wait is used, an untold refusal doubles the step, the time left cuts it."""
+        if event.unused:  # it is where it was before
+            return self._queue(message)
         rung, message.failures = min(message.failures, len(LADDER) - 1), message.failures + 1
         step = LADDER[rung] * (2 if event.outcome is Outcome.REFUSED and not event.crowded else 1)
         pause = int(step * self.rng.uniform(1 - JITTER, 1 + JITTER))
@@ -545,12 +552,9 @@
         endpoint.used_at = lane.last_send = self.now
         lane.calls[call] = None
         self._put(message, call)
+        most = 1 if lane.out else min(dest.per_call, lane.most)
         for queue in dest.queues.values():  # further messages ride along where a call takes several
-            while (
-                call.left < min(dest.per_call, lane.most)
-                and not lane.out
-                and (rider := head(queue, self.now)) is not None
-            ):
+            while call.left < most and (rider := head(queue, self.now)) is not None:
                 alike = rider.cls is message.cls and rider.behind is message.behind
                 if not alike or rider.zone() not in (None, endpoint.zone):
                     break
--- a/honeyhitch/core.py
+++ b/honeyhitch/core.py
@@ -79,11 +79,12 @@
     timeouts: list[int]  # for each part, from `sent`
     sent: int
     open: list[bool]  # parts that have no outcome yet
+    begun: bool = False  # its first byte may have gone
 
     @property
     def timeout(self) -> int:
         """How long the call may be out."""
-        return max(self.timeouts)
+        return max(self.timeouts, default=0)
 
 
 class Scheduler(Protocol):
@@ -100,7 +101,7 @@
     """Carries calls to pool members; each call started is reported once to `Dispatcher.ended`."""
 
     def start(self, call: Call) -> None:
-        """Make the call."""
+        """Make the call; `Dispatcher.begin` is asked right before its first byte."""
 
     def give_up(self, call: Call) -> None:
         """Stop waiting for it; that is reported as its end, too."""
@@ -349,6 +350,31 @@
         """The connections to a gated member changed."""
         self._add(room)
 
+    def begin(self, call: Call) -> bool:
+        """The last look, right before the first byte of a call: whether any of it goes.
+
+        What goes is written down, and what must not go any more leaves the call, with no attempt used up. A
+        connection takes time to come up, and meanwhile a wait may have been told, the member may drain or be
+        at another address, or the process may have been told to stop.
+        """
+        now, listed = self.scheduler.now(), self.pool.members.get(call.member.id)
+        there = listed is not None and listed.address == call.member.address
+        for i, transaction in enumerate(call.parts):
+            if call.open[i] and not (self.sending and there and self.brain.goes(now, transaction.id)):
+                self._unused(call, i)
+            elif call.open[i]:
+                try:
+                    self.journal.attempt(transaction, now, call.member.zone, call.member.id)
+                except JournalFull as error:  # what cannot be written down must not be sent
+                    log.warning("journal.full", what="attempt", error=str(error))
+                    self._outcome(call, i, api.Outcome.NOT_SENT, False, Result([]))
+        goes = [i for i, is_open in enumerate(call.open) if is_open]
+        call.parts = [call.parts[i] for i in goes]
+        call.numbers = [call.numbers[i] for i in goes]
+        call.timeouts = [call.timeouts[i] for i in goes]
+        call.open, call.begun = [True] * len(goes), True
+        return bool(goes)
+
     def written(self, call: Call) -> None:
         """The last byte of a call was handed to its connection."""
         self.figures.written(call.parts)
@@ -356,23 +382,36 @@
     def ended(self, call: Call, result: Result) -> None:
         """A call ended; its slot is free."""
         for i, (outcome, over) in enumerate(result.outcomes):
-            if call.open[i]:
+            if call.open[i] and not call.begun and not self.sending:
+                self._unused(call, i)  # it was called off, as the process is about to end
+            elif call.open[i]:
                 self._outcome(call, i, outcome, over, result)
         if not self.sending:
             self.carriers[call.member.carrier].close_idle(call.member)
 
-    def expired(self, call: Call, i: int) -> None:
-        """One part of a call that is still out is out of time."""
-        if call.open[i]:
-            self._outcome(call, i, api.Outcome.TIMEOUT, False, Result([]))
-
-    def _outcome(self, call: Call, i: int, outcome: api.Outcome, over: bool, result: Result) -> None:
+    def expired(self, call: Call, transaction: Transaction) -> None:
+        """One part of a call that is still out is out of time; one that has not begun is left out of it."""
+        for i, part in enumerate(call.parts):
+            if part is transaction and call.open[i]:
+                if call.begun:
+                    self._outcome(call, i, api.Outcome.TIMEOUT, False, Result([]))
+                else:
+                    self._unused(call, i)
+                if not any(call.open):  # nobody waits for its answer any more
+                    self.carriers[call.member.carrier].give_up(call)
+
+    def _unused(self, call: Call, i: int) -> None:
+        self._outcome(call, i, api.Outcome.NOT_SENT, False, Result([]), unused=True)
+
+    def _outcome(
+        self, call: Call, i: int, outcome: api.Outcome, over: bool, result: Result, unused: bool = False
+    ) -> None:
         transaction, number = call.parts[i], call.numbers[i]
         call.open[i] = False
         self.out.pop(transaction.id, None)
-        if outcome.never_ran:
+        if outcome.never_ran and not unused:
             self.journal.never_ran(transaction, number)
-        if self.keeper is not None and outcome is not api.Outcome.DELIVERED:
+        if self.keeper is not None and outcome is not api.Outcome.DELIVERED and not unused:
             took, wait = self.scheduler.now() - call.sent, result.wait
             told = Try(number, call.member.id, call.sent, outcome.value, took, wait, result.why)
             self.journal.outcome(transaction, told)
@@ -397,6 +436,7 @@
                 limit=result.told.get("x1", 0.0),
                 stale=result.stale,
                 crowded=result.crowded,
+                unused=unused,
             ),
             behind=transaction.front == RESEND,
         )
@@ -411,14 +451,14 @@
             self._add(api.Leaving(gap))
             self.tick_at = self.scheduler.now()
             self._tick(self.tick_at)
-            self.sending = False
+            self._send_no_more()
 
     def hand_over(self) -> None:
         """Begin nothing more: calls that are out end here, as do notices, and all else is passed on to the
         other process. Members have few places for connections: none is kept here. To be called till the end.
         """
         if self.sending:
-            self.sending = False
+            self._send_no_more()
             for member in self.pool.members.values():
                 self.carriers[member.carrier].close_idle(member)
         passed, calls = self.journal.passed, {id(call) for call in self.out.values()}
@@ -432,6 +472,12 @@
         except JournalFull as error:  # the other one finds them once this process is gone
             log.warning("journal.full", what="passed", error=str(error))
 
+    def _send_no_more(self) -> None:
+        """Calls whose connection is not up yet are called off: they are untried."""
+        self.sending = False
+        for call in {id(call): call for call in self.out.values() if not call.begun}.values():
+            self.carriers[call.member.carrier].give_up(call)
+
     # Rounds: events that come within one resolution are handled together, as in the simulator.
 
     def _add(self, event: api.Event | Transaction, behind: bool = False) -> None:
@@ -496,31 +542,16 @@
         call = Call(member, [], [], [], now, [])
         for send in sends:
             transaction = self.held.by_id[send.message]  # the module sends nothing that it ended
-            number = transaction.attempts
-            try:
-                self.journal.attempt(transaction, now, member.zone, member.id)
-            except JournalFull as error:  # what cannot be written down must not be sent
-                log.warning("journal.full", what="attempt", error=str(error))
-                transaction.attempts += 1
-                self._not_sent(member, transaction, number)
-                continue
             call.parts.append(transaction)
-            call.numbers.append(number)
+            call.numbers.append(transaction.attempts)
             call.timeouts.append(send.timeout)
             call.open.append(True)
             self.out[transaction.id] = call
-        if not call.parts:
-            return
-        for i, timeout in enumerate(call.timeouts):
+        for part, timeout in zip(call.parts, call.timeouts, strict=True):
             if timeout < call.timeout:  # cut to its own deadline: the others may wait longer
-                self.scheduler.at(now + timeout, lambda i=i: self.expired(call, i))  # type: ignore[misc]
+                self.scheduler.at(now + timeout, lambda part=part: self.expired(call, part))  # type: ignore[misc]
         self.carriers[member.carrier].start(call)
 
-    def _not_sent(self, member: PoolMember, transaction: Transaction, number: int) -> None:
-        call = Call(member, [transaction], [number], [0], self.scheduler.now(), [True])
-        self.out[transaction.id] = call
-        self.ended(call, Result.same(api.Outcome.NOT_SENT, 1))
-
     # Final answers.
 
     def _final(self, name: str, ending: Ending, come_back: int) -> None:
--- a/honeyhitch/interface.py
+++ b/honeyhitch/interface.py
@@ -226,6 +226,7 @@
     limit: float = 0.0  # told limit in calls a second, 0 if there is none
     stale: bool = False  # a kept connection broke without a word: it tells of the connection alone
     crowded: bool = False  # turned away as its connection came up: the member's table of them is full
+    unused: bool = False  # no byte of it went: no attempt was used up, and its number is given again
 
 
 @dataclass(frozen=True, slots=True)
--- a/honeyhitch/memory/account.py
+++ b/honeyhitch/memory/account.py
@@ -139,11 +139,14 @@
                 if "to" in fields:
                     known.tries.append(Try(number, str(fields["to"]), int(str(fields["at"]))))
             elif kind == "outcome":
-                for one in known.tries:
-                    if one.number == number:
-                        one.outcome, one.why = str(fields["as"]), str(fields["why"])
-                        one.took, one.wait = int(str(fields["took"])), int(str(fields["wait"]))
+                told = next((one for one in known.tries if one.number == number), None)
+                if told is None:  # it never began
+                    told = Try(number, str(fields.get("to", "")), int(str(fields.get("at", 0))))
+                    known.tries.append(told)
+                told.outcome, told.why = str(fields["as"]), str(fields["why"])
+                told.took, told.wait = int(str(fields["took"])), int(str(fields["wait"]))
             elif kind == "never":
+                known.attempts = max(known.attempts, number + 1)
                 known.ran = [ran for ran in known.ran if ran[0] != number]
             elif kind == "decided":
                 known.ending, known.come_back = Ending(fields["as"]), int(str(fields["back"]))
--- a/honeyhitch/memory/journal.py
+++ b/honeyhitch/memory/journal.py
@@ -72,7 +72,7 @@
         self._hold(transaction)
 
     def attempt(self, transaction: Transaction, at: int, zone: int, member: str = "") -> None:
-        """Before the first byte of a call."""
+        """Right before the first byte of a call."""
         number = transaction.attempts
         fields: dict[str, object] = {"t": "attempt", "id": transaction.id, "n": number}
         fields |= {"at": at, "zone": zone}
@@ -86,12 +86,16 @@
         """How an attempt ended, for those who read it later; nothing that is decided rests on it."""
         if self.detailed:
             fields: dict[str, object] = {"t": "outcome", "id": transaction.id, "n": told.number}
+            fields |= {"to": told.member, "at": told.at}  # of one that never began this is all there is
             self._note(fields | {"as": told.outcome, "took": told.took, "wait": told.wait, "why": told.why})
-            transaction.tries = [told if one.number == told.number else one for one in transaction.tries]
+            transaction.tries = [*(one for one in transaction.tries if one.number != told.number), told]
 
     def never_ran(self, transaction: Transaction, number: int) -> None:
-        """The outcome of an attempt proves that it never ran; other outcomes change nothing."""
+        """The outcome of an attempt proves that it never ran; other outcomes change nothing. It counts as an
+        attempt, also where it never began.
+        """
         self._note({"t": "never", "id": transaction.id, "n": number})
+        transaction.attempts = max(transaction.attempts, number + 1)
         transaction.ran = [ran for ran in transaction.ran if ran[0] != number]
 
     def decided(self, transaction: Transaction, ending: Ending, come_back: int, keep: bool = False) -> None:
--- a/honeyhitch/wire/drivers/broker.py
+++ b/honeyhitch/wire/drivers/broker.py
@@ -211,7 +211,15 @@
         def done(ack: Packet | None, left: bool) -> None:
             self._finish(call, messages.outcome(call, ack, left))
 
-        self.running[call] = self.session.publish(messages.call(call, call.timeout), done)
+        def begin() -> Packet | None:
+            if self.dispatcher.begin(call):
+                return messages.call(call, call.sent + call.timeout - self.scheduler.now())
+            self._finish(call, Result([]))
+            return None
+
+        one = self.session.publish(messages.call(call, call.timeout), done, begin)
+        if call in self.running:  # it may have ended by now
+            self.running[call] = one
         self.link.wake.set()
         self.scheduler.at(call.sent + call.timeout, lambda: self._stop(call, api.Outcome.TIMEOUT))
 
--- a/honeyhitch/wire/drivers/members.py
+++ b/honeyhitch/wire/drivers/members.py
@@ -34,6 +34,7 @@
     buffer: Buffer
     machine: http1.AnswerMachine
     idle_since: int = 0
+    used: bool = False  # a call has begun on it
 
     @property
     def untold(self) -> bool:
@@ -50,6 +51,7 @@
 
     def __init__(self) -> None:
         self.written = False  # its last byte was handed to the connection
+        self.unused = False  # nothing of it goes any more, and its connection is as it was
         self.connection: Connection | None = None
 
 
@@ -119,8 +121,9 @@
             result = self._cut(call, progress, api.Outcome.RESET)
         finally:
             # Only once the connection is closed or free is the slot free, whatever happened.
-            if result is not None and progress.connection and progress.connection.machine.reusable:
-                self._keep(call.member, progress.connection)
+            connection = progress.connection
+            if result is not None and connection and (progress.unused or connection.machine.reusable):
+                self._keep(call.member, connection)
             else:
                 self._close(call.member, progress)
             self.running.pop(call, None)
@@ -149,6 +152,10 @@
 
     async def _exchange(self, call: Call, progress: Progress) -> Result:
         connection = progress.connection = await self._connection(call.member)
+        if not self.dispatcher.begin(call):
+            progress.unused = True
+            return Result([])
+        fresh, connection.used = not connection.used, True
         connection.machine.fresh()
         left = call.timeout - (self.scheduler.now() - call.sent)
         await connection.channel.send(calls.encode(call.parts, left, connection.address))
@@ -158,7 +165,7 @@
             data = await self._read(call, connection)
             answer = connection.machine.feed(data) if data else connection.machine.ended()
             if answer is not None:
-                return calls.read(answer, call.parts, fresh=not connection.idle_since)
+                return calls.read(answer, call.parts, fresh=fresh)
             if not data:
                 raise ConnectionResetError("the connection ended before the answer")
 
--- a/honeyhitch/wire/drivers/tls_members.py
+++ b/honeyhitch/wire/drivers/tls_members.py
@@ -136,6 +136,7 @@
                 peer=opened.peer,
                 retire_at=known.material.until(opened.peer),
                 idle_since=now,
+                used=True,  # by its handshake: a full table would have shown there
             )
             if not resumed:  # the session offered, if any, is worth nothing there
                 self.partners.sessions.forget(key)
--- a/honeyhitch/wire/mqtt.py
+++ b/honeyhitch/wire/mqtt.py
@@ -329,6 +329,7 @@
 
     packet: Packet
     done: Callable[[Packet | None, bool], None]  # and whether it may have left
+    begin: Callable[[], Packet | None] | None = None  # what goes after all, asked as its turn comes
     released: bool = False  # QoS 2: its PUBREC has come
     sent: bool = False
 
@@ -391,10 +392,17 @@
         for one in lost + waiting:
             one.done(None, one.sent)
 
-    def publish(self, packet: Packet, done: Callable[[Packet | None, bool], None]) -> Outgoing:
-        """Send a PUBLISH with QoS 1 or 2 as soon as the server's receive maximum allows."""
+    def publish(
+        self,
+        packet: Packet,
+        done: Callable[[Packet | None, bool], None],
+        begin: Callable[[], Packet | None] | None = None,
+    ) -> Outgoing:
+        """Send a PUBLISH with QoS 1 or 2 as soon as the server's receive maximum allows. `begin` is asked
+        then for what goes in its place; with None nothing does, and `done` is not called.
+        """
         packet.dup = False  # also one that was out before and was refused
-        one = Outgoing(packet, done)
+        one = Outgoing(packet, done, begin)
         self.queue.append(one)
         self._drain()
         return one
@@ -424,6 +432,10 @@
     def _drain(self) -> None:
         while self.up and not self.held and self.queue and len(self.outgoing) < self.window:
             one = self.queue.popleft()
+            if one.begin is not None:
+                if (packet := one.begin()) is None:
+                    continue
+                one.packet = packet
             one.packet.id, one.packet.qos = self._free_id(), min(one.packet.qos, self.most_qos)
             if not one.packet.qos:  # the server takes no more than QoS 0: nothing would be acknowledged
                 one.done(None, False)
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -87,7 +87,11 @@
         """What a test adds before what the journal holds is taken up again."""
 
     def start(self, call: Call) -> None:
-        self.calls.append(call)
+        """Its connection is up at once."""
+        if self.core.begin(call):
+            self.calls.append(call)
+        else:
+            self.core.ended(call, Result([]))
 
     def give_up(self, call: Call) -> None:
         self.end(call, api.Outcome.CANCELLED)
--- /dev/null
+++ b/tests/test_first_byte.py
@@ -0,0 +1,257 @@
+"""The last look: between a call's decision and its first byte a connection has to come up, and what is told
+meanwhile counts. The connections here wait till a test lets them come up, so that each crossing is forced.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import re
+import socket
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Any
+
+import pytest
+import uvloop
+
+from honeyhitch.core import Dispatcher
+from honeyhitch.memory.account import unpack
+from honeyhitch.memory.journal import Journal
+from honeyhitch.memory.pool import Pool
+from honeyhitch.memory.transactions import Ending, Transaction
+from honeyhitch.wire.drivers import sockets
+from honeyhitch.wire.drivers.members import HttpCarrier
+from honeyhitch.wire.drivers.tasks import LoopScheduler, Tasks
+
+from .rig import SETTINGS, row
+from .world import SECOND, settings
+
+
+class Line:
+    """Connections of the carrier: each waits at its door until the test opens it."""
+
+    def __init__(self) -> None:
+        self.doors: list[asyncio.Event] = []
+        self.held = False
+
+    async def connect(self, loop: asyncio.AbstractEventLoop, address: str) -> socket.socket:
+        if self.held:
+            door = asyncio.Event()
+            self.doors.append(door)
+            await door.wait()
+        return await connect(loop, address)
+
+
+connect = sockets.connect
+
+
+class Member:
+    """It reads calls whole and answers each with what the test gives it."""
+
+    def __init__(self) -> None:
+        self.calls: list[bytes] = []
+        self.answers: asyncio.Queue[bytes] = asyncio.Queue()
+        self.accepted = self.port = 0
+
+    async def start(self) -> Member:
+        server = await asyncio.start_server(self._client, "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
+        return self
+
+    async def _client(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.accepted += 1
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = re.search(rb"Content-Length: (\d+)", head)
+                assert length is not None
+                self.calls.append(head + await reader.readexactly(int(length[1])))
+                writer.write(await self.answers.get())
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):  # the last: the loop ends
+            writer.close()
+
+
+class Rig:
+    """A dispatcher with the real carrier, on the loop's clock."""
+
+    def __init__(self, folder: Path, members: list[Member], kind: str = "small", **more: Any) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.tasks, scheduler = Tasks(self.loop), LoopScheduler(self.loop)
+        self.s = settings(**{**SETTINGS, "slots": 12, "connect_timeout": 20 * SECOND, **more})
+        folder.mkdir(exist_ok=True)
+        self.journal = Journal(folder, 3_000_000, scheduler.now, lambda ended: 20 * SECOND)
+        self.core = Dispatcher(self.s, 7, Pool(self.s), self.journal, scheduler)
+        self.carrier = HttpCarrier(self.core, scheduler, self.tasks, 8)
+        self.core.carriers["http"], self.core.fronts["resp"] = self.carrier, self
+        self.answers: dict[str, Ending | None] = {}
+        at = [f"127.0.0.1:{one.port}" for one in members]
+        self.rows = [{**row(f"s-{i}", 1, kind), "host_port": where} for i, where in enumerate(at)]
+        told = {"revision": 1, "complete": True, "members": self.rows}
+        self.core.news(self.core.pool.update(told, cached=True))
+        self.core.resume()
+
+    def answer(self, transaction: Transaction) -> None:
+        self.answers[transaction.id] = transaction.ending
+        self.core.answered(transaction)
+
+    def hand_in(self, name: str, left: int = 20 * SECOND) -> Transaction:
+        now = self.core.scheduler.now()
+        transaction = Transaction(name, 0, 1, now + left, b"body", key=f"k-{name}")
+        assert self.core.offer(transaction).taken
+        return transaction
+
+    def list(self, told: dict[str, str]) -> None:
+        """Discovery tells this of a member, of the first unless another is named."""
+        change = {"revision": self.core.pool.revision + 1, "members": [{**self.rows[0], **told}]}
+        self.core.news(self.core.pool.update(change))
+
+    def waits(self) -> int:
+        """When the told wait of the one destination ends."""
+        return max(one.lane.wait_until for one in self.core.brain.dests[1].endpoints.values())
+
+    async def close(self) -> None:
+        self.core.taking = self.core.sending = False
+        await self.tasks.stop()
+        self.journal.close()
+
+    def records(self, kind: str) -> list[dict[str, object]]:
+        told = [fields for fields, _, _ in unpack(self.journal.path.read_bytes())]
+        return [fields for fields in told if fields["t"] == kind]
+
+
+LATER = b"HTTP/1.1 429 Later\r\nRetry-After: 0.3\r\nContent-Length: 0\r\n\r\n"
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
+
+def batch(count: int, names: list[str]) -> bytes:
+    body = "".join(f"{name} accepted\r\n" for name in names[:count]).encode()
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+
+
+async def until(holds: Callable[[], object]) -> None:
+    """Let the loop turn till it holds."""
+    while not holds():
+        await asyncio.sleep(0)
+
+
+def play(work: Coroutine[Any, Any, None]) -> None:
+    async def bounded() -> None:
+        async with asyncio.timeout(30):
+            await work
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(bounded())
+
+
+@pytest.fixture
+def line(monkeypatch: pytest.MonkeyPatch) -> Line:
+    made = Line()
+    monkeypatch.setattr(sockets, "connect", made.connect)
+    return made
+
+
+def test_a_wait_told_while_a_connection_comes_up_holds_the_call_back(tmp_path: Path, line: Line) -> None:
+    async def work() -> None:
+        one = await Member().start()
+        rig = Rig(tmp_path, [one])
+        rig.hand_in("a")
+        await until(lambda: one.calls)
+        line.held = True
+        rig.hand_in("b")  # its connection is on its way
+        await until(lambda: line.doors)
+        one.answers.put_nowait(LATER)
+        await until(lambda: rig.waits() > 0)
+        ends = rig.waits()
+        line.held = False
+        line.doors[0].set()
+        for _ in range(2):
+            one.answers.put_nowait(OK)
+        await until(lambda: len(one.calls) == 2)
+        assert rig.core.scheduler.now() >= ends, "begun inside the told wait"
+        await until(lambda: len(rig.core.held) == 0)
+        assert {fields["n"] for fields in rig.records("attempt") if fields["id"] == "b"} == {0}
+        assert one.accepted == 2, "the connection that came up is kept and used"
+        await rig.close()
+
+    play(work())
+
+
+def test_what_ends_while_a_connection_comes_up_does_not_ride_along(tmp_path: Path, line: Line) -> None:
+    async def work() -> None:
+        one = await Member().start()
+        rig, line.held = Rig(tmp_path, [one], "large"), True
+        rig.hand_in("brief", left=SECOND // 4)
+        rig.hand_in("long")
+        await until(lambda: line.doors)
+        assert len(rig.core.out) == 2 and len({id(call) for call in rig.core.out.values()}) == 1
+        await until(lambda: "brief" in rig.answers)
+        assert rig.answers["brief"] is Ending.REJECTED, "it never ran"
+        line.doors[0].set()
+        one.answers.put_nowait(OK)
+        await until(lambda: len(rig.core.held) == 0)
+        assert len(one.calls) == 1 and b"X-Txn: long" in one.calls[0]
+        assert [fields["id"] for fields in rig.records("attempt")] == ["long"]
+        await rig.close()
+
+    play(work())
+
+
+@pytest.mark.parametrize("told", ["Terminating", "Gone", "moved"])
+def test_a_member_that_drains_or_moves_while_a_connection_comes_up_gets_nothing(
+    tmp_path: Path, line: Line, told: str
+) -> None:
+    async def work() -> None:
+        one, two = await Member().start(), await Member().start()
+        rig, line.held = Rig(tmp_path, [one]), True
+        rig.hand_in("a")
+        await until(lambda: line.doors)
+        line.held = False
+        rig.list({"host_port": f"127.0.0.1:{two.port}", "id": "s-0" if told == "moved" else "s-1"})
+        if told != "moved":
+            rig.list({"phase": told})
+        await until(lambda: not rig.core.events)
+        line.doors[0].set()
+        two.answers.put_nowait(OK)
+        await until(lambda: len(rig.core.held) == 0)
+        assert (len(one.calls), len(two.calls)) == (0, 1)
+        assert [fields["n"] for fields in rig.records("attempt")] == [0], "no attempt was used up"
+        await rig.close()
+
+    play(work())
+
+
+@pytest.mark.parametrize("how", ["leave", "hand over"])
+def test_a_process_told_to_stop_leaves_untried_what_had_no_connection_yet(
+    tmp_path: Path, line: Line, how: str
+) -> None:
+    async def work() -> None:
+        one = await Member().start()
+        rig, line.held = Rig(tmp_path, [one]), True
+        rig.hand_in("a")
+        await until(lambda: line.doors)
+        rig.core.leave(SECOND) if how == "leave" else rig.core.hand_over()
+        line.doors[0].set()
+        await until(lambda: not rig.core.out and not rig.tasks.running)
+        rig.core.hand_over()
+        assert list(rig.core.held.by_id) == ["a"] and not one.calls
+        assert not rig.records("attempt") and not rig.records("never")
+        assert bool(rig.records("passed")), "with its call gone it can be passed on"
+        await rig.close()
+
+    play(work())
+
+
+def test_what_could_not_connect_counts_as_an_attempt_over_a_restart(tmp_path: Path, line: Line) -> None:
+    async def work() -> None:
+        one = Member()
+        one.port = 9  # nobody listens there
+        rig = Rig(tmp_path, [one])
+        rig.hand_in("a")
+        await until(lambda: rig.core.held.by_id["a"].attempts == 1 and not rig.core.out)
+        await rig.close()
+        again = Rig(tmp_path, [one])
+        known = again.core.held.by_id["a"]
+        assert (known.attempts, known.ran) == (1, [])
+        await again.close()
+
+    play(work())
