Do not take a call's answer for a delivery once the time of one of its messages has run out

At fault: Dispatcher.ended took the answer of such a call at its word. The protocol does not say how it counts; it is question 7 of docs/fleet-questions.md. Now the others of that call may have run, go again where their class allows it (the member answers a repeat as delivered, or that it is over), and nothing is learned from it. Where a time-out is the end (unsafe), messages that end soon do not ride with others at all. The test that took such an answer for a delivery asserts now that the other message is still owed, sent again once, and ends once.

Also: the module is asked whether to keep a connection whose call was held back, like any other.

--- a/honeyhitch/brain.py
+++ b/honeyhitch/brain.py
@@ -232,7 +232,9 @@
         self.messages: dict[str, Message] = {}
         self.dests: dict[int, Destination] = {}
         self.kinds = [(kind, Tally(LONG_FADE)) for kind in settings.kinds]
-        self.lines: dict[int, tuple[deque[Message], list[int]]] = {}  # a key's messages, its rest's end
+        self.lines: dict[
+            int | None, tuple[deque[Message], list[int]]
+        ] = {}  # a key's messages, its rest's end
         self.hot: dict[Destination, None] = {}  # those with messages ready to go
         self.rested: dict[Endpoint, None] = {}  # those that may hold a connection that nothing uses now
         self.wakes: list[tuple[int, int, Callable[..., object], object]] = []
@@ -271,8 +273,7 @@
         if (call := message.call) is None or message.ended or not call.endpoint.listed:
             return False
         lane = call.endpoint.lane
-        barred = lane.wait_until > now or (lane.out and lane.closed_at > call.sent)
-        return not barred and now < self._last(message)
+        return lane.wait_until <= now < self._last(message) and not (lane.out and lane.closed_at > call.sent)
 
     def share(self, slots: int) -> None:  # so many are this process's from now on
         self.s = replace(self.s, slots=slots)
@@ -354,7 +355,7 @@
         self.tenants[tenant] = (left - (left >= 1), self.now)
         return 1.0 if left >= 1 else self.s.over_share_worth
 
-    def _advance(self, key: int) -> None:  # rule 5: a key's head alone may go, after its rest
+    def _advance(self, key: int | None) -> None:  # rule 5: a key's head alone may go, after its rest
         line, rest = self.lines.get(key, (deque(), [0]))
         while line and line[0].ended and line[0].call is None:
             line.popleft()
@@ -399,8 +400,7 @@
         message.ended, message.queued = True, False
         if message.call is None:
             del self.messages[message.id]
-            if message.key is not None:
-                self._advance(message.key)
+            self._advance(message.key)
 
     def _told(self, event: api.Told) -> None:
         dest = self.dests.get(event.destination, Destination())
@@ -437,12 +437,11 @@
         hasty = event.outcome is Outcome.TIMEOUT and event.took < lane.overdue()  # cut to its own deadline
         if event.outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT) and not event.stale and not hasty:
             self._learn(event, call, message)
-        self.hot[message.dest] = None
+        self.hot[message.dest] = self.rested[call.endpoint] = None
         self._end(message) if message.ended or event.settled else self._retry(message, event, lane)
 
     def _learn(self, event: api.AttemptEnded, call: Call, message: Message) -> None:
         endpoint, lane = call.endpoint, call.endpoint.lane
-        self.rested[endpoint] = None
         if event.crowded or event.outcome is Outcome.CONNECT_FAILED:
             lane.tight.note(self.now, True)
             every = (other for dest in self.dests.values() for other in dest.endpoints.values())
@@ -495,8 +494,7 @@
             self._offer(message.dest, offers)
 
     def _offer(self, dest: Destination, offers: list[Offer]) -> None:
-        found: list[Offer] = []
-        wake = NEVER
+        found, wake = list[Offer](), NEVER
         for message in filter(None, (head(queue, self.now) for queue in dest.queues.values())):
             endpoint, at = self._endpoint(message)
             wake = min(wake, at)
@@ -556,6 +554,7 @@
         for queue in dest.queues.values():  # further messages ride along where a call takes several
             while call.left < most and (rider := head(queue, self.now)) is not None:
                 alike = rider.cls is message.cls and rider.behind is message.behind
+                alike &= not message.unsafe or min(rider.deadline, message.deadline) - self.now > message.span
                 if not alike or rider.zone() not in (None, endpoint.zone):
                     break
                 call.left = call.size = call.left + 1
--- a/honeyhitch/core.py
+++ b/honeyhitch/core.py
@@ -80,6 +80,7 @@
     sent: int
     open: list[bool]  # parts that have no outcome yet
     begun: bool = False  # its first byte may have gone
+    late: bool = False  # since then the time of one of its parts has run out
 
     @property
     def timeout(self) -> int:
@@ -380,7 +381,14 @@
         self.figures.written(call.parts)
 
     def ended(self, call: Call, result: Result) -> None:
-        """A call ended; its slot is free."""
+        """A call ended; its slot is free.
+
+        A call has one fate. Where its answer comes after one part's time, nobody can tell whether it counts
+        for the others (docs/fleet-questions.md): they may have run, and that says nothing of health.
+        """
+        if call.late and api.Outcome.DELIVERED in (one for one, _ in result.outcomes):
+            doubt = {(api.Outcome.DELIVERED, True): (api.Outcome.RESET, False)}
+            result.outcomes, result.stale = [doubt.get(one, one) for one in result.outcomes], True
         for i, (outcome, over) in enumerate(result.outcomes):
             if call.open[i] and not call.begun and not self.sending:
                 self._unused(call, i)  # it was called off, as the process is about to end
@@ -394,6 +402,7 @@
         for i, part in enumerate(call.parts):
             if part is transaction and call.open[i]:
                 if call.begun:
+                    call.late = True
                     self._outcome(call, i, api.Outcome.TIMEOUT, False, Result([]))
                 else:
                     self._unused(call, i)
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -414,3 +414,14 @@
     world.batch([world.end("m", Outcome.RESET)], at=50 * MS)
     world.run(600 * MS)
     assert len(world.sends("m")) == 2
+
+
+@pytest.mark.parametrize(("cls", "together"), [(3, False), (1, True)])
+def test_what_ends_soon_does_not_ride_with_others_where_a_time_out_is_the_end(
+    cls: int, together: bool
+) -> None:
+    world = World(settings(kinds=(api.Kind(per_call=16),)), ONE)
+    world.batch([world.hand_in("brief", cls=cls, time_left=SECOND), world.hand_in("long", cls=cls)])
+    assert len({at for at, _ in world.sends()}) == 1, "first tries go at once"
+    calls = {id(world.brain.messages[name].call) for name in ("brief", "long")}
+    assert (len(calls) == 1) is together
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -88,7 +88,11 @@
     (call,) = stand.run(0.1)
     stand.run(0.2)
     assert [answer.id for answer in stand.answers] == ["short"]
-    stand.end(call, Outcome.DELIVERED)
+    stand.end(call, Outcome.DELIVERED)  # too late for one part: it may not count for the other
+    assert list(stand.core.held.by_id) == ["long"] and len(stand.answers) == 1
+    (again,) = stand.run(1)
+    assert [part.id for part in again.parts] == ["long"] and again.numbers == [1]
+    stand.end(again, Outcome.DELIVERED)
     assert not stand.core.held.by_id and len(stand.answers) == 1
 
 
--- a/tests/test_first_byte.py
+++ b/tests/test_first_byte.py
@@ -255,3 +255,23 @@
         await again.close()
 
     play(work())
+
+
+def test_what_a_late_answer_says_of_a_call_is_not_taken_for_a_delivery(tmp_path: Path) -> None:
+    async def work() -> None:
+        one = await Member().start()
+        rig = Rig(tmp_path, [one], "large")
+        rig.hand_in("brief", left=SECOND // 4)
+        rig.hand_in("long")
+        await until(lambda: "brief" in rig.answers)  # while the call with both is out
+        body = b"brief accepted\r\nlong accepted\r\n"
+        one.answers.put_nowait(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+        one.answers.put_nowait(OK)
+        await until(lambda: len(rig.core.held) == 0)
+        assert [b"messages:batch" in call for call in one.calls] == [True, False]
+        assert b"X-Txn: long" in one.calls[1]
+        ran = [(fields["id"], fields["n"]) for fields in rig.records("attempt")]
+        assert ran == [("brief", 0), ("long", 0), ("long", 1)]
+        await rig.close()
+
+    play(work())
