Read lists that come indented on a watch: an object ends with its last bracket, not with its line

Watch._piece took each line for a whole object, so that the first line of an indented list ended the watch as "not JSON", over and over, while what the agent had counted as told.

--- a/honeyhitch/wire/discovery.py
+++ b/honeyhitch/wire/discovery.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import json
+import re
 from typing import Any
 
 from honeyhitch.wire import http1
 
 MOST_LINE = 4 << 20  # bytes of one list
+TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*"|[{}\[\]]')  # what tells where an object ends: strings and brackets
 
 
 class WatchError(Exception):
@@ -48,22 +50,35 @@
 
 
 class Watch:
-    """One watch: fed bytes, it gives the lists and changes that they hold. Empty lines are heartbeats."""
+    """One watch: fed bytes, it gives the lists and changes that they hold. Empty lines are heartbeats; an
+    object may come on one line or indented over several, none of them empty.
+    """
 
     def __init__(self) -> None:
         self.line = bytearray()
+        self.object, self.depth = bytearray(), 0  # one that has begun, and its brackets open
         self.news: list[dict[str, Any]] = []
         self.machine = http1.AnswerMachine(self._piece)
 
     def _piece(self, data: bytes) -> None:
         self.line += data
-        if len(self.line) > MOST_LINE:
+        if len(self.line) + len(self.object) > MOST_LINE:
             raise WatchError("watch: a line is too long")
         *lines, rest = bytes(self.line).split(b"\n")
         self.line = bytearray(rest)
         for line in lines:
             if line.strip():
-                self.news.append(_object(line, "watch"))
+                self._take(line)
+            elif self.object:
+                raise WatchError(f"watch: an object that does not end: {bytes(self.object[:80])!r}")
+
+    def _take(self, line: bytes) -> None:
+        marks = [found[0] for found in TOKEN.finditer(line)]
+        self.depth += sum((mark in b"{[") - (mark in b"}]") for mark in marks if len(mark) == 1)
+        self.object += line + b"\n"
+        if self.depth <= 0:
+            whole, self.object, self.depth = bytes(self.object), bytearray(), 0
+            self.news.append(_object(whole.strip(), "watch"))
 
     def feed(self, data: bytes) -> list[dict[str, Any]]:
         """Take bytes; the lists and changes read so far, each given once."""
