Do not end at SIGTERM while a client has a request on its way, with nothing held

Read in the code: Service.leave returned after ACCEPT_ON with nothing held, whether or not a request had come in part, waited to be accepted, or had its reply half written; closing then cuts each of them, and a request whose last byte has come is owed a whole reply.

--- a/honeyhitch/lifecycle/serve.py
+++ b/honeyhitch/lifecycle/serve.py
@@ -340,7 +340,7 @@
             await asyncio.sleep(LOOK)
         while (gone := self.loop.time() - began) < LEAVE_AT:
             dispatcher.taking = gone <= ACCEPT_ON
-            if gone > ACCEPT_ON and not dispatcher.held.by_id:
+            if gone > ACCEPT_ON and not dispatcher.held.by_id and self.servers_settled():
                 return
             if gone > SEND_ON:
                 dispatcher.leave(int((BACK_AT - gone) * NS))
