Heed a told wait over a member's coming back, and let a restart end those told before it

Read in the code: where a kind has limits of its own, a member that leaves the list and comes back got a new lane in the module and its told wait was forgotten (Brain._news); a wait taken over for a member not listed yet was dropped (Brain._told). Dispatcher.news tells the module again, after each list, the waits of listed members that last.

--- a/honeyhitch/core.py
+++ b/honeyhitch/core.py
@@ -339,8 +339,14 @@
         }
 
     def news(self, news: api.ListNews) -> None:
-        """The pool changed."""
+        """The pool changed. Waits that its members told last, also over a member's coming back."""
         self._add(news)
+        waits, now = self.journal.waits, self.scheduler.now()
+        for (destination, name), until in list(waits.items()):
+            if until <= now:
+                del waits[destination, name]
+            elif name in self.pool.members:
+                self._add(api.Told(destination, name, until))
 
     def told_elsewhere(self, events: list[api.Event]) -> None:
         """What another process of this dispatcher was told before it ended."""
--- a/honeyhitch/memory/journal.py
+++ b/honeyhitch/memory/journal.py
@@ -222,6 +222,7 @@
             self.size = end
         if self.size < len(data):  # the torn tail of a process that was killed in a write
             os.ftruncate(self.fd, self.size)
+        self.waits.clear()  # a restart ends them (protocol page)
         self.held.forget(self.clock())
 
     # The file.
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -199,3 +199,29 @@
     assert not stand.answers
     stand.end(call, Outcome.DELIVERED)
     assert not stand.core.held.by_id and not stand.answers
+
+
+@pytest.mark.parametrize("apart", [True, False])
+def test_a_told_wait_outlasts_a_member_that_goes_and_comes_back(tmp_path: Path, apart: bool) -> None:
+    kinds = (api.Kind(per_call=3, name="large"), api.Kind(own_limits=apart, name="small"))
+    stand = Stand(tmp_path, kinds=kinds)
+    stand.hand_in("a")
+    (call,) = stand.run(0.1)
+    stand.end(call, Outcome.REFUSED, wait=3 * SECOND)
+    ends = stand.time.time + 3 * SECOND
+    for revision, phase in ((2, "Gone"), (3, "Ready")):
+        told = {"revision": revision, "members": [row("s-1", 1, phase=phase)]}
+        stand.core.news(stand.core.pool.update(told))
+        stand.run(0.1)
+    stand.hand_in("b")
+    calls = stand.run(6)
+    assert calls and all(one.sent >= ends for one in calls), "begun inside the told wait"
+
+
+def test_a_restart_ends_what_was_told_before_it(tmp_path: Path) -> None:
+    stand = Stand(tmp_path)
+    assert stand.hand_in("a", left=2 * SECOND)
+    stand.core.journal.wait(1, "s-1", stand.time.time + 10 * SECOND)
+    again = Stand(tmp_path, stand.time)
+    tried = [part.id for call in again.run(1) for part in call.parts]
+    assert tried == ["a"] and not again.answers, "it is tried, and not given up for a wait that has ended"
