Start no task again once the process stops: a group that fails as it is cancelled hung the close

A TaskGroup whose child fails as it is cancelled raises that failure in place of the cancellation; Tasks._kept took it for an end and began the work anew, for ever. It looks whether the process stops now. tests/test_tasks.py hangs without the mend.

--- a/honeyhitch/wire/drivers/tasks.py
+++ b/honeyhitch/wire/drivers/tasks.py
@@ -38,7 +38,7 @@
     """Every task of the process. One that fails is reported; if it was to run for ever, it starts again."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        self.loop, self.running = loop, set[asyncio.Task[None]]()
+        self.loop, self.running, self.stopping = loop, set[asyncio.Task[None]](), False
 
     def start(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         """Run something that ends by itself."""
@@ -60,6 +60,8 @@
             except Exception as error:
                 name = str(getattr(work, "__qualname__", work))
                 log.warning("work.again", work=name, error=f"{type(error).__name__}: {error}", key=name)
+            if self.stopping:  # a group of tasks that fails as it is cancelled raises its failure instead
+                return
             if self.loop.time() - began > MOST_PAUSE:
                 pause = FIRST_PAUSE
             await asyncio.sleep(pause)
@@ -72,7 +74,7 @@
 
     async def stop(self) -> None:
         """Cancel all that still run, and wait till they have let go of what they hold."""
-        running = list(self.running)
+        self.stopping, running = True, list(self.running)
         for task in running:
             task.cancel()
         await asyncio.gather(*running, return_exceptions=True)
--- /dev/null
+++ b/tests/test_tasks.py
@@ -0,0 +1,43 @@
+"""Tasks that are kept going, and how they end."""
+
+from __future__ import annotations
+
+import asyncio
+
+import uvloop
+
+from honeyhitch.wire.drivers.tasks import Tasks
+
+
+def test_a_group_that_fails_as_it_is_stopped_does_not_start_again() -> None:
+    begun = 0
+
+    async def work() -> None:
+        nonlocal begun
+        begun += 1
+
+        async def fails() -> None:
+            try:
+                await asyncio.Event().wait()
+            finally:
+                raise ConnectionResetError("as it is cancelled")
+
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(fails())
+                group.create_task(fails())
+        except BaseExceptionGroup as several:
+            raise several.exceptions[0] from None
+
+    async def stopped() -> None:
+        tasks = Tasks(asyncio.get_running_loop())
+        tasks.keep(work)
+        while not begun:
+            await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        async with asyncio.timeout(5):
+            await tasks.stop()
+        assert begun == 1 and not tasks.running
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(stopped())
