--- a/tests/test_tasks.py
+++ b/tests/test_tasks.py
@@ -15,6 +15,8 @@
     async def work() -> None:
         nonlocal begun
         begun += 1
+        if begun > 1:  # it was not to begin again; one that can be cancelled lets the test fail, not hang
+            await asyncio.Event().wait()
 
         async def fails() -> None:
             try:
