Do not take on a request that comes in the moment its connection is shut

Seen in the code and in a test over loopback: VirtualServer._end looks (sockets.quiet), then shuts the connection, and what comes between the two was still read by _serve (a socket gives what is queued also after its shutdown), taken on and sent to its member.

Checked: the three ways to _end on a resting connection (a drain, room for the next client, fewer places), each with the bytes sent right between look and shutdown; all three took the message on before. Excluded: replies already written (they went at once, TCP_NODELAY) and connections in use, which are not ended so.

Lines at fault: _serve's read, which did not ask whether its connection had been ended. Now nothing is handled after that.

--- a/honeyhitch/wire/drivers/virtual_server.py
+++ b/honeyhitch/wire/drivers/virtual_server.py
@@ -50,6 +50,7 @@
     answered: bool = False
     half: bool = False
     sending: bool = False
+    over: bool = False  # it was ended: nothing more is read
 
     @property
     def resting(self) -> bool:
@@ -150,7 +151,9 @@
             self.clients[client] = None
 
     def _end(self, client: Client) -> None:
+        """What comes from now on is not read: the client hands it in again, and hears of that."""
         self.clients.pop(client, None)
+        client.over = True
         with contextlib.suppress(OSError):
             client.sock.shutdown(socket.SHUT_RDWR)  # its task reads the end, and closes it
 
@@ -162,7 +165,7 @@
             while not session.closing:
                 if session.more:  # the other connections have their turn first
                     await asyncio.sleep(0)
-                elif not await sockets.read(self.loop, sock, buffer):
+                elif not await sockets.read(self.loop, sock, buffer) or client.over:
                     break
                 replies = session.receive(buffer)
                 if replies:
--- a/tests/test_virtual_server.py
+++ b/tests/test_virtual_server.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
-from collections.abc import AsyncIterator
+import socket
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
 
@@ -15,12 +17,13 @@
 from honeyhitch.lifecycle.serve import budget
 from honeyhitch.memory.buffer import Buffer
 from honeyhitch.wire import resp
-from honeyhitch.wire.drivers import virtual_server
+from honeyhitch.wire.drivers import sockets, virtual_server
 from honeyhitch.wire.drivers.tasks import Tasks
 from honeyhitch.wire.drivers.virtual_server import VirtualServer
 
 from .program import play, write
-from .test_exchanges import SET, START
+from .test_exchanges import SET, START, raw
+from .test_program import ENQUEUE
 
 PING, PONG = b"PING\r\n", b"+PONG\r\n"
 Stream = tuple[asyncio.StreamReader, asyncio.StreamWriter]
@@ -158,3 +161,56 @@
             assert await streams[3][0].readline() == PONG
 
     play(work())
+
+
+async def plain(server: VirtualServer) -> socket.socket:
+    """A client's socket without a stream, so that bytes go at a named moment; it has been answered once."""
+    sock = socket.create_connection(("127.0.0.1", server.port))
+    sock.send(PING)
+    while not any(one.answered for one in server.clients):
+        await asyncio.sleep(0)
+    sock.setblocking(False)
+    assert sock.recv(100) == PONG
+    return sock
+
+
+@pytest.mark.parametrize("moment", ["drain", "room", "limit"])
+def test_a_request_that_crosses_the_end_of_its_connection_is_not_read(
+    monkeypatch: pytest.MonkeyPatch, moment: str
+) -> None:
+    """Its client hands it in again elsewhere; read and taken on here, nobody would hear of it."""
+    taken: list[object] = []
+
+    def spied() -> resp.Session:
+        made = session()
+        made.offer = lambda one: taken.append(one) or Offered(True)  # type: ignore[func-returns-value]
+        return made
+
+    async def work() -> None:
+        async with served(1) as server:
+            server.session = spied
+            sock = await plain(server)
+            quiet = sockets.quiet
+
+            def crossed(one: socket.socket) -> bool:
+                found = quiet(one)
+                if found and one.getpeername() == sock.getsockname():
+                    sock.send(raw(ENQUEUE))  # right after the look, before the shutdown
+                return found
+
+            with monkeypatch.context() as patch:
+                patch.setattr(sockets, "quiet", crossed)
+                if moment == "drain":
+                    server.drain()
+                elif moment == "room":
+                    assert server._make_room()
+                else:
+                    server.limit(0)
+            reader, _ = await asyncio.open_connection(sock=sock)
+            with contextlib.suppress(ConnectionResetError):  # unread bytes make a reset of its end
+                assert await reader.read() == b""
+            while server.clients:
+                await asyncio.sleep(0)
+            assert not taken
+
+    play(work())
