Leave a client's bytes in sight until they are handled: a drain took a read request for none

Seen in a test over loopback: uvloop's sock_recv_into takes bytes out of the system in one turn of the loop, and the task that waits for them runs in the next. Whatever runs between (SIGTERM's drain, room for a new client) found the kernel's buffer empty and the session's too, held the connection for resting and shut it: the request was read and never answered. The same with sock_accept: between accepting and its task the listener is empty and nobody is in `clients`, so that a process that asks whether its servers are settled could end and reset the connection.

Excluded by probe: that uvloop hands the result on in the same turn (it does not: accepted, then the other, then the task).

The change: sockets.readable waits without taking; the read and the accept that follow take at once. settled asks of each client that nothing lies unread, by the same resting and mute as the places do.

--- a/honeyhitch/wire/drivers/sockets.py
+++ b/honeyhitch/wire/drivers/sockets.py
@@ -58,6 +58,25 @@
     return sock
 
 
+async def readable(loop: asyncio.AbstractEventLoop, sock: socket.socket) -> None:
+    """Wait till something has come, a connection at a listener too, and leave it where it is.
+
+    What is read as soon as it comes is out of sight till the task that waits has its turn: neither `quiet`
+    nor the buffer shows it, and who looks meanwhile takes the connection for one that rests.
+    """
+    came = loop.create_future()
+
+    def there() -> None:
+        if not came.done():
+            came.set_result(None)
+
+    loop.add_reader(sock, there)
+    try:
+        await came
+    finally:
+        loop.remove_reader(sock)
+
+
 async def read(loop: asyncio.AbstractEventLoop, sock: socket.socket, buffer: Buffer) -> int:
     """Read once into the buffer; 0 at the end of the connection."""
     with buffer.room() as room:
--- a/honeyhitch/wire/drivers/virtual_server.py
+++ b/honeyhitch/wire/drivers/virtual_server.py
@@ -94,8 +94,11 @@
     async def accept(self) -> None:
         """Accept clients for ever."""
         while True:
+            await sockets.readable(self.loop, self.listener)
             try:
-                sock, _ = await self.loop.sock_accept(self.listener)
+                sock, _ = self.listener.accept()
+            except (BlockingIOError, InterruptedError):  # it went away meanwhile
+                continue
             except OSError as error:  # no descriptor left: those in use will come free
                 log.warning("accept.failed", error=str(error))
                 await asyncio.sleep(PAUSE)
@@ -165,7 +168,9 @@
             while not session.closing:
                 if session.more:  # the other connections have their turn first
                     await asyncio.sleep(0)
-                elif not await sockets.read(self.loop, sock, buffer) or client.over:
+                else:
+                    await sockets.readable(self.loop, sock)
+                if client.over or not (session.more or await sockets.read(self.loop, sock, buffer)):
                     break
                 replies = session.receive(buffer)
                 if replies:
@@ -187,15 +192,13 @@
 
     @property
     def settled(self) -> bool:
-        """No request is on its way here, as far as can be told: none in part, nobody new, and nobody whose
-        connection still waits to be accepted or to get a place.
+        """No request is on its way here, as far as can be told: none in part or unread, nobody new, and
+        nobody whose connection still waits to be accepted or to get a place.
         """
         if self.placing or sockets.waited_at(self.listener):
             return False
         fresh = self.loop.time() - FRESH
-        return not any(
-            one.half or one.sending or (not one.answered and one.since > fresh) for one in self.clients
-        )
+        return all(one.resting or (one.mute and one.since <= fresh) for one in self.clients)
 
     def drain(self) -> None:
         """Close each connection once nothing is open on it: the client's next request goes elsewhere."""
--- a/tests/test_virtual_server.py
+++ b/tests/test_virtual_server.py
@@ -163,6 +163,28 @@
     play(work())
 
 
+class Crossing:
+    """Something else that the loop does in the same turn as it reads, right behind it."""
+
+    def __init__(self, what: Callable[[], None]) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.here, self.there = socket.socketpair()
+        self.here.setblocking(False)
+        self.done = asyncio.Event()
+        self.loop.add_reader(self.here, self._act, what)
+
+    def _act(self, what: Callable[[], None]) -> None:
+        self.loop.remove_reader(self.here)
+        what()
+        self.done.set()
+
+    async def follow(self, act: Callable[[], object]) -> None:
+        """`act` makes something readable; then this does, and both are read in one turn."""
+        act()
+        self.there.send(b"x")
+        await self.done.wait()
+
+
 async def plain(server: VirtualServer) -> socket.socket:
     """A client's socket without a stream, so that bytes go at a named moment; it has been answered once."""
     sock = socket.create_connection(("127.0.0.1", server.port))
@@ -174,6 +196,37 @@
     return sock
 
 
+def test_a_request_that_is_read_as_its_server_drains_has_its_reply() -> None:
+    """The loop reads in one turn and the task handles it in the next; between them SIGTERM is heard."""
+
+    async def work() -> None:
+        async with served(10) as server:
+            sock = await plain(server)
+            crossing = Crossing(server.drain)
+            await crossing.follow(lambda: sock.send(PING))
+            reader, _ = await asyncio.open_connection(sock=sock)
+            assert await reader.read() == PONG, "whole, and only then the end"
+
+    play(work())
+
+
+def test_a_connection_accepted_in_this_turn_keeps_the_server_from_being_settled() -> None:
+    async def work() -> None:
+        async with served(10) as server:
+            (await plain(server)).close()
+            while not server.settled:
+                await asyncio.sleep(0)
+            settled: list[bool] = []
+            crossing = Crossing(lambda: settled.append(server.settled))
+            sock = socket.socket()
+            sock.setblocking(False)
+            await crossing.follow(lambda: sock.connect_ex(("127.0.0.1", server.port)))
+            assert settled == [False]
+            sock.close()
+
+    play(work())
+
+
 @pytest.mark.parametrize("moment", ["drain", "room", "limit"])
 def test_a_request_that_crosses_the_end_of_its_connection_is_not_read(
     monkeypatch: pytest.MonkeyPatch, moment: str
