Do not end after the last calls while a client's request is half come

Serve.leave asked servers_settled where nothing was held, and not in the branch from SEND_ON on, which ends the process as soon as no call is out and no notice waits: a request half read then was cut off. Clients send on every connection that stays open, up to SIGKILL. One condition now serves both. test_leaving.py, held=True: no reply before, a whole one now.

--- a/honeyhitch/lifecycle/serve.py
+++ b/honeyhitch/lifecycle/serve.py
@@ -340,12 +340,12 @@
             await asyncio.sleep(LOOK)
         while (gone := self.loop.time() - began) < LEAVE_AT:
             dispatcher.taking = gone <= ACCEPT_ON
-            if gone > ACCEPT_ON and not dispatcher.held.by_id and self.servers_settled():
-                return
+            done = not dispatcher.held.by_id
             if gone > SEND_ON:
                 dispatcher.leave(int((BACK_AT - gone) * NS))
-                if not dispatcher.out and not self.discovery.waiting:
-                    return
+                done = not dispatcher.out and not self.discovery.waiting
+            if gone > ACCEPT_ON and done and self.servers_settled():
+                return
             await asyncio.sleep(LOOK)
 
     def servers_settled(self) -> bool:
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -19,20 +19,29 @@
 from .world import MS, SECOND
 
 
+def request(name: str) -> bytes:
+    parts = [b"ENQUEUE", b"0", name.encode(), b"c=standard,t=studio,d=8000,k=k,dest=1", b"body"]
+    return b"*5\r\n" + b"".join(b"$%d\r\n%s\r\n" % (len(part), part) for part in parts)
+
+
+@pytest.mark.parametrize("held", [False, True])
 def test_a_request_half_come_has_its_whole_reply_before_the_process_ends(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, held: bool
 ) -> None:
-    monkeypatch.setattr(
-        serve, "ACCEPT_ON", -1.0
-    )  # the moment from which nothing held is reason enough to end
+    """The process may end from a moment on if nothing is held, and from a later one on in any case."""
+    monkeypatch.setattr(serve, "ACCEPT_ON", -1.0)
+    if held:
+        monkeypatch.setattr(serve, "SEND_ON", -1.0)
 
     async def work() -> None:
         agent = await Agent([]).start()
         members = [row("s-1", 1)]
         async with started(tmp_path, agent.port, members, stopped=True) as port:
             reader, writer = await asyncio.open_connection("127.0.0.1", port)
-            parts = [b"ENQUEUE", b"0", b"id", b"c=standard,t=studio,d=8000,k=k,dest=1", b"body"]
-            whole = b"*5\r\n" + b"".join(b"$%d\r\n%s\r\n" % (len(part), part) for part in parts)
+            if held:  # its member's port is closed: it waits for a further try
+                writer.write(request("held"))
+                assert await reader.readline() == b"+OK\r\n"
+            whole = request("id")
             writer.write(b"PING\r\n" + whole[:-3])
             assert await reader.readline() == b"+PONG\r\n"
             os.kill(os.getpid(), signal.SIGTERM)
