Heed a told wait whatever became of the call that brought it

Seen in a test: a batch's 200 may carry a wait, and so may an answer by which its messages have no tries left. Brain._outcome learns nothing from the first where one message's time had run out in the call (stale, Dispatcher.ended), nor from the second (NOT_SENT), so the wait was lost with the rest and the next message went at once: 0.005 s instead of 3 s after it.

Checked: the early returns of _outcome and _learn one by one. stale and NOT_SENT lost it; hasty, CANCELLED and a crowded table tell none; a message withdrawn meanwhile did not lose it (its call is known to the end), and stays as a guard.

--- a/honeyhitch/core.py
+++ b/honeyhitch/core.py
@@ -392,6 +392,10 @@
         A call has one fate. Where its answer comes after one part's time, nobody can tell whether it counts
         for the others (docs/fleet-questions.md): they may have run, and that says nothing of health.
         """
+        if result.wait:  # it binds the destination, whatever becomes of the call's own messages
+            until = self.scheduler.now() + result.wait
+            self.journal.wait(call.member.destination, call.member.id, until)
+            self._add(api.Told(call.member.destination, call.member.id, until))
         if call.late and api.Outcome.DELIVERED in (one for one, _ in result.outcomes):
             doubt = {(api.Outcome.DELIVERED, True): (api.Outcome.RESET, False)}
             result.outcomes, result.stale = [doubt.get(one, one) for one in result.outcomes], True
@@ -430,8 +434,6 @@
             took, wait = self.scheduler.now() - call.sent, result.wait
             told = Try(number, call.member.id, call.sent, outcome.value, took, wait, result.why)
             self.journal.outcome(transaction, told)
-        if result.wait:
-            self.journal.wait(call.member.destination, call.member.id, self.scheduler.now() + result.wait)
         owed = self._owes(transaction.id) is not None
         if over and owed:
             if outcome is api.Outcome.DELIVERED:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -225,3 +225,26 @@
     again = Stand(tmp_path, stand.time)
     tried = [part.id for call in again.run(1) for part in call.parts]
     assert tried == ["a"] and not again.answers, "it is tried, and not given up for a wait that has ended"
+
+
+@pytest.mark.parametrize("how", ["late", "no tries", "nobody waits"])
+def test_a_told_wait_binds_whatever_became_of_the_call(tmp_path: Path, how: str) -> None:
+    """A batch that passed, but after the time of one of its messages; one whose messages have no tries left;
+    and one whose last message was withdrawn as the answer came."""
+    stand = Stand(tmp_path)
+    stand.hand_in("brief", dest=2, left=2 * SECOND)
+    stand.hand_in("long", dest=2)
+    (call,) = stand.run(0.1)
+    assert len(call.parts) == 2
+    if how == "late":
+        stand.run(2)  # the time of the first is over
+    elif how == "nobody waits":
+        for part in call.parts:
+            stand.core.withdraw(part.id)
+    outcome = Outcome.NOT_SENT if how == "no tries" else Outcome.DELIVERED
+    stand.end(call, outcome, wait=3 * SECOND)
+    ends = stand.time.time + 3 * SECOND
+    stand.run(0.1)
+    stand.hand_in("next", dest=2)
+    calls = stand.run(6)
+    assert calls and all(one.sent >= ends for one in calls), "begun inside the told wait"
