Read the answer that has come before a call's time-out or its calling off closes it

Seen in a test over loopback: a 429 with a wait lay in the socket, or had been read in the turn before its task's own, as the call's time-out rang or it was given up. asyncio.timeout cancels the task, HttpCarrier._run closed the connection and the wait was never heeded, though it counts from when it was written; a 200 there was lost the same way, and the message was tried again. Bytes that uvloop has taken for a cancelled task are gone for good, so a last look could not find them either.

Checked: time-out and give_up, each with the answer unread and with it read for a task whose turn is the next; all four lost the wait before. Excluded: a process that ends (a restart ends waits), and a call whose last byte has not been written.

The change: sockets.read waits without taking (readable) for every driver, so that what has come is in the socket till its task reads it; before a call that was written is cut, what has arrived is read once, and a whole answer is its outcome.

--- a/honeyhitch/wire/drivers/channel.py
+++ b/honeyhitch/wire/drivers/channel.py
@@ -27,6 +27,9 @@
     async def receive(self, buffer: Buffer) -> bytes:
         """The same for one who takes all at once: the bytes, none at the peer's own end."""
 
+    def arrived(self, buffer: Buffer) -> bytes:
+        """What has come and was not read, without waiting for more."""
+
     def quiet(self) -> bool:
         """Alive, with nothing come that nobody asked for: safe to use again."""
 
@@ -54,6 +57,10 @@
         """The bytes of one read, by way of the buffer; none at the peer's end."""
         return buffer.take() if await sockets.read(self.loop, self.sock, buffer) else b""
 
+    def arrived(self, buffer: Buffer) -> bytes:
+        """What has come and was not read, without waiting for more."""
+        return buffer.take() if sockets.arrived(self.sock, buffer) else b""
+
     def quiet(self) -> bool:
         """Alive, with nothing come that nobody asked for."""
         return sockets.quiet(self.sock)
--- a/honeyhitch/wire/drivers/members.py
+++ b/honeyhitch/wire/drivers/members.py
@@ -52,6 +52,7 @@
     def __init__(self) -> None:
         self.written = False  # its last byte was handed to the connection
         self.unused = False  # nothing of it goes any more, and its connection is as it was
+        self.fresh = False  # it is the first on its connection
         self.connection: Connection | None = None
 
 
@@ -109,11 +110,11 @@
             async with asyncio.timeout(call.timeout / NS):
                 result = await self._exchange(call, progress)
         except TimeoutError:
-            result = self._cut(call, progress, api.Outcome.TIMEOUT)
+            result = self._last_word(call, progress) or self._cut(call, progress, api.Outcome.TIMEOUT)
         except asyncio.CancelledError:
             if call not in self.running:  # the process ends; what is owed stays in the journal
                 raise
-            result = self._cut(call, progress, api.Outcome.CANCELLED)
+            result = self._last_word(call, progress) or self._cut(call, progress, api.Outcome.CANCELLED)
         except (OSError, http1.HttpError) as error:
             result = self._cut(call, progress, api.Outcome.RESET, error)
         except Exception:  # a fault of ours must not keep the slot for ever
@@ -129,6 +130,19 @@
             self.running.pop(call, None)
         self.dispatcher.ended(call, result)
 
+    @staticmethod
+    def _last_word(call: Call, progress: Progress) -> Result | None:
+        """The answer that came as we stopped waiting for it: what it tells, it told."""
+        connection = progress.connection
+        if connection is None or not progress.written:
+            return None
+        try:
+            data = connection.channel.arrived(connection.buffer)
+            answer = connection.machine.feed(data) if data else None
+        except http1.HttpError:
+            return None
+        return None if answer is None else calls.read(answer, call.parts, fresh=progress.fresh)
+
     @staticmethod
     def _cut(call: Call, progress: Progress, outcome: api.Outcome, error: Exception | None = None) -> Result:
         """No whole answer came. Before the last byte was written the call cannot have run, nor can it where
@@ -155,7 +169,7 @@
         if not self.dispatcher.begin(call):
             progress.unused = True
             return Result([])
-        fresh, connection.used = not connection.used, True
+        progress.fresh, connection.used = not connection.used, True
         connection.machine.fresh()
         left = call.timeout - (self.scheduler.now() - call.sent)
         await connection.channel.send(calls.encode(call.parts, left, connection.address))
@@ -165,7 +179,7 @@
             data = await self._read(call, connection)
             answer = connection.machine.feed(data) if data else connection.machine.ended()
             if answer is not None:
-                return calls.read(answer, call.parts, fresh=fresh)
+                return calls.read(answer, call.parts, fresh=progress.fresh)
             if not data:
                 raise ConnectionResetError("the connection ended before the answer")
 
--- a/honeyhitch/wire/drivers/sockets.py
+++ b/honeyhitch/wire/drivers/sockets.py
@@ -62,7 +62,8 @@
     """Wait till something has come, a connection at a listener too, and leave it where it is.
 
     What is read as soon as it comes is out of sight till the task that waits has its turn: neither `quiet`
-    nor the buffer shows it, and who looks meanwhile takes the connection for one that rests.
+    nor the buffer shows it, who looks meanwhile takes the connection for one that rests, and a task that is
+    cancelled then loses it.
     """
     came = loop.create_future()
 
@@ -78,22 +79,33 @@
 
 
 async def read(loop: asyncio.AbstractEventLoop, sock: socket.socket, buffer: Buffer) -> int:
-    """Read once into the buffer; 0 at the end of the connection."""
+    """Read once into the buffer; 0 at the end of the connection. What has come is there in any turn, read or
+    not: see `readable`.
+    """
+    if quiet(sock):
+        await readable(loop, sock)
     with buffer.room() as room:
         count = await loop.sock_recv_into(sock, room)
     buffer.filled(count)
     return count
 
 
-def _ready(sock: socket.socket) -> list[tuple[int, int]]:
-    poll = select.poll()  # no limit on the descriptor's number, as select(2) has
-    poll.register(sock, select.POLLIN)
-    return poll.poll(0)
+def arrived(sock: socket.socket, buffer: Buffer) -> int:
+    """Read once what has come already; 0 if there is nothing, or the connection is at its end or broken."""
+    with buffer.room() as room:
+        try:
+            count = sock.recv_into(room)
+        except OSError:
+            return 0
+    buffer.filled(count)
+    return count
 
 
 def waited_at(listener: socket.socket) -> bool:
     """True if a connection waits there to be accepted: closing the listener would reset it."""
-    return bool(_ready(listener))
+    poll = select.poll()  # no limit on the descriptor's number, as select(2) has
+    poll.register(listener, select.POLLIN)
+    return bool(poll.poll(0))
 
 
 def quiet(sock: socket.socket) -> bool:
--- a/honeyhitch/wire/drivers/tls_channel.py
+++ b/honeyhitch/wire/drivers/tls_channel.py
@@ -74,6 +74,11 @@
                 machine.eof()
         return machine.take_plain()
 
+    def arrived(self, buffer: Buffer) -> bytes:
+        """What has come and was not read, without waiting for more."""
+        self._drain()
+        return self.machine.take_plain()
+
     def quiet(self) -> bool:
         """Alive and at rest, once what has come has been read: tickets and KeyUpdates are no answer."""
         return self.alive() and self.machine.at_rest
--- a/honeyhitch/wire/drivers/virtual_server.py
+++ b/honeyhitch/wire/drivers/virtual_server.py
@@ -168,9 +168,7 @@
             while not session.closing:
                 if session.more:  # the other connections have their turn first
                     await asyncio.sleep(0)
-                else:
-                    await sockets.readable(self.loop, sock)
-                if client.over or not (session.more or await sockets.read(self.loop, sock, buffer)):
+                elif not await sockets.read(self.loop, sock, buffer) or client.over:
                     break
                 replies = session.receive(buffer)
                 if replies:
--- a/tests/test_first_byte.py
+++ b/tests/test_first_byte.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import re
 import socket
 from collections.abc import Callable, Coroutine
@@ -275,3 +276,43 @@
         await rig.close()
 
     play(work())
+
+
+@pytest.mark.parametrize("end", ["time-out", "given up"])
+@pytest.mark.parametrize("turn", ["unread", "read"])
+def test_a_wait_that_comes_as_its_call_ends_is_heeded(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, end: str, turn: str
+) -> None:
+    """The answer lies in the socket, or has just been read for a task whose turn is the next, as the call's
+    time-out rings or it is called off: what was told binds."""
+
+    async def work() -> None:
+        one = await Member().start()
+        rig = Rig(tmp_path, [one])
+        here, there = socket.socketpair()
+        here.setblocking(False)
+
+        def ends() -> None:
+            rig.loop.remove_reader(here)
+            (call,) = set(rig.core.out.values())
+            if end == "given up":
+                rig.carrier.give_up(call)
+            while rig.core.scheduler.now() < call.sent + call.timeout:
+                pass  # the loop is held up till the time-out is due; both are found in its next turn
+
+        rig.loop.add_reader(here, ends)
+
+        def at_once(self: asyncio.StreamWriter, data: bytes) -> None:  # in this turn, not at its end
+            sides = [lambda: os.write(self.get_extra_info("socket").fileno(), data), lambda: there.send(b"x")]
+            for side in sides if turn == "read" else reversed(sides):
+                side()  # what is written first is read first
+
+        monkeypatch.setattr(asyncio.StreamWriter, "write", at_once)
+        rig.hand_in("a", left=SECOND)
+        await until(lambda: one.calls)
+        one.answers.put_nowait(LATER)
+        await until(lambda: len(rig.core.out) == 0)
+        assert rig.core.journal.waits, "the wait was told"
+        await rig.close()
+
+    play(work())
