Take bytes in the turn that handles them: sock_recv_into after readable left the gap half open

Seen: test_a_wait_that_comes_as_its_call_ends_is_heeded failed in 1 of 4 plays beside others, in one case of four. The traced play: _last_word found nothing, though the answer had been written. A probe: uvloop 0.23's sock_recv_into never takes at once, also where bytes are there: it waits for the next poll, takes, and wakes its task one turn later, so that a time-out in that turn still lost them.

The change: after readable, sockets.read takes with recv_into on the non-blocking socket, without a turn in between, for the driver's one buffer as before.

--- a/honeyhitch/wire/drivers/channel.py
+++ b/honeyhitch/wire/drivers/channel.py
@@ -59,7 +59,7 @@
 
     def arrived(self, buffer: Buffer) -> bytes:
         """What has come and was not read, without waiting for more."""
-        return buffer.take() if sockets.arrived(self.sock, buffer) else b""
+        return buffer.take() if sockets.arrived(self.sock, buffer) > 0 else b""
 
     def quiet(self) -> bool:
         """Alive, with nothing come that nobody asked for."""
--- a/honeyhitch/wire/drivers/members.py
+++ b/honeyhitch/wire/drivers/members.py
@@ -139,7 +139,7 @@
         try:
             data = connection.channel.arrived(connection.buffer)
             answer = connection.machine.feed(data) if data else None
-        except http1.HttpError:
+        except (OSError, http1.HttpError):
             return None
         return None if answer is None else calls.read(answer, call.parts, fresh=progress.fresh)
 
--- a/honeyhitch/wire/drivers/sockets.py
+++ b/honeyhitch/wire/drivers/sockets.py
@@ -61,9 +61,9 @@
 async def readable(loop: asyncio.AbstractEventLoop, sock: socket.socket) -> None:
     """Wait till something has come, a connection at a listener too, and leave it where it is.
 
-    What is read as soon as it comes is out of sight till the task that waits has its turn: neither `quiet`
-    nor the buffer shows it, who looks meanwhile takes the connection for one that rests, and a task that is
-    cancelled then loses it.
+    uvloop's sock_recv_into and sock_accept take what comes in one turn of the loop and wake their task in
+    the next. In between it is out of sight: neither `quiet` nor the buffer shows it, who looks takes the
+    connection for one that rests, and a task that is cancelled then loses it.
     """
     came = loop.create_future()
 
@@ -79,24 +79,20 @@
 
 
 async def read(loop: asyncio.AbstractEventLoop, sock: socket.socket, buffer: Buffer) -> int:
-    """Read once into the buffer; 0 at the end of the connection. What has come is there in any turn, read or
-    not: see `readable`.
-    """
-    if quiet(sock):
+    """Read once into the buffer; 0 at the end of the connection. Others have their turn before."""
+    while True:
         await readable(loop, sock)
-    with buffer.room() as room:
-        count = await loop.sock_recv_into(sock, room)
-    buffer.filled(count)
-    return count
+        if (count := arrived(sock, buffer)) >= 0:
+            return count
 
 
 def arrived(sock: socket.socket, buffer: Buffer) -> int:
-    """Read once what has come already; 0 if there is nothing, or the connection is at its end or broken."""
+    """Read once what has come already; 0 at the end of the connection, -1 if there is nothing."""
     with buffer.room() as room:
         try:
             count = sock.recv_into(room)
-        except OSError:
-            return 0
+        except (BlockingIOError, InterruptedError):
+            return -1
     buffer.filled(count)
     return count
 
