Do not wait long for an agent that says nothing: it answers at once, and what it missed counts

Excluded: that a watch without news is silent up to its first heartbeat, which a short wait would have taken for dead.

The change: asking.Patience, without I/O: a short first wait, doubled by each failure in a row up to the old bounds. Notices: 300 ms / 4, so that two dead connections leave the third in time, with no pause before it.

Two scripts' stand-in agent never answered a watch; it now does so at once, as the agent does, before what they check.

--- a/honeyhitch/wire/asking.py
+++ b/honeyhitch/wire/asking.py
@@ -13,6 +13,36 @@
 CALM = 5.0  # seconds that a watch lasted, after which a break is a new one
 SPREAD, FEW = 0.05, 6  # seconds an instance before the first ask at a start; instances that need none
 UNASKED = 0.5  # of the time for which something new may go to a member whose drain was told
+SILENCE = 5.0  # seconds without even a heartbeat, of which one comes every 2 s: the watch is broken
+TOLD = 6.0  # seconds after a watch fell silent, when what it misses counts as told (the standing test's page)
+ASKS = 3  # equal parts of what is left then: pause, an ask that is silent as well, pause
+
+
+class Patience:
+    """How long to wait for the agent, which answers at once: a silent connection is a dead one. Each failure
+    in a row doubles it up to a bound, for an agent that only is slow. Times are seconds.
+    """
+
+    def __init__(self, first: float, most: float) -> None:
+        self.first, self.most, self.failures = first, most, 0
+
+    @property
+    def within(self) -> float:
+        """The time for the next answer to begin."""
+        return min(self.most, self.first * 2.0**self.failures)
+
+    @property
+    def pause(self) -> float:
+        """The time before asking again: none after one failure or two, then a growing one."""
+        return min(self.most, self.first * 2.0 ** (self.failures - 3)) if self.failures > 2 else 0.0
+
+    def failed(self) -> None:
+        """No answer came in time."""
+        self.failures = min(self.failures + 1, 32)
+
+    def heard(self) -> None:
+        """One came."""
+        self.failures = 0
 
 
 class Asking:
@@ -23,7 +53,30 @@
         seconds for which something new may go to a member whose drain was told.
         """
         self.rng, self.instances, self.grace, self.bound = rng, instances, grace, FIRST
-        self.whole = moved or not known
+        self.whole, self.hears = moved or not known, False
+        # One that fell silent and a silent one after it have to be over, with the pauses between, before
+        # something new may no longer go to a member whose drain the first one missed.
+        self.patience = Patience((TOLD - SILENCE + grace) / ASKS, SILENCE)
+
+    def opens(self) -> None:
+        """A new watch is opened."""
+        self.hears = False
+
+    @property
+    def within(self) -> float:
+        """The time for the next bytes to come; a short one for the first of a watch, connecting and all."""
+        return SILENCE if self.hears else self.patience.within
+
+    def heard(self) -> None:
+        """Bytes came on the watch."""
+        self.hears = True
+        self.patience.heard()
+
+    def silent(self) -> None:
+        """None came in time. Where none ever did on a watch, the agent may not know our revision."""
+        if not self.hears:
+            self.whole = self.whole or self.patience.within >= SILENCE
+            self.patience.failed()
 
     def first(self) -> float:
         """The pause before the first ask: none where the list is missing, or that of another agent.
@@ -40,7 +93,7 @@
         self.whole = False
 
     def unheard(self) -> None:
-        """Nothing at all came on a watch, or nothing usable: the agent may not know our revision."""
+        """Nothing usable came: the agent may not know our revision."""
         self.whole = True
 
     def again(self, lasted: float, answered: bool) -> float:
--- a/honeyhitch/wire/drivers/discovery.py
+++ b/honeyhitch/wire/drivers/discovery.py
@@ -11,15 +11,12 @@
 from honeyhitch.memory.buffer import Buffer
 from honeyhitch.memory.transactions import Transaction
 from honeyhitch.wire import http1, notices
-from honeyhitch.wire.asking import Asking
+from honeyhitch.wire.asking import Asking, Patience
 from honeyhitch.wire.discovery import MOST_LINE, Watch, list_request, watch_request, whole_list
 from honeyhitch.wire.drivers import sockets
 from honeyhitch.wire.drivers.tasks import Tasks
 
 log = logs.get()
-SILENCE = 5.0  # seconds without even a heartbeat, of which one comes every 2 s
-ANSWER = 1.0  # seconds to connect, and for the answer to notices, which is given at once
-MOST_NOTICES = 200  # in one request
 NS = 1_000_000_000
 
 
@@ -57,6 +54,8 @@
             except Exception as error:
                 # A break, an end, or an agent that is busy leaves our revision good; nothing else need.
                 answered = not isinstance(error, OSError)
+                if isinstance(error, TimeoutError):
+                    asking.silent()
                 if answered and getattr(error, "status", 0) not in (200, 503):
                     asking.unheard()
                 log.warning("watch.broken", error=f"{type(error).__name__}: {error}", key=self.address)
@@ -65,30 +64,27 @@
     async def _watch(self, asking: Asking) -> None:
         """One watch, till it breaks or falls silent."""
         pool, watch, buffer = self.dispatcher.pool, Watch(), Buffer()
-        sock = await self._connect()
+        asking.opens()
+        until = self.loop.time() + asking.within
+        sock = await self._connect(until)
         try:
             if asking.whole:
                 # An agent that took another's place need not go on with its revisions, and would take the old
                 # one's number for news that this process has had.
-                async with asyncio.timeout(SILENCE):
+                async with asyncio.timeout_at(until):
                     answer = await self._ask(sock, buffer, list_request(self.address))
                 self.dispatcher.news(pool.update(whole_list(answer)))
                 asking.listed()
             await self.loop.sock_sendall(sock, watch_request(self.address, pool.revision))
-            heard = False
             while True:
-                try:
-                    async with asyncio.timeout(SILENCE):
-                        count = await sockets.read(self.loop, sock, buffer)
-                except TimeoutError:
-                    if not heard:
-                        asking.unheard()
-                    raise
+                async with asyncio.timeout_at(until):
+                    count = await sockets.read(self.loop, sock, buffer)
                 if not count:
                     raise ConnectionResetError("the watch ended")
-                heard = True
+                asking.heard()
                 for told in watch.feed(buffer.take()):
                     self.dispatcher.news(pool.update(told))
+                until = self.loop.time() + asking.within
         finally:
             sock.close()
 
@@ -98,15 +94,29 @@
         self.wake.set()
 
     async def notify(self) -> None:
-        """Send notices on one connection for as long as it lasts; those not confirmed go again."""
-        if not self.waiting:  # those of a connection that broke must not wait for the next one
-            await self.wake.wait()
-        sock, buffer = await self._connect(), Buffer()
+        """Send notices for ever. Those not confirmed go again on another connection: one that says nothing is
+        dead, as the agent answers at once, and a second notice of an end does no harm.
+        """
+        patience = notices.patience()
+        while True:
+            if not self.waiting:
+                await self.wake.wait()
+            try:
+                await self._notify(patience)
+            except (OSError, http1.HttpError) as error:
+                patience.failed()
+                told = f"{type(error).__name__}: {error}"
+                log.warning("notices.unconfirmed", error=told, key=self.address)
+                await asyncio.sleep(patience.pause)
+
+    async def _notify(self, patience: Patience) -> None:
+        """Send notices on one connection for as long as it lasts."""
+        sock, buffer = await self._connect(self.loop.time() + patience.within), Buffer()
         try:
             while True:
                 self.wake.clear()
-                while some := self.waiting[:MOST_NOTICES]:
-                    await self._post(sock, buffer, some)
+                while some := self.waiting[: notices.MOST]:
+                    await self._post(sock, buffer, some, patience)
                     del self.waiting[: len(some)]
                     for transaction in some:
                         self.dispatcher.answered(transaction)
@@ -116,16 +126,18 @@
         finally:
             sock.close()
 
-    async def _connect(self) -> socket.socket:
-        async with asyncio.timeout(ANSWER):
+    async def _connect(self, by: float) -> socket.socket:
+        async with asyncio.timeout_at(by):
             return await sockets.connect(self.loop, self.address)
 
-    async def _post(self, sock: socket.socket, buffer: Buffer, some: list[Transaction]) -> None:
-        async with asyncio.timeout(ANSWER):
-            request = notices.encode(some, self.address)
-            answer = await self._ask(sock, buffer, request)
+    async def _post(
+        self, sock: socket.socket, buffer: Buffer, some: list[Transaction], patience: Patience
+    ) -> None:
+        async with asyncio.timeout(patience.within):
+            answer = await self._ask(sock, buffer, notices.encode(some, self.address))
         if answer.status != 204:
             raise ConnectionError(f"notices: answered {answer.status}")
+        patience.heard()
 
     async def _ask(self, sock: socket.socket, buffer: Buffer, request: bytes) -> http1.Answer:
         machine = http1.AnswerMachine(most=MOST_LINE)
--- a/honeyhitch/wire/notices.py
+++ b/honeyhitch/wire/notices.py
@@ -6,8 +6,17 @@
 
 from honeyhitch.memory.transactions import Ending, Transaction
 from honeyhitch.wire import http1
+from honeyhitch.wire.asking import Patience
 
 MS = 1_000_000  # ns
+LATE = 0.3  # seconds that an end may be late by (protocol page)
+ANSWER = 1.0  # seconds to connect and for the answer at most
+MOST = 200  # in one request
+
+
+def patience() -> Patience:
+    """Two connections in a row may be dead, and the end is in time on the third."""
+    return Patience(LATE / 4, ANSWER)
 
 
 def line(transaction: Transaction) -> str:
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from honeyhitch.wire.asking import CALM, FEW, FIRST, MOST, UNASKED, Asking
+from honeyhitch.wire import notices
+from honeyhitch.wire.asking import CALM, FEW, FIRST, MOST, SILENCE, TOLD, UNASKED, Asking
 from honeyhitch.wire.discovery import Watch, WatchError
 
 LINES, ASK_COST, LIST_COST = (
@@ -108,3 +109,57 @@
     with pytest.raises(WatchError) as told:
         machine.feed(b"HTTP/1.1 410 Gone\r\nContent-Length: 1\r\n\r\n")
     assert told.value.status == 410
+
+
+class Longest(Random):
+    """Each draw is the longest that may be drawn."""
+
+    def uniform(self, a: float, b: float) -> float:
+        return b
+
+
+@pytest.mark.parametrize("instances", [1, 6, 200])
+@pytest.mark.parametrize("grace", [0.0, 0.1, 0.5, 1.0, 2.0, 3.0, 10.0])
+def test_a_silent_watch_after_a_silent_one_is_over_before_a_drain_is(grace: float, instances: int) -> None:
+    """What the first one misses counts as told 6 s after it fell silent; the third one answers."""
+    one = Asking(Longest(), instances, True, False, grace)
+    one.opens()
+    one.heard()
+    one.silent()
+    gone = SILENCE + one.again(SILENCE, False)  # it had heard its list a moment before
+    one.opens()
+    gone += one.within
+    one.silent()
+    gone += one.again(one.within, False)
+    assert gone < TOLD + grace - 0.1, "and there is time for the answer"
+
+
+def test_an_agent_that_stays_silent_is_asked_less_and_less_and_in_the_end_for_its_whole_list() -> None:
+    one, waited = asking(Random(1), 200), list[float]()
+    for _ in range(6):
+        one.opens()
+        waited.append(one.within)
+        one.silent()
+        assert one.whole is (waited[-1] == SILENCE)
+    assert waited == sorted(waited) and waited[0] < 1.1 and waited[-1] == SILENCE
+    one.opens()
+    one.heard()
+    assert one.within == SILENCE, "from its first bytes on heartbeats come"
+    one.opens()
+    assert one.within == waited[0]
+
+
+def test_two_dead_connections_leave_a_notice_in_time() -> None:
+    one, gone = notices.patience(), 0.0
+    for _ in range(2):
+        gone += one.within
+        one.failed()
+        gone += one.pause
+    assert gone <= 0.8 * notices.LATE
+    pauses = []
+    for _ in range(40):
+        one.failed()
+        pauses.append(one.pause)
+    assert pauses == sorted(pauses) and pauses[-1] == one.within == notices.ANSWER
+    one.heard()
+    assert one.within < notices.LATE and one.pause == 0
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -101,8 +101,9 @@
 
 
 async def watched(agent: Peer, port: int, revision: int = 1) -> None:
-    """With a list at hand it asks for what changed after it."""
+    """With a list at hand it asks for what changed after it; the agent answers at once, with nothing new."""
     await receive(agent, raw(TARGETS % (f"?stream=1&index={revision}", port)))
+    (await agent.accepted())[1].write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n")
 
 
 async def listed(agent: Peer, port: int, members: list[dict[str, Any]]) -> None:
--- /dev/null
+++ b/tests/test_silent_agent.py
@@ -0,0 +1,93 @@
+"""An agent whose connections die without a word: notices and the watch go on by another one."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import re
+from pathlib import Path
+
+import pytest
+
+from honeyhitch.wire import asking, notices
+from honeyhitch.wire.drivers import discovery
+
+from .program import Peer, play, started
+from .rig import row
+from .test_program import listed, watched
+
+NEVER = 3600.0  # seconds
+Stream = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+
+async def notice(stream: Stream) -> str:
+    """The id in one request of one notice."""
+    head = await stream[0].readuntil(b"\r\n\r\n")
+    length = re.search(rb"POST /reports .*Content-Length: (\d+)", head, re.DOTALL)
+    assert length is not None, head
+    return str(json.loads(await stream[0].readexactly(int(length[1])))["id"])
+
+
+@pytest.mark.parametrize("dead", [1, 2])
+def test_a_notice_on_a_connection_that_fell_silent_goes_again_on_another(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, dead: int
+) -> None:
+    monkeypatch.setattr(notices, "ANSWER", NEVER)
+    monkeypatch.setattr(discovery, "ANSWER", NEVER, raising=False)
+
+    async def work() -> None:
+        agent = await Peer().start()
+        async with started(tmp_path, agent.port, [row("s-1", 1)]) as port:  # nobody listens at s-1
+            await watched(agent, agent.port)
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            fields = b"c=standard,t=studio,d=500,k=k,dest=1"
+            writer.write(
+                b"*5\r\n$7\r\nENQUEUE\r\n$1\r\n0\r\n$2\r\nid\r\n$%d\r\n%s\r\n" % (len(fields), fields)
+            )
+            writer.write(b"$4\r\nbody\r\n")
+            assert await reader.readline() == b"+OK\r\n"
+            silent = [await agent.came.get() for _ in range(dead)]  # kept open: a closed one tells at once
+            for one in silent:
+                assert await notice(one) == "id"
+            last = await agent.came.get()
+            assert await notice(last) == "id"
+            last[1].write(b"HTTP/1.1 204 No Content\r\n\r\n")
+            writer.write(b"PING\r\n")
+            assert await reader.readline() == b"+PONG\r\n"
+
+    play(work())
+
+
+def test_a_watch_that_never_answers_is_given_up_before_a_silent_one_would_be(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(asking, "SILENCE", NEVER)
+    monkeypatch.setattr(asking, "TOLD", NEVER + 1.0)
+    monkeypatch.setattr(discovery, "SILENCE", NEVER, raising=False)
+
+    async def work() -> None:
+        agent = await Peer().start()
+        async with started(tmp_path, agent.port, [row("s-1", 1)]):
+            dead = await agent.came.get()
+            again = await agent.came.get()
+            assert await dead[0].read() != b"", "its request, and then its end"
+            agent.now = again
+            await watched(agent, agent.port)
+
+    play(work())
+
+
+def test_a_list_that_never_comes_is_asked_for_anew(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(asking, "SILENCE", NEVER)
+    monkeypatch.setattr(asking, "TOLD", NEVER + 1.0)
+    monkeypatch.setattr(discovery, "SILENCE", NEVER, raising=False)
+
+    async def work() -> None:
+        agent = await Peer().start()
+        async with started(tmp_path, agent.port, []):  # nothing is known: the whole list is wanted
+            dead = await agent.came.get()
+            agent.now = await agent.came.get()
+            assert b"GET /api/targets HTTP/1.1" in await dead[0].read()
+            await listed(agent, agent.port, [row("s-1", 1)])
+
+    play(work())
