Heed a wait whose header came whole, also where the rest of its answer is spoilt

Seen in a test over loopback: an answer with Retry-After whose body ends too soon, never ends or is too long is a reset that may have run, and HttpCarrier._cut left its wait out: the next call went after the ladder's 0.25 s, inside the 0.6 s asked for. Checked: 429 and 500, a body that stops and one that is too long. An answer with bytes behind it kept its wait before. Excluded: a header that came in part; it is none (the parser tells a header once the next one begins, or their end).

The change: _cut takes the wait from the headers that came. What the outcome says of the message stays as it was.

--- a/honeyhitch/wire/drivers/members.py
+++ b/honeyhitch/wire/drivers/members.py
@@ -153,7 +153,9 @@
             outcome = api.Outcome.CONNECT_FAILED
             result = Result.same(outcome, len(call.parts))
         else:
-            result = calls.broken(connection.machine.status if connection else 0, call.parts, outcome)
+            machine = connection.machine if connection else http1.AnswerMachine()
+            result = calls.broken(machine.status, call.parts, outcome)
+            result.wait = calls.wait(machine.answer.headers)  # asked for, whatever became of the rest
         # Members drop kept connections, some without a word. That says nothing of their health: a new
         # connection will tell, and one that is down refuses it.
         broke = outcome in (api.Outcome.RESET, api.Outcome.CONNECT_FAILED)
--- a/tests/test_first_byte.py
+++ b/tests/test_first_byte.py
@@ -316,3 +316,30 @@
         await rig.close()
 
     play(work())
+
+
+@pytest.mark.parametrize("rest", [b"abc", b"garbage without end" * 9000])
+@pytest.mark.parametrize("status", [b"429 Later", b"500 Oops"])
+def test_a_wait_in_an_answer_that_is_spoilt_behind_it_is_heeded(
+    tmp_path: Path, rest: bytes, status: bytes
+) -> None:
+    """It may have run, as no whole answer came; yet the member asked to be left alone."""
+
+    async def work() -> None:
+        one = await Member().start()
+        rig = Rig(tmp_path, [one])
+        rig.hand_in("a")
+        length = len(rest) + (len(rest) < 100)  # the short one ends too soon
+        head = b"HTTP/1.1 %s\r\nRetry-After: 0.6\r\nContent-Length: %d\r\n\r\n" % (status, length)
+        one.answers.put_nowait(head + rest)
+        await until(lambda: one.calls)
+        await until(lambda: not rig.core.out)
+        ends = rig.core.scheduler.now() + int(0.55 * SECOND)  # longer than the first step of the ladder
+        one.answers.put_nowait(OK)
+        await until(lambda: len(one.calls) == 2)
+        assert rig.core.scheduler.now() >= ends, "begun inside the told wait"
+        await until(lambda: len(rig.core.held) == 0)
+        assert [one["n"] for one in rig.records("attempt")] == [0, 1] and not rig.records("never")
+        await rig.close()
+
+    play(work())
