--- a/tests/rig.py
+++ b/tests/rig.py
@@ -59,7 +59,12 @@
     """One dispatcher between a stand-in carrier and a stand-in front."""
 
     def __init__(
-        self, folder: Path, time: VirtualTime | None = None, disk: int = 3_000_000, **more: Any
+        self,
+        folder: Path,
+        time: VirtualTime | None = None,
+        disk: int = 3_000_000,
+        known: dict[str, Any] | None = None,
+        **more: Any,
     ) -> None:
         self.s = settings(**{**SETTINGS, **more})
         self.time = time or VirtualTime()
@@ -74,7 +79,7 @@
         for name in ("resp", "mqtt"):
             self.core.fronts[name] = self
         self.prepare()
-        self.core.news(self.core.pool.update(LIST, cached=True))
+        self.core.news(self.core.pool.update(LIST if known is None else known, cached=True))
         self.resume()
 
     def resume(self) -> None:
