Send nothing of a destination to a member that is listed for another one now

The last look before a first byte compared addresses alone. Excluded: the simulator's lists (an id keeps its destination there) and members the operator set up (not in discovery's lists).

The change: Pool.update says of such a member that it has gone from where it was; Dispatcher.begin compares destinations too. Tests: whole list and change, message waiting or new, and the list told while a connection comes up; all failed before.

--- a/honeyhitch/core.py
+++ b/honeyhitch/core.py
@@ -365,7 +365,11 @@
         at another address, or the process may have been told to stop.
         """
         now, listed = self.scheduler.now(), self.pool.members.get(call.member.id)
-        there = listed is not None and listed.address == call.member.address
+        told = call.member
+        there = listed is not None and (listed.address, listed.destination) == (
+            told.address,
+            told.destination,
+        )
         for i, transaction in enumerate(call.parts):
             if call.open[i] and not (self.sending and there and self.brain.goes(now, transaction.id)):
                 self._unused(call, i)
--- a/honeyhitch/memory/pool.py
+++ b/honeyhitch/memory/pool.py
@@ -76,7 +76,12 @@
             # Late, it would bring back what went since; an agent that counts anew has to give its whole list.
             raise PoolError(f"revision: a change of {revision} after {self.revision}")
         members = [one for one in read if one.status is not api.Status.GONE or one.id in self.members]
-        self.revision, news = revision, tuple(member.entry() for member in members)
+        # One that is another destination's now has gone from the one it was of.
+        known = [(self.members.get(one.id, one), one) for one in members]
+        moved = [
+            replace(old, status=api.Status.GONE) for old, one in known if old.destination != one.destination
+        ]
+        self.revision, news = revision, tuple(member.entry() for member in [*moved, *members])
         if told.get("complete", False):  # what a whole list leaves out is gone as well
             named = {entry.endpoint for entry in news} | self.fixed.keys()
             self.members = {name: member for name, member in self.members.items() if name in named}
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -248,3 +248,25 @@
     stand.hand_in("next", dest=2)
     calls = stand.run(6)
     assert calls and all(one.sent >= ends for one in calls), "begun inside the told wait"
+
+
+@pytest.mark.parametrize("whole", [True, False])
+@pytest.mark.parametrize("waits", [True, False])
+def test_a_member_listed_for_another_destination_gets_nothing_of_the_first(
+    tmp_path: Path, whole: bool, waits: bool
+) -> None:
+    """Under the same id: a message for the first one, waiting or come later, is none of its business."""
+    stand = Stand(tmp_path)
+    if waits:
+        stand.hand_in("before")
+        (call,) = stand.run(0.01)
+        stand.end(call, Outcome.REFUSED)  # it waits on the ladder
+    rows = [row("s-1", 7), *([row("s-2", 2, "large")] if whole else [])]
+    stand.core.news(stand.core.pool.update({"revision": 2, "complete": whole, "members": rows}))
+    stand.hand_in("first")
+    stand.hand_in("other", dest=7)
+    calls = stand.run(5)
+    assert [(part.id, one.member.id) for one in calls for part in one.parts] == [("other", "s-1")]
+    stand.core.news(stand.core.pool.update({"revision": 3, "complete": False, "members": [row("s-3", 1)]}))
+    later = [(part.id, one.member.id) for one in stand.run(5) for part in one.parts]
+    assert set(later) == {("first", "s-3"), *([("before", "s-3")] if waits else [])}
--- a/tests/test_first_byte.py
+++ b/tests/test_first_byte.py
@@ -197,7 +197,7 @@
     play(work())
 
 
-@pytest.mark.parametrize("told", ["Terminating", "Gone", "moved"])
+@pytest.mark.parametrize("told", ["Terminating", "Gone", "moved", "another's"])
 def test_a_member_that_drains_or_moves_while_a_connection_comes_up_gets_nothing(
     tmp_path: Path, line: Line, told: str
 ) -> None:
@@ -209,7 +209,7 @@
         line.held = False
         rig.list({"host_port": f"127.0.0.1:{two.port}", "id": "s-0" if told == "moved" else "s-1"})
         if told != "moved":
-            rig.list({"phase": told})
+            rig.list({"cell": 2} if told == "another's" else {"phase": told})
         await until(lambda: not rig.core.events)
         line.doors[0].set()
         two.answers.put_nowait(OK)
