Heed a wait in an acknowledgement that comes after its publish was given up

Seen in a test with the stand-in broker: a call over MQTT whose time ran out was withdrawn, and its acknowledgement, which came later with a reason and Retry-After, was dropped whole (Session.withdraw put a function there that does nothing). The next message to the destination went at once, inside the wait. Excluded: the same over HTTP, where giving up closes the connection, and what came before that is read since the commit on a call's last answer.

The change: withdraw is given what to call then; the carrier tells the dispatcher of a wait and of nothing else.

--- a/honeyhitch/core.py
+++ b/honeyhitch/core.py
@@ -396,10 +396,7 @@
         A call has one fate. Where its answer comes after one part's time, nobody can tell whether it counts
         for the others (docs/fleet-questions.md): they may have run, and that says nothing of health.
         """
-        if result.wait:  # it binds the destination, whatever becomes of the call's own messages
-            until = self.scheduler.now() + result.wait
-            self.journal.wait(call.member.destination, call.member.id, until)
-            self._add(api.Told(call.member.destination, call.member.id, until))
+        self.told_wait(call.member, result.wait)
         if call.late and api.Outcome.DELIVERED in (one for one, _ in result.outcomes):
             doubt = {(api.Outcome.DELIVERED, True): (api.Outcome.RESET, False)}
             result.outcomes, result.stale = [doubt.get(one, one) for one in result.outcomes], True
@@ -411,6 +408,15 @@
         if not self.sending:
             self.carriers[call.member.carrier].close_idle(call.member)
 
+    def told_wait(self, member: PoolMember, wait: int) -> None:
+        """A member told to wait so many nanoseconds, or not at 0. That binds its destination, whatever
+        becomes of the messages of the call that brought it.
+        """
+        if wait:
+            until = self.scheduler.now() + wait
+            self.journal.wait(member.destination, member.id, until)
+            self._add(api.Told(member.destination, member.id, until))
+
     def expired(self, call: Call, transaction: Transaction) -> None:
         """One part of a call that is still out is out of time; one that has not begun is left out of it."""
         for i, part in enumerate(call.parts):
--- a/honeyhitch/wire/drivers/broker.py
+++ b/honeyhitch/wire/drivers/broker.py
@@ -233,7 +233,11 @@
     def _stop(self, call: Call, outcome: api.Outcome) -> None:
         one = self.running.get(call)
         if one is not None:
-            self.session.withdraw(one)
+
+            def late(ack: Packet | None, left: bool) -> None:
+                self.dispatcher.told_wait(call.member, messages.outcome(call, ack, left).wait)
+
+            self.session.withdraw(one, late)
             never = not one.sent  # it still waited for the broker's receive maximum
             self._finish(call, Result.same(api.Outcome.CONNECT_FAILED if never else outcome, len(call.parts)))
 
--- a/honeyhitch/wire/mqtt.py
+++ b/honeyhitch/wire/mqtt.py
@@ -407,9 +407,11 @@
         self._drain()
         return one
 
-    def withdraw(self, one: Outgoing) -> None:
-        """Nobody waits for its end any more: it is not sent if it has not been, and `done` is not called."""
-        one.done = lambda ack, left: None
+    def withdraw(self, one: Outgoing, late: Callable[[Packet | None, bool], None]) -> None:
+        """Nobody waits for its end any more: it is not sent if it has not been, and `late` is called instead
+        of `done` if its end comes all the same.
+        """
+        one.done = late
         if one in self.queue:
             self.queue.remove(one)
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -378,3 +378,42 @@
         assert len(attempts) == 2 and attempts[1] - attempts[0] >= 800 * MS
 
     play(work())
+
+
+def test_a_wait_acknowledged_after_its_call_was_given_up_is_heeded(tmp_path: Path) -> None:
+    """A publish cannot be called back, and its acknowledgement may come after its message's time."""
+
+    async def work() -> None:
+        broker, agent, loop = Broker(), await Peer().start(), asyncio.get_running_loop()
+        await broker.start()
+        silent, heard = list[Packet](), list[float]()
+
+        def partner(packet: Packet) -> Packet | None:
+            if not silent:
+                silent.append(packet)
+                return None
+            heard.append(loop.time())
+            return Packet(Kind.PUBACK, id=packet.id)
+
+        broker.partner, client = partner, Client(loop)
+        async with started(tmp_path, agent.port, [], OPERATOR.format(port=broker.port, dest=1)):
+            client.connect(broker.port)
+            while "n0-intake" not in broker.kept or "client" not in broker.kept:
+                await asyncio.sleep(0.01)
+            client.hand_in("brief", 1, left=300)
+            await client.until(1)
+            (one,), told = silent, loop.time()
+            wait = Packet(Kind.PUBACK, id=one.id, reason=0x97, user=[("Retry-After", "0.5")])
+            broker._write(broker.kept["n0-calls"], wait)
+            while not any(
+                fields["t"] == "wait"
+                for fields, _, _ in unpack((tmp_path / "state" / "journal").read_bytes())
+            ):
+                await asyncio.sleep(0.01)
+            client.hand_in("next", 1)
+            await client.until(2)
+        client.paho.disconnect()
+        client.paho.loop_stop()
+        assert len(heard) == 1 and heard[0] >= told + 0.5, "begun inside the told wait"
+
+    play(work())
