--- a/honeyhitch/wire/calls.py
+++ b/honeyhitch/wire/calls.py
@@ -26,7 +26,9 @@
     "expired": (api.Outcome.NOT_SENT, True),
     "no_more": (api.Outcome.NOT_SENT, False),
 }
-NUMBER = re.compile(r"\d{1,12}(\.\d{0,12})?|\.\d{1,12}")
+# Decimals without a bound: a float written out may have 17 of them, and more.
+NUMBER = re.compile(r"\d{1,12}(\.\d*)?|\.\d+", re.ASCII)  # of a report: a figure beyond is no figure
+SECONDS = re.compile(r"\d+(\.\d*)?|\.\d+", re.ASCII)  # a wait beyond all bounds is one still
 
 
 def encode(parts: list[Transaction], timeout: int, host: str) -> bytes:
@@ -50,7 +52,7 @@
 def wait(headers: dict[str, str]) -> int:
     """The told wait in nanoseconds, 0 if there is none; names are in lower case."""
     text = headers.get("retry-after", "").strip()
-    return min(MOST_WAIT, int(float(text) * SECOND)) if NUMBER.fullmatch(text) else 0
+    return int(min(MOST_WAIT, float(text) * SECOND)) if SECONDS.fullmatch(text) else 0
 
 
 def report(text: str) -> dict[str, float]:
