Test that a reply half written is cut neither by a drain nor for a place

The write is stopped after three bytes, then the server drains and gives up its places: the connection stays, is not settled, and ends after its whole reply. Fault put in for a check: resting without asking whether something is being sent; the test catches it.

--- a/tests/test_virtual_server.py
+++ b/tests/test_virtual_server.py
@@ -9,6 +9,7 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
+from typing import Any
 
 import pytest
 
@@ -267,3 +268,37 @@
             assert not taken
 
     play(work())
+
+
+class Stuck:
+    """A loop whose writes stop after some bytes till the test lets them go on."""
+
+    def __init__(self) -> None:
+        self.loop, self.go = asyncio.get_running_loop(), asyncio.Event()
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.loop, name)
+
+    async def sock_sendall(self, sock: socket.socket, data: bytes) -> None:
+        await self.loop.sock_sendall(sock, data[:3])
+        await self.go.wait()
+        await self.loop.sock_sendall(sock, data[3:])
+
+
+def test_a_reply_half_written_is_not_cut_by_a_drain_or_for_a_place() -> None:
+    async def work() -> None:
+        async with served(1) as server:
+            sock, stuck = await plain(server), Stuck()
+            (client,) = server.clients
+            server.loop = stuck  # type: ignore[assignment]
+            sock.send(PING)
+            while not client.sending:
+                await asyncio.sleep(0)
+            server.drain()
+            server.limit(0)
+            assert len(server.clients) == 1 and not server.settled
+            stuck.go.set()
+            reader, _ = await asyncio.open_connection(sock=sock)
+            assert await reader.read() == PONG, "whole, and then the end"
+
+    play(work())
