--- a/tests/test_first_byte.py
+++ b/tests/test_first_byte.py
@@ -17,12 +17,16 @@
 
 from honeyhitch.core import Dispatcher
 from honeyhitch.memory.account import unpack
+from honeyhitch.memory.buffer import Buffer
 from honeyhitch.memory.journal import Journal
-from honeyhitch.memory.pool import Pool
+from honeyhitch.memory.pool import Pool, PoolMember
 from honeyhitch.memory.transactions import Ending, Transaction
+from honeyhitch.setup import MqttSetup
 from honeyhitch.wire.drivers import sockets
+from honeyhitch.wire.drivers.broker import MqttCarrier
 from honeyhitch.wire.drivers.members import HttpCarrier
 from honeyhitch.wire.drivers.tasks import LoopScheduler, Tasks
+from honeyhitch.wire.mqtt import Kind, Packet, decode, encode
 
 from .rig import SETTINGS, row
 from .world import SECOND, settings
@@ -343,3 +347,50 @@
         await rig.close()
 
     play(work())
+
+
+def test_a_publish_that_waits_for_the_receive_maximum_heeds_a_wait_told_meanwhile(tmp_path: Path) -> None:
+    """The broker takes one at a time: the second publish is asked for once the first is acknowledged."""
+
+    async def work() -> None:
+        setup = MqttSetup("127.0.0.1:1", "in", "n0")
+        rig = Rig(tmp_path, [])
+        carrier = MqttCarrier(setup, rig.core, rig.core.scheduler, rig.tasks)  # type: ignore[arg-type]
+        rig.core.carriers["mqtt"] = carrier
+        one = PoolMember("m", "partner/1", 1, kind=1, scale=100.0, carrier="mqtt")
+        rig.core.pool.fix(one)
+        told = {"revision": 2, "complete": True, "members": []}
+        rig.core.news(rig.core.pool.update(told))
+        session, buffer = carrier.session, Buffer()
+
+        def receive(packet: Packet) -> None:
+            buffer.feed(encode(packet))
+            session.receive(buffer)
+
+        def published() -> list[Packet]:
+            sent = Buffer()
+            sent.feed(session.take_out())
+            found = list(iter(lambda: decode(sent), None))
+            return [packet for packet in found if packet.kind is Kind.PUBLISH]
+
+        session.open()
+        session.take_out()
+        receive(Packet(Kind.CONNACK, properties={"receive_maximum": 1}))
+        rig.hand_in("a")
+        rig.hand_in("b")
+        await until(lambda: len(rig.core.out) == 2)
+        (first,) = published()
+        rig.core.told_wait(one, SECOND // 2)
+        ends = rig.core.scheduler.now() + SECOND // 2
+        await until(lambda: rig.waits() >= ends - SECOND // 10)
+        receive(Packet(Kind.PUBACK, id=first.id))
+        assert not published() and not rig.core.out
+        later: list[Packet] = []
+        await until(lambda: later.extend(published()) or later)  # type: ignore[func-returns-value]
+        assert rig.core.scheduler.now() >= ends - 10**7, "begun inside the told wait"
+        receive(Packet(Kind.PUBACK, id=later[0].id))
+        await until(lambda: len(rig.core.held) == 0)
+        assert [fields["n"] for fields in rig.records("attempt")] == [0, 0], "no attempt was used up"
+        await rig.close()
+
+    play(work())
