--- a/tests/program.py
+++ b/tests/program.py
@@ -53,6 +53,12 @@
         runner.run(bounded())
 
 
+def enqueue(name: str, left: int = 8000) -> bytes:
+    """One message for destination 1 as a client hands it in; `left` in milliseconds."""
+    parts = [b"ENQUEUE", b"0", name.encode(), b"c=standard,t=studio,d=%d,k=k,dest=1" % left, b"body"]
+    return b"*5\r\n" + b"".join(b"$%d\r\n%s\r\n" % (len(part), part) for part in parts)
+
+
 class Peer:
     """A scripted party: it listens, and hands out its connections in the order in which they came."""
 
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -14,16 +14,11 @@
 from honeyhitch.lifecycle import serve
 
 from .agent import Agent
-from .program import play, started
+from .program import enqueue, play, started
 from .rig import Stand, row
 from .world import MS, SECOND
 
 
-def request(name: str) -> bytes:
-    parts = [b"ENQUEUE", b"0", name.encode(), b"c=standard,t=studio,d=8000,k=k,dest=1", b"body"]
-    return b"*5\r\n" + b"".join(b"$%d\r\n%s\r\n" % (len(part), part) for part in parts)
-
-
 @pytest.mark.parametrize("held", [False, True])
 def test_a_request_half_come_has_its_whole_reply_before_the_process_ends(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, held: bool
@@ -39,9 +34,9 @@
         async with started(tmp_path, agent.port, members, stopped=True) as port:
             reader, writer = await asyncio.open_connection("127.0.0.1", port)
             if held:  # its member's port is closed: it waits for a further try
-                writer.write(request("held"))
+                writer.write(enqueue("held"))
                 assert await reader.readline() == b"+OK\r\n"
-            whole = request("id")
+            whole = enqueue("id")
             writer.write(b"PING\r\n" + whole[:-3])
             assert await reader.readline() == b"+PONG\r\n"
             os.kill(os.getpid(), signal.SIGTERM)
--- a/tests/test_silent_agent.py
+++ b/tests/test_silent_agent.py
@@ -10,9 +10,8 @@
 import pytest
 
 from honeyhitch.wire import asking, notices
-from honeyhitch.wire.drivers import discovery
 
-from .program import Peer, play, started
+from .program import Peer, enqueue, play, started
 from .rig import row
 from .test_program import listed, watched
 
@@ -33,18 +32,13 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, dead: int
 ) -> None:
     monkeypatch.setattr(notices, "ANSWER", NEVER)
-    monkeypatch.setattr(discovery, "ANSWER", NEVER, raising=False)
 
     async def work() -> None:
         agent = await Peer().start()
         async with started(tmp_path, agent.port, [row("s-1", 1)]) as port:  # nobody listens at s-1
             await watched(agent, agent.port)
             reader, writer = await asyncio.open_connection("127.0.0.1", port)
-            fields = b"c=standard,t=studio,d=500,k=k,dest=1"
-            writer.write(
-                b"*5\r\n$7\r\nENQUEUE\r\n$1\r\n0\r\n$2\r\nid\r\n$%d\r\n%s\r\n" % (len(fields), fields)
-            )
-            writer.write(b"$4\r\nbody\r\n")
+            writer.write(enqueue("id", left=500))
             assert await reader.readline() == b"+OK\r\n"
             silent = [await agent.came.get() for _ in range(dead)]  # kept open: a closed one tells at once
             for one in silent:
@@ -63,7 +57,6 @@
 ) -> None:
     monkeypatch.setattr(asking, "SILENCE", NEVER)
     monkeypatch.setattr(asking, "TOLD", NEVER + 1.0)
-    monkeypatch.setattr(discovery, "SILENCE", NEVER, raising=False)
 
     async def work() -> None:
         agent = await Peer().start()
@@ -80,7 +73,6 @@
 def test_a_list_that_never_comes_is_asked_for_anew(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(asking, "SILENCE", NEVER)
     monkeypatch.setattr(asking, "TOLD", NEVER + 1.0)
-    monkeypatch.setattr(discovery, "SILENCE", NEVER, raising=False)
 
     async def work() -> None:
         agent = await Peer().start()
--- a/tests/world.py
+++ b/tests/world.py
@@ -64,12 +64,11 @@
     taken: int
     attempts: list[Attempt] = dataclasses.field(default_factory=list)
     answers: list[tuple[int, str]] = dataclasses.field(default_factory=list)
-    withdrawn: bool = False
-    withdrawn_at: int = -1
+    withdrawn_at: int | None = None
 
     @property
     def over(self) -> bool:
-        return bool(self.answers) or self.withdrawn
+        return bool(self.answers) or self.withdrawn_at is not None
 
 
 class World:
@@ -122,7 +121,6 @@
                     bound = self.bound(event.endpoint)
                     self.waits[bound] = max(self.waits.get(bound, 0), self.now + event.wait)
             case api.Withdrawn():
-                self.messages[event.message].withdrawn = True
                 self.messages[event.message].withdrawn_at = self.now
             case api.ListNews():
                 for entry in event.entries:
@@ -141,7 +139,7 @@
                 known = self.messages[name]
                 # An earlier event of the batch that withdraws it may have ended it already.
                 assert not known.answers, "two final answers"
-                assert not known.withdrawn or known.withdrawn_at == self.now, "answered though withdrawn"
+                assert known.withdrawn_at in (None, self.now), "answered though withdrawn"
                 left = known.taken + known.event.time_left + ANSWER_SLACK
                 assert self.now <= max(left, known.taken), "answered too late"
                 if isinstance(action, api.Refuse):
