Ask discovery again within 5 s: a change counts as told 6 s after it can be reached

Cause: MOST = 8.0 in wire/asking.py and ASK_MOST = 8 s in brain.py let a dispatcher pause for up to 8 s after an ask that was turned away, while the operators count a change as told 6 s after discovery had it and could be reached. Checked: pauses after asks without any answer end at half of the drain's grace already (again, answered=False).

Change: both bounds are 5 s, which leaves 1 s for the ask and its answer.

--- a/honeyhitch/brain.py
+++ b/honeyhitch/brain.py
@@ -35,7 +35,7 @@
 MOST_TOGETHER, TOGETHER = 1024, 0.5  # messages in a call where none break; growth with a call that passes
 BEHIND = 1e-6  # x worth of what may wait: it goes last
 REACH = 0.5  # x mean latency; with less time left a message is given up
-ASK_GAP, ASK_MOST, AVOID_STEPS = 500 * MS, 8 * SECOND, 4  # ns, asking again; steps an endpoint is ranked by
+ASK_GAP, ASK_MOST, AVOID_STEPS = 500 * MS, 5 * SECOND, 4  # ns, asks; steps an endpoint is ranked by
 RESTING = (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED)  # after these it may still run: a key rests
 
 
--- a/honeyhitch/wire/asking.py
+++ b/honeyhitch/wire/asking.py
@@ -2,19 +2,22 @@
 
 Every dispatcher of a fleet loses its watch at the same moment, and discovery sends few lists a second.
 If all come back at once, each for a whole list, none gets one. So pauses grow with each failure and are drawn
-from nothing up to their bound, and one that has a list asks only for what changed after it.
+by chance up to a bound, and one that has a list asks only for what changed after it. The bound of all leaves
+time for an answer before a change that discovery has counts as told.
 """
 
 from __future__ import annotations
 
 from random import Random
 
-FIRST, MOST = 0.25, 8.0  # seconds; the bound of the first pause, and of all
+TOLD = 6.0  # seconds after which what discovery had, or a silent watch missed, counts as told (standing test)
+ANSWER = 1.0  # seconds of these for an ask and its answer
+FIRST, MOST = 0.25, TOLD - ANSWER  # seconds; the bound of the first pause, and of all
+LEAST = 0.25  # of the bound: the shortest pause after an ask that was turned away
 CALM = 5.0  # seconds that a watch lasted, after which a break is a new one
 SPREAD, FEW = 0.05, 6  # seconds an instance before the first ask at a start; instances that need none
 UNASKED = 0.5  # of the time for which something new may go to a member whose drain was told
 SILENCE = 5.0  # seconds without even a heartbeat, of which one comes every 2 s: the watch is broken
-TOLD = 6.0  # seconds after a watch fell silent, when what it misses counts as told (the standing test's page)
 ASKS = 3  # equal parts of what is left then: pause, an ask that is silent as well, pause
 
 
@@ -101,5 +104,7 @@
         granted after a drain allows; one that turned us away, or that could not be used, has nothing for us.
         """
         self.bound = FIRST if lasted >= CALM else min(MOST, 2 * self.bound)
-        most = MOST if answered else max(FIRST, UNASKED * self.grace)
-        return self.rng.uniform(0, min(self.bound, most))
+        if answered:
+            bound = min(self.bound, MOST)
+            return self.rng.uniform(LEAST * bound, bound)
+        return self.rng.uniform(0, min(self.bound, max(FIRST, UNASKED * self.grace)))
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -7,10 +7,13 @@
 
 import pytest
 
+from honeyhitch import interface as api
 from honeyhitch.wire import notices
 from honeyhitch.wire.asking import CALM, FEW, FIRST, MOST, SILENCE, TOLD, UNASKED, Asking
 from honeyhitch.wire.discovery import Watch, WatchError
 
+from .world import SECOND, World, settings
+
 LINES, ASK_COST, LIST_COST = (
     250.0,
     30,
@@ -118,6 +121,29 @@
         return b
 
 
+@pytest.mark.parametrize("instances", [1, 6, 200, 770])
+def test_after_refused_asks_the_next_answer_comes_before_a_change_counts_as_told(instances: int) -> None:
+    """Discovery may have a change, and be reached, right after it turned an ask away: that counts as told 6 s
+    later, whatever else is allowed then, and however many asks were turned away before.
+    """
+    one = Asking(Longest(), instances, True, False, 0.0)
+    for _ in range(20):
+        pause = one.again(0.05, True)
+        one.opens()
+        assert pause + one.within < TOLD
+
+
+def test_the_module_asks_again_before_a_change_counts_as_told() -> None:
+    """The same term where the module itself asks: after each failed ask, however many there were."""
+    world = World(settings(must_ask=True), ())
+    for _ in range(12):
+        world.batch([api.ListNews(api.ListMode.FAILED)])
+        failed, before = world.now, len(world.log)
+        world.run(world.now + int(TOLD * SECOND))
+        asked = [at for at, action in world.log[before:] if isinstance(action, api.Subscribe)]
+        assert asked and asked[0] - failed < TOLD * SECOND
+
+
 @pytest.mark.parametrize("instances", [1, 6, 200])
 @pytest.mark.parametrize("grace", [0.0, 0.1, 0.5, 1.0, 2.0, 3.0, 10.0])
 def test_a_silent_watch_after_a_silent_one_is_over_before_a_drain_is(grace: float, instances: int) -> None:
