--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 PYTHON ?= python3
 
-.PHONY: env try try-tls try-undelivered test
+.PHONY: capacity env try try-tls try-undelivered test
 
 env: $(VENV)/.run
 
@@ -27,6 +27,10 @@
 try-undelivered: $(VENV)/.test
 	$(VENV)/bin/python example/try.py --undelivered
 
+# What grows with the size of the deployment, and how fast; some minutes, on a machine left alone.
+capacity: $(VENV)/.test
+	$(VENV)/bin/python benchmarks/capacity.py --json benchmarks/results/capacity.json
+
 # Installs what the tests need and runs them, their files in memory where there is such a place: on some machines
 # each file that is written anew waits for the disk.
 MEMORY := $(wildcard /dev/shm)
