--- a/honeyhitch/core.py
+++ b/honeyhitch/core.py
@@ -6,18 +6,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from dataclasses import dataclass, field
-from enum import Enum
-from typing import Any, Protocol
+from typing import Any
 
 from honeyhitch import interface as api
 from honeyhitch import logs
 from honeyhitch.brain import Brain
+from honeyhitch.delivery import Admission, Call, Phase, Result, State
 from honeyhitch.figures import Figures
 from honeyhitch.memory.journal import Journal, JournalFull
 from honeyhitch.memory.pool import Pool, PoolMember
 from honeyhitch.memory.transactions import RESEND, Ending, Transaction, Try
+from honeyhitch.ports import Came, Carrier, Front, Guard, Keeper, Neighbour, Opener, Scheduler
 from honeyhitch.standing import avoided
 
 log = logs.get()
@@ -26,152 +25,6 @@
 BUSY = 500 * MS  # ns; told to clients that are turned away before the module
 
 
-class Phase(Enum):
-    """How a dispatcher stands to new work."""
-
-    STARTING = "starting"
-    READY = "ready"
-    DRAINING = "draining"
-    DOWN = "down"
-
-
-@dataclass(frozen=True, slots=True)
-class State:
-    """The phase, and how full it is."""
-
-    phase: Phase
-    held: int
-    most: int
-
-
-@dataclass(frozen=True, slots=True)
-class Offered:
-    """What the dispatcher says of a transaction that was handed in."""
-
-    taken: bool
-    come_back: int = 0  # nanoseconds; with a reject
-
-
-@dataclass(slots=True)
-class Result:
-    """How a call ended: an outcome for each of its transactions, and what the member told besides."""
-
-    outcomes: list[tuple[api.Outcome, bool]]  # and whether nothing more is owed
-    wait: int = 0
-    told: dict[str, float] = field(default_factory=dict)
-    why: str = ""  # the name of a failure that outcomes do not tell apart
-    stale: bool = False  # a connection kept from an earlier call broke before any answer
-    crowded: bool = False  # a new connection was turned away, the member's table of them being full
-
-    @classmethod
-    def same(cls, outcome: api.Outcome, count: int, over: bool = False) -> Result:
-        """All of the call's transactions fared alike."""
-        return cls([(outcome, over)] * count)
-
-
-@dataclass(slots=True, eq=False)
-class Call:
-    """One call out: it has one slot and one fate, and carries one transaction or several."""
-
-    member: PoolMember
-    parts: list[Transaction]
-    numbers: list[int]  # of the attempts
-    timeouts: list[int]  # for each part, from `sent`
-    sent: int
-    open: list[bool]  # parts that have no outcome yet
-    begun: bool = False  # its first byte may have gone
-    late: bool = False  # since then the time of one of its parts has run out
-
-    @property
-    def timeout(self) -> int:
-        """How long the call may be out."""
-        return max(self.timeouts, default=0)
-
-
-class Scheduler(Protocol):
-    """Clock and timers."""
-
-    def now(self) -> int:
-        """The time."""
-
-    def at(self, when: int, what: Callable[[], None]) -> None:
-        """Do something then."""
-
-
-class Carrier(Protocol):
-    """Carries calls to pool members; each call started is reported once to `Dispatcher.ended`."""
-
-    def start(self, call: Call) -> None:
-        """Make the call; `Dispatcher.begin` is asked right before its first byte."""
-
-    def give_up(self, call: Call) -> None:
-        """Stop waiting for it; that is reported as its end, too."""
-
-    def close_idle(self, member: PoolMember) -> None:
-        """Close idle connections to a member."""
-
-
-class Opener(Protocol):
-    """Opens connections to gated members ahead of calls; each change is reported to `Dispatcher.room`."""
-
-    def open(self, member: PoolMember, calls: int) -> None:
-        """Connections for so many more calls are wanted; as many are opened as may be."""
-
-
-class Front(Protocol):
-    """Gives final answers to those who handed in."""
-
-    def answer(self, transaction: Transaction) -> None:
-        """Send it; `Dispatcher.answered` is called once it has been sent."""
-
-
-class Keeper(Protocol):
-    """Keeps messages that ended undelivered; `Dispatcher.kept` is called once one is safe there."""
-
-    def keep(self, transaction: Transaction) -> None:
-        """Take it over when there is time; the journal holds it until then."""
-
-
-class Neighbour(Protocol):
-    """Another process of the same dispatcher, while an upgrade lasts."""
-
-    def news(self) -> list[api.Event]:
-        """What the module must know of what that process was told."""
-
-    def knows(self, name: str) -> bool:
-        """That process has taken this message on: it owes the answer."""
-
-
-class Came(Enum):
-    """What becomes of a transaction that comes, in view of what was resent."""
-
-    GO = "go"
-    WAIT = "wait"  # a resend of it is on its way; `Dispatcher.go_on` or `Dispatcher.conclude` follows
-    DONE = "done"  # a resend of it was delivered
-
-
-class Guard(Protocol):
-    """Keeps a client's copy and a resend from going out both."""
-
-    def came(self, transaction: Transaction) -> Came:
-        """A client's transaction was taken on, or taken up again after a start."""
-
-    def came_back(self, transaction: Transaction) -> None:
-        """A resend is in the journal after a start."""
-
-    def attempt_ended(self, transaction: Transaction, outcome: api.Outcome) -> None:
-        """One attempt of a transaction is over."""
-
-    def ended(self, transaction: Transaction) -> None:
-        """It was decided how a transaction ends, or it was withdrawn."""
-
-    def moved(self, transaction: Transaction) -> None:
-        """The keeper has it, or has let it go."""
-
-    def settles(self, transaction: Transaction) -> bool:
-        """Whether its delivery settles what is kept."""
-
-
 class Dispatcher:
     """One Brain, the transactions held, and the ports; all fronts share it."""
 
@@ -224,12 +77,12 @@
                 log.warning("undelivered.off", resend=transaction.id)
                 self.journal.end(transaction, Ending.OVER)
 
-    def offer(self, transaction: Transaction) -> Offered:
+    def offer(self, transaction: Transaction) -> Admission:
         """Take a transaction on, or reject it at once; one that is held already is not taken twice."""
         if self.journal.knows(transaction.id):
-            return Offered(True)
+            return Admission(True)
         if self.beside is not None and self.beside.knows(transaction.id):
-            return Offered(True)
+            return Admission(True)
         if not self.taking or len(self.held) >= self.s.max_open:
             return self._turned_away(transaction)
         transaction.came_at = self.scheduler.now()
@@ -243,11 +96,11 @@
             self._delivered_before(transaction)  # as the receiver would say of a repeat
         else:
             self._admit(transaction)
-        return Offered(True)
+        return Admission(True)
 
-    def _turned_away(self, transaction: Transaction) -> Offered:
+    def _turned_away(self, transaction: Transaction) -> Admission:
         self.figures.turned_away(transaction)
-        return Offered(False, BUSY)
+        return Admission(False, BUSY)
 
     def offer_resend(self, transaction: Transaction) -> bool:
         """Write a resend down; it goes to the module by `go_on` once the store has claimed it."""
--- /dev/null
+++ b/honeyhitch/delivery.py
@@ -0,0 +1,72 @@
+"""Values that the core, the fronts and the carriers exchange: admissions, calls and their results."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from honeyhitch import interface as api
+from honeyhitch.memory.pool import PoolMember
+from honeyhitch.memory.transactions import Transaction
+
+
+class Phase(Enum):
+    """Whether a dispatcher accepts new work."""
+
+    STARTING = "starting"
+    READY = "ready"
+    DRAINING = "draining"
+    DOWN = "down"
+
+
+@dataclass(frozen=True, slots=True)
+class State:
+    """The phase, how many transactions are held, and how many may be."""
+
+    phase: Phase
+    held: int
+    most: int
+
+
+@dataclass(frozen=True, slots=True)
+class Admission:
+    """Whether the dispatcher accepted a transaction that was handed in, and owes its end from now on."""
+
+    accepted: bool
+    retry_after: int = 0  # nanoseconds; with a reject
+
+
+@dataclass(slots=True)
+class Result:
+    """How a call ended: an outcome for each of its transactions, and what the member told besides."""
+
+    outcomes: list[tuple[api.Outcome, bool]]  # and whether nothing more is owed
+    wait: int = 0
+    told: dict[str, float] = field(default_factory=dict)
+    why: str = ""  # the name of a failure that outcomes do not tell apart
+    stale: bool = False  # a connection kept from an earlier call broke before any answer
+    crowded: bool = False  # a new connection was turned away, the member's table of them being full
+
+    @classmethod
+    def same(cls, outcome: api.Outcome, count: int, over: bool = False) -> Result:
+        """All of the call's transactions fared alike."""
+        return cls([(outcome, over)] * count)
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """One call out: it has one slot and one fate, and carries one transaction or several."""
+
+    member: PoolMember
+    parts: list[Transaction]
+    numbers: list[int]  # of the attempts
+    timeouts: list[int]  # for each part, from `sent`
+    sent: int
+    open: list[bool]  # parts that have no outcome yet
+    begun: bool = False  # its first byte may have gone
+    late: bool = False  # since then the time of one of its parts has run out
+
+    @property
+    def timeout(self) -> int:
+        """How long the call may be out."""
+        return max(self.timeouts, default=0)
--- a/honeyhitch/lifecycle/serve.py
+++ b/honeyhitch/lifecycle/serve.py
@@ -13,7 +13,8 @@
 import uvloop
 
 from honeyhitch import __version__, logs
-from honeyhitch.core import Dispatcher, Phase
+from honeyhitch.core import Dispatcher
+from honeyhitch.delivery import Phase
 from honeyhitch.lifecycle.beside import Beside
 from honeyhitch.lifecycle.config import FIXED_SOCKETS, Config, ConfigError
 from honeyhitch.lifecycle.signals import Stop, on_reload
--- a/honeyhitch/middleware.py
+++ b/honeyhitch/middleware.py
@@ -9,7 +9,8 @@
 from collections.abc import Awaitable, Callable, MutableMapping
 from typing import Any
 
-from honeyhitch.core import Dispatcher, Offered
+from honeyhitch.core import Dispatcher
+from honeyhitch.delivery import Admission
 from honeyhitch.lifecycle import config as configuration
 from honeyhitch.lifecycle.serve import Service
 from honeyhitch.memory.transactions import Ending, Transaction
@@ -71,9 +72,9 @@
         now = self.dispatcher.scheduler.now()
         transaction = self.fields.transaction(name.encode(), told, body, now)
         transaction.front = "app"
-        offered: Offered = self.dispatcher.offer(transaction)
-        if not offered.taken:
-            raise Rejected(offered.come_back / SECOND)
+        admission: Admission = self.dispatcher.offer(transaction)
+        if not admission.accepted:
+            raise Rejected(admission.retry_after / SECOND)
         return name
 
     async def deliver(self, destination: int, body: bytes, **more: Any) -> str:
--- /dev/null
+++ b/honeyhitch/ports.py
@@ -0,0 +1,96 @@
+"""What the core needs from outside, as protocols: clock, carriers, fronts and what stands beside it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from enum import Enum
+from typing import Protocol
+
+from honeyhitch import interface as api
+from honeyhitch.delivery import Call
+from honeyhitch.memory.pool import PoolMember
+from honeyhitch.memory.transactions import Transaction
+
+
+class Scheduler(Protocol):
+    """Clock and timers."""
+
+    def now(self) -> int:
+        """The time."""
+
+    def at(self, when: int, what: Callable[[], None]) -> None:
+        """Do something then."""
+
+
+class Carrier(Protocol):
+    """Carries calls to pool members; each call started is reported once to `Dispatcher.ended`."""
+
+    def start(self, call: Call) -> None:
+        """Make the call; `Dispatcher.begin` is asked right before its first byte."""
+
+    def give_up(self, call: Call) -> None:
+        """Stop waiting for it; that is reported as its end, too."""
+
+    def close_idle(self, member: PoolMember) -> None:
+        """Close idle connections to a member."""
+
+
+class Opener(Protocol):
+    """Opens connections to gated members ahead of calls; each change is reported to `Dispatcher.room`."""
+
+    def open(self, member: PoolMember, calls: int) -> None:
+        """Connections for so many more calls are wanted; as many are opened as may be."""
+
+
+class Front(Protocol):
+    """Gives final answers to those who handed in."""
+
+    def answer(self, transaction: Transaction) -> None:
+        """Send it; `Dispatcher.answered` is called once it has been sent."""
+
+
+class Keeper(Protocol):
+    """Keeps messages that ended undelivered; `Dispatcher.kept` is called once one is safe there."""
+
+    def keep(self, transaction: Transaction) -> None:
+        """Take it over when there is time; the journal holds it until then."""
+
+
+class Neighbour(Protocol):
+    """Another process of the same dispatcher, while an upgrade lasts."""
+
+    def news(self) -> list[api.Event]:
+        """What the module must know of what that process was told."""
+
+    def knows(self, name: str) -> bool:
+        """That process has taken this message on: it owes the answer."""
+
+
+class Came(Enum):
+    """What becomes of a transaction that comes, in view of what was resent."""
+
+    GO = "go"
+    WAIT = "wait"  # a resend of it is on its way; `Dispatcher.go_on` or `Dispatcher.conclude` follows
+    DONE = "done"  # a resend of it was delivered
+
+
+class Guard(Protocol):
+    """Keeps a client's copy and a resend from going out both."""
+
+    def came(self, transaction: Transaction) -> Came:
+        """A client's transaction was taken on, or taken up again after a start."""
+
+    def came_back(self, transaction: Transaction) -> None:
+        """A resend is in the journal after a start."""
+
+    def attempt_ended(self, transaction: Transaction, outcome: api.Outcome) -> None:
+        """One attempt of a transaction is over."""
+
+    def ended(self, transaction: Transaction) -> None:
+        """It was decided how a transaction ends, or it was withdrawn."""
+
+    def moved(self, transaction: Transaction) -> None:
+        """The keeper has it, or has let it go."""
+
+    def settles(self, transaction: Transaction) -> bool:
+        """Whether its delivery settles what is kept."""
--- a/honeyhitch/undelivered/copies.py
+++ b/honeyhitch/undelivered/copies.py
@@ -10,8 +10,8 @@
 from itertools import islice
 
 from honeyhitch import interface as api
-from honeyhitch.core import Came
 from honeyhitch.memory.transactions import Transaction
+from honeyhitch.ports import Came
 from honeyhitch.undelivered.records import Standing
 from honeyhitch.undelivered.resends import Known
 
--- a/honeyhitch/undelivered/keeping.py
+++ b/honeyhitch/undelivered/keeping.py
@@ -9,7 +9,8 @@
 from typing import Any
 
 from honeyhitch import logs
-from honeyhitch.core import Dispatcher, Scheduler
+from honeyhitch.core import Dispatcher
+from honeyhitch.ports import Scheduler
 from honeyhitch.undelivered import operations
 from honeyhitch.undelivered.moving import Moving, tell_dropped
 from honeyhitch.undelivered.resending import Resending
--- a/honeyhitch/undelivered/moving.py
+++ b/honeyhitch/undelivered/moving.py
@@ -13,9 +13,9 @@
 
 from honeyhitch import interface as api
 from honeyhitch import logs
-from honeyhitch.core import Scheduler
 from honeyhitch.memory.journal import Journal
 from honeyhitch.memory.transactions import Transaction
+from honeyhitch.ports import Scheduler
 from honeyhitch.undelivered import records
 from honeyhitch.undelivered.worker import Done, Job
 
--- a/honeyhitch/undelivered/resending.py
+++ b/honeyhitch/undelivered/resending.py
@@ -16,8 +16,9 @@
 
 from honeyhitch import interface as api
 from honeyhitch import logs
-from honeyhitch.core import BUSY, Came, Dispatcher, Scheduler
+from honeyhitch.core import BUSY, Dispatcher
 from honeyhitch.memory.transactions import RESEND, Ending, Transaction
+from honeyhitch.ports import Came, Scheduler
 from honeyhitch.standing import condition
 from honeyhitch.undelivered import resends
 from honeyhitch.undelivered.copies import Copies, Key
--- a/honeyhitch/wire/agent_check.py
+++ b/honeyhitch/wire/agent_check.py
@@ -8,7 +8,7 @@
 
 import httptools
 
-from honeyhitch.core import Phase, State
+from honeyhitch.delivery import Phase, State
 from honeyhitch.memory.buffer import Buffer
 
 MOST_REQUEST = 8192  # bytes
--- a/honeyhitch/wire/calls.py
+++ b/honeyhitch/wire/calls.py
@@ -5,7 +5,7 @@
 import re
 
 from honeyhitch import interface as api
-from honeyhitch.core import Result
+from honeyhitch.delivery import Result
 from honeyhitch.memory.transactions import Transaction
 from honeyhitch.wire import http1
 
--- a/honeyhitch/wire/drivers/broker.py
+++ b/honeyhitch/wire/drivers/broker.py
@@ -11,7 +11,8 @@
 
 from honeyhitch import interface as api
 from honeyhitch import logs
-from honeyhitch.core import Call, Dispatcher, Result
+from honeyhitch.core import Dispatcher
+from honeyhitch.delivery import Call, Result
 from honeyhitch.memory.buffer import Buffer
 from honeyhitch.memory.pool import PoolMember
 from honeyhitch.memory.transactions import Transaction
@@ -149,9 +150,9 @@
             return
         if name not in self.rejected:
             try:
-                offered = self.dispatcher.offer(messages.transaction(self.fields, packet, now))
-                more: dict[str, object] = {"again_ms": offered.come_back // 1_000_000}
-                answer = None if offered.taken else messages.final(reply, name, "deferred", more)
+                admission = self.dispatcher.offer(messages.transaction(self.fields, packet, now))
+                more: dict[str, object] = {"again_ms": admission.retry_after // 1_000_000}
+                answer = None if admission.accepted else messages.final(reply, name, "deferred", more)
             except FieldError as error:
                 answer = messages.final(reply, name, "error", {"reason": str(error)})
             if answer is not None:
--- a/honeyhitch/wire/drivers/members.py
+++ b/honeyhitch/wire/drivers/members.py
@@ -7,7 +7,8 @@
 
 from honeyhitch import interface as api
 from honeyhitch import logs
-from honeyhitch.core import Call, Dispatcher, Result
+from honeyhitch.core import Dispatcher
+from honeyhitch.delivery import Call, Result
 from honeyhitch.memory.buffer import Buffer
 from honeyhitch.memory.pool import PoolMember
 from honeyhitch.tls.failures import Failure, TlsError
--- a/honeyhitch/wire/management.py
+++ b/honeyhitch/wire/management.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from honeyhitch.core import Phase, State
+from honeyhitch.delivery import Phase, State
 from honeyhitch.memory.buffer import Buffer
 
 MOST_LINE = 256  # bytes of a call, its line end included
--- a/honeyhitch/wire/mqtt_messages.py
+++ b/honeyhitch/wire/mqtt_messages.py
@@ -6,7 +6,7 @@
 import json
 
 from honeyhitch import interface as api
-from honeyhitch.core import Call, Result
+from honeyhitch.delivery import Call, Result
 from honeyhitch.memory.transactions import Ending, Transaction
 from honeyhitch.wire.calls import batch_body, report, wait
 from honeyhitch.wire.mqtt import Kind as PacketKind
--- a/honeyhitch/wire/resp.py
+++ b/honeyhitch/wire/resp.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from honeyhitch import interface as api
-from honeyhitch.core import Offered
+from honeyhitch.delivery import Admission
 from honeyhitch.memory.buffer import Buffer
 from honeyhitch.memory.transactions import Transaction
 
@@ -172,7 +172,7 @@
     def __init__(
         self,
         fields: Fields,
-        offer: Callable[[Transaction], Offered],
+        offer: Callable[[Transaction], Admission],
         ready: Callable[[], bool],
         clock: Callable[[], int],
     ) -> None:
@@ -226,7 +226,7 @@
         if len(command) != 5:
             raise FieldError("ENQUEUE: expected a key, an id, fields and a body")
         _, _, name, fields, body = command
-        offered = self.offer(self.fields.transaction(name, pairs(fields), body, self.clock()))
-        if offered.taken:
+        admission = self.offer(self.fields.transaction(name, pairs(fields), body, self.clock()))
+        if admission.accepted:
             return b"+OK\r\n"
-        return b"-BUSY %d\r\n" % (offered.come_back // MS) if offered.come_back else b"-BUSY\r\n"
+        return b"-BUSY %d\r\n" % (admission.retry_after // MS) if admission.retry_after else b"-BUSY\r\n"
--- a/tests/resend_world.py
+++ b/tests/resend_world.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 from honeyhitch import interface as api
-from honeyhitch.core import Call
+from honeyhitch.delivery import Call
 from honeyhitch.memory.transactions import Ending, Transaction
 from honeyhitch.undelivered import rules
 from honeyhitch.undelivered.filters import Filter
@@ -122,7 +122,7 @@
         self.time.at(now + took, lambda: self.over(call, results))
 
     def over(self, call: Call, results: list[api.Outcome]) -> None:
-        from honeyhitch.core import Result
+        from honeyhitch.delivery import Result
 
         told = [(one, one is api.Outcome.DELIVERED) for one in results]
         self.core.ended(call, Result(told))
@@ -202,7 +202,7 @@
     one = Transaction(
         name, client.cls, client.dest, stand.time.time + 6 * SECOND, b"body", key=client.key, front="mqtt"
     )
-    if not stand.core.offer(one).taken:
+    if not stand.core.offer(one).accepted:
         client.ids.remove(name)
         client.copy_at = stand.time.time + SECOND
 
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -9,7 +9,8 @@
 from typing import Any
 
 from honeyhitch import interface as api
-from honeyhitch.core import Call, Dispatcher, Result
+from honeyhitch.core import Dispatcher
+from honeyhitch.delivery import Call, Result
 from honeyhitch.memory.journal import Journal
 from honeyhitch.memory.pool import Pool, PoolMember
 from honeyhitch.memory.transactions import Transaction
@@ -112,7 +113,7 @@
     def hand_in(self, name: str, dest: int = 1, left: int = 20 * SECOND, **more: Any) -> bool:
         more.setdefault("key", f"k-{name}")
         transaction = Transaction(name, 0, dest, self.time.time + left, b"body", **more)
-        return self.core.offer(transaction).taken
+        return self.core.offer(transaction).accepted
 
     def end(self, call: Call, outcome: api.Outcome, **more: Any) -> None:
         result = Result.same(outcome, len(call.parts), outcome is api.Outcome.DELIVERED)
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -14,7 +14,7 @@
 import pytest
 
 from honeyhitch import interface as api
-from honeyhitch.core import Call, Offered, Phase, State
+from honeyhitch.delivery import Admission, Call, Phase, State
 from honeyhitch.memory.buffer import Buffer
 from honeyhitch.memory.pool import Pool, PoolError, PoolMember
 from honeyhitch.memory.transactions import Ending, Transaction
@@ -47,9 +47,9 @@
     """The platform's front; a body `busy` is turned away."""
 
     def __init__(self, _: str) -> None:
-        def offer(taken: Transaction) -> Offered:
+        def offer(taken: Transaction) -> Admission:
             self.seen.append(taken)
-            return Offered(taken.body != b"busy", 250_000_000)
+            return Admission(taken.body != b"busy", 250_000_000)
 
         self.seen: list[Transaction] = []
         self.buffer = Buffer()
--- a/tests/test_first_byte.py
+++ b/tests/test_first_byte.py
@@ -102,7 +102,7 @@
     def hand_in(self, name: str, left: int = 20 * SECOND) -> Transaction:
         now = self.core.scheduler.now()
         transaction = Transaction(name, 0, 1, now + left, b"body", key=f"k-{name}")
-        assert self.core.offer(transaction).taken
+        assert self.core.offer(transaction).accepted
         return transaction
 
     def list(self, told: dict[str, str]) -> None:
--- a/tests/test_long_service.py
+++ b/tests/test_long_service.py
@@ -16,7 +16,7 @@
 import pytest
 
 from honeyhitch import interface as api
-from honeyhitch.core import Call
+from honeyhitch.delivery import Call
 from honeyhitch.lifecycle import config
 from honeyhitch.lifecycle.serve import run
 from honeyhitch.memory.pool import PoolError, PoolMember
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -14,7 +14,7 @@
 from hypothesis import strategies as st
 
 from honeyhitch import interface as api
-from honeyhitch.core import Phase, State
+from honeyhitch.delivery import Phase, State
 from honeyhitch.lifecycle import config
 from honeyhitch.lifecycle.cli import main
 from honeyhitch.lifecycle.serve import BESIDE_SOCKETS, budget, run
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -8,7 +8,7 @@
 import uvloop
 
 from honeyhitch import interface as api
-from honeyhitch.core import Call
+from honeyhitch.delivery import Call
 from honeyhitch.memory.buffer import Buffer
 from honeyhitch.memory.pool import PoolMember
 from honeyhitch.wire import http1
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -15,7 +15,7 @@
 import pytest
 
 from honeyhitch import interface as api
-from honeyhitch.core import Call, Result
+from honeyhitch.delivery import Call, Result
 from honeyhitch.interface import Effect, Outcome
 from honeyhitch.memory.transactions import Ending, Transaction
 
@@ -69,7 +69,7 @@
         name, time = f"m{number}", self.time.time
         left = int(CLASSES[cls].deadline * self.rng.uniform(0.85, 1.0))
         one = Transaction(name, cls, self.rng.choice((1, 2)), time + left, b"body", key=f"k-{name}")
-        if self.node.core.offer(one).taken:
+        if self.node.core.offer(one).accepted:
             self.known[name] = Known(CLASSES[cls], time, one.deadline)
 
     def restart(self, how: str) -> None:
--- a/tests/test_tls_budget.py
+++ b/tests/test_tls_budget.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 
 from honeyhitch import interface as api
-from honeyhitch.core import Call
+from honeyhitch.delivery import Call
 from honeyhitch.memory.pool import GATED, PoolMember
 from honeyhitch.tls import retirement
 from honeyhitch.tls.budget import RESUMED, HandshakeBudget
--- a/tests/test_undelivered_resending.py
+++ b/tests/test_undelivered_resending.py
@@ -12,8 +12,8 @@
 import pytest
 
 from honeyhitch import interface as api
-from honeyhitch.core import Came
 from honeyhitch.memory.transactions import Ending, Transaction
+from honeyhitch.ports import Came
 from honeyhitch.standing import condition
 from honeyhitch.undelivered import operations, resends, rules
 from honeyhitch.undelivered.copies import Copies
@@ -87,7 +87,7 @@
     def hand_in(self, name: str, cls: int = KEYED, key: str = "k", front: str = "mqtt") -> None:
         now = self.stand.time.now()
         told = Transaction(name, cls, 1, now + 6 * SECOND, b"body", key=key, front=front)
-        assert self.stand.core.offer(told).taken
+        assert self.stand.core.offer(told).accepted
 
     def run(self, seconds: float) -> None:
         for _ in range(int(seconds * 5)):
@@ -291,7 +291,7 @@
     one.fail("m", cls=UNSAFE)
     now = one.stand.time.now()
     other = Transaction("copy", UNSAFE, 1, now + 6 * SECOND, b"other", key="k", front="mqtt")
-    assert one.stand.core.offer(other).taken
+    assert one.stand.core.offer(other).accepted
     one.run(100)
     record = one.record("m")
     assert record.standing is Standing.KEPT and record.may_have_run and record.resends == 0
@@ -306,7 +306,7 @@
     now = one.stand.time.now()
     assert one.stand.core.offer(
         Transaction("copy", UNSAFE, 1, now + SECOND, b"body", key="k", front="mqtt")
-    ).taken
+    ).accepted
     one.run(1)
     assert one.answers()["copy"] is Ending.FAILED, "the resend may run yet"
     one.stand.modes = ("deliver",)
--- a/tests/test_virtual_server.py
+++ b/tests/test_virtual_server.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from honeyhitch.core import Offered
+from honeyhitch.delivery import Admission
 from honeyhitch.lifecycle import config
 from honeyhitch.lifecycle.serve import budget
 from honeyhitch.memory.buffer import Buffer
@@ -32,7 +32,7 @@
 
 def session() -> resp.Session:
     fields = resp.Fields(SET, lambda _: True)
-    return resp.Session(fields, lambda _: Offered(True), lambda: True, lambda: START)
+    return resp.Session(fields, lambda _: Admission(True), lambda: True, lambda: START)
 
 
 @asynccontextmanager
@@ -237,7 +237,7 @@
 
     def spied() -> resp.Session:
         made = session()
-        made.offer = lambda one: taken.append(one) or Offered(True)  # type: ignore[func-returns-value]
+        made.offer = lambda one: taken.append(one) or Admission(True)  # type: ignore[func-returns-value]
         return made
 
     async def work() -> None:
