Partition destinations over a fleet: view, ownership, leased and reserved shares

honeyhitch/partitioning, without input or output; nothing uses it yet. A zone's share of a limit has a part that goes with a lease and one that stays with its home while control is silent; both follow from the view, the clock and the last stamped heartbeat alone.

--- /dev/null
+++ b/honeyhitch/partitioning/fleet.py
@@ -0,0 +1,156 @@
+"""One instance's state of the fleet: the view in force, the last heartbeat, and what follows from both.
+
+The clock is passed in with each call, as a Unix time in nanoseconds that never moves back.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from honeyhitch.partitioning.ownership import ZoneCandidates, partition_of
+from honeyhitch.partitioning.settings import FleetSettings
+from honeyhitch.partitioning.shares import NOTHING, HeldParts, first_ready, held_parts
+from honeyhitch.partitioning.view import MS, FleetView, FleetViewError, Instance
+
+SAVED_FORM = 1  # of `Fleet.saved`
+
+
+class ClockError(FleetViewError):
+    """The control machines' clock and this machine's are further apart than the settings allow."""
+
+
+@dataclass(frozen=True, slots=True)
+class ViewStatus:
+    """The view in force, for people."""
+
+    revision: int
+    instances: int
+    ready: int
+    age: int | None  # ns since the last heartbeat was issued; None before the first
+    partitions: int  # that this instance holds a part of
+    candidate_for: int  # partitions whose lists it keeps
+    problem: str = ""  # why the last news was refused, if it was
+
+
+class Fleet:
+    """Who owns a destination, and what part of its limit this instance may use now."""
+
+    def __init__(self, settings: FleetSettings) -> None:
+        self.settings = settings
+        self.view = FleetView()
+        self.heard: int | None = None  # when the last heartbeat was issued, by the control machines' clock
+        self.problem = ""
+        self.kept: frozenset[int] = frozenset()  # partitions whose lists this instance keeps
+        self._zones = {
+            zone: ZoneCandidates(settings.partitions, settings.candidates) for zone in settings.zones
+        }
+
+    # What comes in.
+
+    def take(self, told: Mapping[str, Any], now: int) -> None:
+        """Take over a list, a change or a bare heartbeat. Raises FleetViewError, and then all stays as it is;
+        with ClockError the view is taken over, and the heartbeat is not.
+        """
+        try:
+            self._take(told, now)
+        except FleetViewError as error:
+            self.problem = str(error)
+            raise
+        self.problem = ""
+
+    def _take(self, told: Mapping[str, Any], now: int) -> None:
+        if (lease := told.get("lease_ms")) is not None and lease != self.settings.lease // MS:
+            raise FleetViewError(f"lease_ms: {lease!r}, but {self.settings.lease // MS} is set up here")
+        view = self.view.updated(told, self.settings)
+        own = view.instances.get(self.settings.name)
+        if own is not None and own.zone != self.settings.zone:
+            raise FleetViewError(
+                f"{own.name}: locality: {own.zone!r}, but {self.settings.zone!r} is set up here"
+            )
+        self._adopt(view)
+        issued = told.get("issued_ms")
+        if issued is None:
+            return
+        if isinstance(issued, bool) or not isinstance(issued, int):
+            raise FleetViewError(f"issued_ms: expected a whole number, got {issued!r}")
+        if issued * MS > now + self.settings.clock_skew:
+            raise ClockError(f"issued_ms: {issued} is later than this machine's clock, {now // MS}")
+        self.heard = max(self.heard or 0, issued * MS)
+
+    def _adopt(self, view: FleetView) -> None:
+        before, self.view = self.view, view
+        if before.instances.keys() == view.instances.keys():  # phases alone change no candidates
+            return
+        for zone, candidates in self._zones.items():
+            candidates.update(one.name for one in view.in_zone(zone))
+        self.kept = self._zones[self.settings.zone].partitions_of(self.settings.name)
+
+    # What follows.
+
+    def partition(self, destination: int) -> int:
+        """The partition of a destination."""
+        return partition_of(destination, self.settings.partitions)
+
+    def candidates(self, zone: str, partition: int) -> list[Instance]:
+        """The instances of a zone that may own a partition, best first."""
+        return [self.view.instances[name] for name in self._zones[zone].of(partition)]
+
+    def keeps(self, destination: int) -> bool:
+        """Whether this instance keeps the destination's entries of lists."""
+        return self.partition(destination) in self.kept
+
+    def held(self, partition: int, now: int) -> HeldParts:
+        """What this instance holds of its zone's share."""
+        if partition not in self.kept:
+            return NOTHING
+        return held_parts(self.settings, self.candidates(self.settings.zone, partition), now, self.heard)
+
+    def portion(self, destination: int, now: int) -> float:
+        """The part of its zone's share of the destination's limit that this instance may use, 0 to 1."""
+        return self.held(self.partition(destination), now).portion(self.settings.reserve)
+
+    def owners(self, destination: int) -> list[Instance]:
+        """Other instances that may take a message for a destination, in the order in which to ask them: those
+        of the own zone first, then of the own region, then of the others.
+        """
+        partition, settings = self.partition(destination), self.settings
+        start = settings.zones.index(settings.zone)
+        zones = [*settings.zones[start:], *settings.zones[:start]]  # neighbours differ from zone to zone
+        zones.sort(key=lambda zone: (zone != settings.zone, settings.region_of(zone) != settings.region))
+        found = [first_ready(self.candidates(zone, partition)) for zone in zones]
+        return [one for one in found if one is not None and one.name != settings.name]
+
+    def status(self, now: int) -> ViewStatus:
+        """The view in force, for people."""
+        ready = sum(one.ready for one in self.view.instances.values())
+        held = sum(self.held(partition, now) != NOTHING for partition in self.kept)
+        age = now - self.heard if self.heard is not None else None
+        counts = len(self.view.instances), ready
+        return ViewStatus(self.view.revision, *counts, age, held, len(self.kept), self.problem)
+
+    # What outlasts the process: a restart while control is silent still knows what it is home to.
+
+    def saved(self) -> dict[str, Any]:
+        """The view and the last heartbeat, in discovery's form."""
+        members = [
+            {
+                "id": one.name,
+                "host_port": one.address,
+                "locality": one.zone,
+                "flavor": one.region,
+                "phase": one.phase.value,
+                "up_since_ms": one.since // MS,
+                "joined_ms": one.joined // MS,
+            }
+            for one in self.view.instances.values()
+        ]
+        told = {"form": SAVED_FORM, "revision": self.view.revision, "complete": True, "members": members}
+        return told | ({"issued_ms": self.heard // MS} if self.heard is not None else {})
+
+    def restore(self, saved: Mapping[str, Any], now: int) -> None:
+        """Take over what an earlier process saved. Raises FleetViewError where it cannot be read."""
+        if saved.get("form") != SAVED_FORM:
+            raise FleetViewError(f"form: expected {SAVED_FORM}, got {saved.get('form')!r}")
+        self.take(saved, now)
--- /dev/null
+++ b/honeyhitch/partitioning/ownership.py
@@ -0,0 +1,61 @@
+"""Which instances may own which partition: rendezvous hashing over a fixed number of partitions.
+
+Every instance of a zone is ranked for every partition by a hash of both; the best ones are its candidates
+in that zone. An instance that joins or leaves changes only the ranks it takes part in. The hash is BLAKE2b
+(RFC 7693) of the standard library, without a key and the same on every machine.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from functools import lru_cache
+from hashlib import blake2b
+
+HASH_BYTES = 8
+Rank = tuple[int, str]  # the hash, and the name where two are equal
+
+
+@lru_cache(maxsize=1 << 14)
+def partition_of(destination: int, partitions: int) -> int:
+    """The partition of a destination."""
+    text = b"destination %d" % destination
+    return int.from_bytes(blake2b(text, digest_size=HASH_BYTES).digest()) % partitions
+
+
+def rank(partition: int, name: str) -> Rank:
+    """The rank of an instance for a partition; the highest comes first."""
+    text = b"%d %s" % (partition, name.encode())
+    return int.from_bytes(blake2b(text, digest_size=HASH_BYTES).digest()), name
+
+
+class ZoneCandidates:
+    """The candidates for each partition in one zone, kept up to date as instances join and leave."""
+
+    def __init__(self, partitions: int, count: int) -> None:
+        self.partitions, self.count = partitions, count
+        self.names: frozenset[str] = frozenset()
+        self._ranks: dict[int, tuple[Rank, ...]] = {}  # highest first; what was not asked for is not here
+
+    def update(self, names: Iterable[str]) -> None:
+        """The zone's instances as of now. Work is done for the difference alone."""
+        now = frozenset(names)
+        joined, left = now - self.names, self.names - now
+        self.names = now
+        for partition, ranks in list(self._ranks.items()):
+            if any(name in left for _, name in ranks):
+                del self._ranks[partition]  # somebody from further down moves up
+            elif joined:
+                merged = {*ranks, *(rank(partition, name) for name in joined)}
+                self._ranks[partition] = tuple(sorted(merged, reverse=True)[: self.count])
+
+    def of(self, partition: int) -> tuple[str, ...]:
+        """The candidates for one partition, best first."""
+        ranks = self._ranks.get(partition)
+        if ranks is None:
+            every = sorted((rank(partition, name) for name in self.names), reverse=True)
+            ranks = self._ranks[partition] = tuple(every[: self.count])
+        return tuple(name for _, name in ranks)
+
+    def partitions_of(self, name: str) -> frozenset[int]:
+        """The partitions for which an instance is a candidate."""
+        return frozenset(partition for partition in range(self.partitions) if name in self.of(partition))
--- /dev/null
+++ b/honeyhitch/partitioning/settings.py
@@ -0,0 +1,72 @@
+"""What an operator sets up for a fleet, the same at each of its dispatchers but for name and zone."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+SECOND = 1_000_000_000  # ns
+MOST_PARTITIONS = 1 << 16
+
+
+@dataclass(frozen=True, slots=True)
+class Region:
+    """A region and the names of its zones."""
+
+    name: str
+    zones: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class FleetSettings:
+    """The table `[fleet]` of the operator's file. Times are nanoseconds."""
+
+    name: str  # of this instance, as the view lists it
+    zone: str  # of this instance
+    view: str  # HOST:PORT of the agent that lists the fleet
+    regions: tuple[Region, ...]
+    partitions: int = 4096
+    candidates: int = 2  # instances of a zone that may own a partition: the first that is ready does
+    reserve: float = 0.75  # part of a share that stays with its home instance while control is silent
+    lease: int = 3 * SECOND  # of the rest: how long a heartbeat of the control machines is good for
+    reserve_lease: int = 2 * 3600 * SECOND  # the same for the reserved part
+    clock_skew: int = SECOND // 4  # by which any two clocks of the fleet may differ at most
+    peer_connections: int = 16  # open to other instances at once
+
+    def __post_init__(self) -> None:
+        """Raises ValueError naming the setting at fault."""
+        zones = [zone for region in self.regions for zone in region.zones]
+        for condition, problem in (
+            (bool(zones), "regions: at least one zone is needed"),
+            (len(set(zones)) == len(zones), "regions: a zone is named twice"),
+            (self.zone in zones, f"zone: not a zone of any region: {self.zone!r}"),
+            (bool(self.name), "name: must not be empty"),
+            (
+                1 <= self.partitions <= MOST_PARTITIONS,
+                f"partitions: expected 1 to {MOST_PARTITIONS}, got {self.partitions}",
+            ),
+            (1 <= self.candidates <= 8, f"candidates: expected 1 to 8, got {self.candidates}"),
+            (0 <= self.reserve <= 1, f"reserve: expected 0 to 1, got {self.reserve:g}"),
+            (self.clock_skew >= 0, "clock-skew: must not be negative"),
+            (self.lease > 4 * self.clock_skew, "lease: must be more than four times the clock skew"),
+            (self.reserve_lease >= self.lease, "reserve-lease: must not be shorter than the lease"),
+            (1 <= self.peer_connections <= 1024, "peer-connections: expected 1 to 1024"),
+        ):
+            if not condition:
+                raise ValueError(problem)
+
+    @property
+    def zones(self) -> tuple[str, ...]:
+        """All zones, in the order of their regions. Each has an equal share of every limit."""
+        return tuple(zone for region in self.regions for zone in region.zones)
+
+    @property
+    def region(self) -> str:
+        """The region of this instance."""
+        return self.region_of(self.zone)
+
+    def region_of(self, zone: str) -> str:
+        """The region that a zone belongs to. Raises KeyError for a zone of none."""
+        for region in self.regions:
+            if zone in region.zones:
+                return region.name
+        raise KeyError(zone)
--- /dev/null
+++ b/honeyhitch/partitioning/shares.py
@@ -0,0 +1,76 @@
+"""What part of a zone's share of a limit one instance holds, as a function of view, clock and heartbeats.
+
+A destination's limit is split evenly over all zones. In each zone a share has two parts:
+
+- the reserved part, with its home: the first candidate of the partition, ready or not. An instance that has
+  joined is home to nothing until the reserve lease of the one before it has certainly run out;
+- the leased part, with its owner: the first candidate that is ready, once the leases of all who may have
+  owned it before have certainly run out.
+
+Each part is held only as long as a heartbeat of the control machines is recent enough. Nothing depends on
+what an instance did or saw before, so that a missed revision cannot break the sum.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from honeyhitch.partitioning.settings import FleetSettings
+from honeyhitch.partitioning.view import Instance
+
+
+@dataclass(frozen=True, slots=True)
+class HeldParts:
+    """What one instance holds of its zone's share of a partition's limits."""
+
+    reserved: bool = False
+    leased: bool = False
+
+    def portion(self, reserve: float) -> float:
+        """The part of the share, 0 to 1."""
+        return reserve * self.reserved + (1 - reserve) * self.leased
+
+
+NOTHING = HeldParts()
+
+
+def held_parts(
+    settings: FleetSettings, candidates: Sequence[Instance], now: int, heard: int | None
+) -> HeldParts:
+    """What `settings.name` holds now, with the partition's candidates in its zone, best first, and the time
+    at which the last heartbeat that it heard was issued. Times are Unix times in nanoseconds.
+    """
+    if heard is None or not any(one.name == settings.name for one in candidates):
+        return NOTHING
+    reserve_lasts = now < heard + settings.reserve_lease - settings.clock_skew
+    lease_lasts = now < heard + settings.lease - settings.clock_skew
+    return HeldParts(
+        reserved=reserve_lasts and _is_home(settings, candidates, now),
+        leased=lease_lasts and _is_owner(settings, candidates, now),
+    )
+
+
+def _is_home(settings: FleetSettings, candidates: Sequence[Instance], now: int) -> bool:
+    for one in candidates:
+        starts = one.joined + settings.reserve_lease if one.joined else 0
+        if now >= starts + settings.clock_skew:
+            return one.name == settings.name
+        if now >= starts - settings.clock_skew:  # it may have begun, by its own clock
+            return False
+    return False
+
+
+def _is_owner(settings: FleetSettings, candidates: Sequence[Instance], now: int) -> bool:
+    latest = 0
+    for one in candidates:
+        latest = max(latest, one.since, one.joined)
+        if one.ready:
+            free = latest + settings.lease + settings.clock_skew if latest else 0
+            return one.name == settings.name and now >= free
+    return False
+
+
+def first_ready(candidates: Sequence[Instance]) -> Instance | None:
+    """The owner of a partition's leased part, as far as the view tells."""
+    return next((one for one in candidates if one.ready), None)
--- /dev/null
+++ b/honeyhitch/partitioning/view.py
@@ -0,0 +1,131 @@
+"""The view of the fleet: a typed, immutable value read from a list or a change in discovery's form.
+
+An entry's `up_since_ms` is when its phase was published, and its optional `joined_ms` when its name was
+first listed; both are Unix times of the control machines' clock, and 0 means long ago. `Gone` is said only of
+an instance whose process is known to have ended; under this name it comes back as one that joins.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+from types import MappingProxyType
+from typing import Any
+
+from honeyhitch.partitioning.settings import FleetSettings
+
+MS = 1_000_000  # ns
+MOST_INSTANCES = 10_000
+MOST_NAME = 128  # characters
+LATEST_MS = 1 << 53  # what a JSON number holds exactly
+
+
+class FleetViewError(ValueError):
+    """A view that cannot be used; the message names the entry and the field at fault."""
+
+
+class InstancePhase(Enum):
+    """Whether an instance may own partitions."""
+
+    READY = "Ready"
+    TERMINATING = (
+        "Terminating"  # it drains, restarts or does not answer; its place in the fleet stays its own
+    )
+
+
+GONE = "Gone"  # only among changes
+
+
+@dataclass(frozen=True, slots=True)
+class Instance:
+    """One dispatcher of the fleet. Times are Unix times in nanoseconds, 0 for long ago."""
+
+    name: str
+    address: str
+    region: str
+    zone: str
+    phase: InstancePhase = InstancePhase.READY
+    since: int = 0  # when its phase was published
+    joined: int = 0  # when it was first listed
+
+    @property
+    def ready(self) -> bool:
+        """Whether it may own partitions."""
+        return self.phase is InstancePhase.READY
+
+
+@dataclass(frozen=True, slots=True)
+class FleetView:
+    """All instances as of one revision."""
+
+    revision: int = 0
+    instances: Mapping[str, Instance] = field(default_factory=lambda: MappingProxyType({}))
+
+    def updated(self, told: Mapping[str, Any], settings: FleetSettings) -> FleetView:
+        """The view after a list or a change in discovery's form. Raises FleetViewError, and changes nothing,
+        where it is older than this one or cannot be read.
+        """
+        revision = _whole(told.get("revision"), "revision")
+        if revision < self.revision:
+            raise FleetViewError(f"revision: {revision} is older than {self.revision}")
+        rows = told.get("members")
+        if not isinstance(rows, list):
+            raise FleetViewError("members: expected a list")
+        complete = told.get("complete") is True
+        instances = {} if complete else dict(self.instances)
+        named = set[str]()
+        for number, row in enumerate(rows):
+            name = _name(row, number)
+            if name in named:
+                raise FleetViewError(f"members.{number}.id: {name!r} is named twice")
+            named.add(name)
+            if row.get("phase") == GONE:
+                instances.pop(name, None)
+            else:
+                instances[name] = _instance(row, name, settings, self.instances.get(name))
+        if not instances:
+            raise FleetViewError("members: a fleet has one instance at least")
+        if len(instances) > MOST_INSTANCES:
+            raise FleetViewError(f"members: at most {MOST_INSTANCES} instances, got {len(instances)}")
+        return FleetView(revision, MappingProxyType(instances))
+
+    def in_zone(self, zone: str) -> Iterable[Instance]:
+        """The instances of one zone."""
+        return (one for one in self.instances.values() if one.zone == zone)
+
+
+def _whole(value: object, name: str) -> int:
+    if isinstance(value, bool) or not isinstance(value, int) or not 0 <= value <= LATEST_MS:
+        raise FleetViewError(f"{name}: expected a whole number of 0 or more, got {value!r}")
+    return value
+
+
+def _name(row: object, number: int) -> str:
+    name = row.get("id") if isinstance(row, dict) else None
+    if not isinstance(name, str) or not 0 < len(name) <= MOST_NAME or not name.isprintable():
+        raise FleetViewError(f"members.{number}.id: expected 1 to {MOST_NAME} characters, got {name!r}")
+    return name
+
+
+def _instance(
+    row: Mapping[str, Any], name: str, settings: FleetSettings, before: Instance | None
+) -> Instance:
+    zone, region = row.get("locality"), row.get("flavor")
+    if zone not in settings.zones:
+        raise FleetViewError(f"{name}: locality: unknown zone {zone!r}")
+    if region != settings.region_of(str(zone)):
+        raise FleetViewError(f"{name}: flavor: {region!r} is not the region of zone {zone!r}")
+    if before is not None and before.zone != zone:  # its leases in the other zone would be nobody's
+        raise FleetViewError(f"{name}: locality: {zone!r}, but it was in {before.zone!r}; list it anew")
+    try:
+        phase = InstancePhase(row.get("phase", InstancePhase.READY.value))
+    except ValueError:
+        raise FleetViewError(f"{name}: phase: unknown phase {row.get('phase')!r}") from None
+    address = row.get("host_port")
+    host, _, port = str(address).rpartition(":")
+    if not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 1 << 16:
+        raise FleetViewError(f"{name}: host_port: expected HOST:PORT, got {address!r}")
+    since = _whole(row.get("up_since_ms", 0), f"{name}: up_since_ms")
+    joined = _whole(row.get("joined_ms", 0), f"{name}: joined_ms")
+    return Instance(name, str(address), str(region), str(zone), phase, since * MS, joined * MS)
--- /dev/null
+++ b/tests/fleet_control.py
@@ -0,0 +1,187 @@
+"""A stand-in for the control machines, and instances that hear of them late and by clocks that differ.
+
+Virtual time. The control machines publish phases with the time of each, and stamp heartbeats with the time at
+which they were issued. Each instance has a stream from them that keeps its order, and may be delayed, cut, or
+opened anew.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+from honeyhitch.partitioning.fleet import Fleet
+from honeyhitch.partitioning.settings import SECOND, FleetSettings, Region
+from honeyhitch.partitioning.view import FleetViewError
+
+MS = 1_000_000  # ns
+START = 1_700_000_000 * SECOND
+REGIONS = (Region("east", ("a1", "a2")), Region("west", ("b1", "b2")))
+LEASE, RESERVE_LEASE, SKEW = 3 * SECOND, 20 * SECOND, SECOND // 4
+
+
+def fleet_settings(name: str, zone: str, **more: Any) -> FleetSettings:
+    """Settings of one instance, with a small fleet's figures."""
+    given: dict[str, Any] = {
+        "partitions": 16,
+        "lease": LEASE,
+        "reserve_lease": RESERVE_LEASE,
+        "clock_skew": SKEW,
+    }
+    return FleetSettings(name, zone, "127.0.0.1:1", REGIONS, **{**given, **more})
+
+
+def entry(name: str, zone: str, phase: str = "Ready", since: int = 0, joined: int = 0) -> dict[str, Any]:
+    """One instance in discovery's form; times in nanoseconds."""
+    region = next(region.name for region in REGIONS if zone in region.zones)
+    times = {"up_since_ms": since // MS, "joined_ms": joined // MS}
+    return {
+        "id": name,
+        "host_port": "10.0.0.1:6379",
+        "locality": zone,
+        "flavor": region,
+        "phase": phase,
+        **times,
+    }
+
+
+@dataclass
+class Process:
+    """A process of one instance: what it believes, and what is on its way to it."""
+
+    fleet: Fleet
+    clock_off: int  # ns, from the control machines' clock
+    stream: list[dict[str, Any]] = field(default_factory=list)
+    cut: bool = False
+    watching: bool = False  # it has a watch, and all that was told before it
+
+
+class Control:
+    """The control machines, and all processes of the fleet, alive or ended."""
+
+    def __init__(self, seed: int = 1, per_zone: int = 3) -> None:
+        self.now, self.revision, self.up, self.rng = START, 1, True, Random(seed)
+        self.entries: dict[str, dict[str, Any]] = {}
+        self.history: list[list[dict[str, Any]]] = [[]]  # entries changed by each revision
+        self.processes: dict[str, Process] = {}
+        self.saved: dict[str, dict[str, Any]] = {}
+        self.serial = 0
+        for region in REGIONS:
+            for zone in region.zones:
+                for number in range(per_zone):
+                    name = f"{zone}-{number}"
+                    self.entries[name] = entry(name, zone)
+        for name in list(self.entries):
+            self.start(name)
+
+    # Processes.
+
+    def start(self, name: str) -> None:
+        """A process starts with what the last one of its name saved, and opens a watch."""
+        fleet = Fleet(fleet_settings(name, self.entries[name]["locality"]))
+        process = self.processes[name] = Process(fleet, self.rng.randint(-SKEW // 2, SKEW // 2))
+        if name in self.saved:
+            self.hand(process, self.saved[name])
+        self.open(name)
+
+    def kill(self, name: str) -> None:
+        """It ends; what it saved last stays."""
+        process = self.processes.pop(name)
+        if process.fleet.view.instances:
+            self.saved[name] = process.fleet.saved()
+
+    def open(self, name: str) -> None:
+        """A new watch: what is on its way on the old one is lost, and the whole list comes."""
+        process = self.processes[name]
+        process.stream.clear()
+        process.watching = self.up and not process.cut
+        if process.watching:
+            members = list(self.entries.values())
+            process.stream.append(self.stamped({"complete": True, "members": members}))
+
+    def hand(self, process: Process, told: dict[str, Any]) -> None:
+        """A process reads one line. One that it refuses changes nothing."""
+        try:
+            process.fleet.take(told, self.now + process.clock_off)
+        except FleetViewError as error:
+            assert "revision" in str(error) or "saved" in told.get("form", "saved"), error
+
+    def read(self, name: str, count: int) -> None:
+        """A process reads so many lines of its stream."""
+        process = self.processes[name]
+        for _ in range(min(count, len(process.stream))):
+            self.hand(process, process.stream.pop(0))
+
+    # The control machines.
+
+    def stamped(self, told: dict[str, Any]) -> dict[str, Any]:
+        """With the revision and the time, as it is issued now."""
+        return {"revision": self.revision, "issued_ms": self.now // MS, "lease_ms": LEASE // MS, **told}
+
+    def publish(self, row: dict[str, Any]) -> None:
+        """A change, sent on every watch that is not cut. A cut one has to be opened anew."""
+        self.revision += 1
+        for process in self.processes.values():
+            if process.watching:
+                process.stream.append(self.stamped({"complete": False, "members": [row]}))
+
+    def cut(self, name: str) -> None:
+        """Nothing more comes to a process; what is on its way may still arrive."""
+        self.processes[name].cut, self.processes[name].watching = True, False
+
+    def connect(self, name: str) -> None:
+        """It is reached again."""
+        self.processes[name].cut = False
+        self.open(name)
+
+    def fail(self) -> None:
+        """All control machines are gone: watches end, what is on its way may still arrive."""
+        self.up = False
+        for process in self.processes.values():
+            process.watching = False
+
+    def come_back(self) -> None:
+        """They are there again, and all who can reach them watch anew."""
+        self.up = True
+        for name in self.processes:
+            self.open(name)
+
+    def set_phase(self, name: str, phase: str) -> None:
+        """An instance drains, is taken for dead, or is back."""
+        self.entries[name] = {**self.entries[name], "phase": phase, "up_since_ms": self.now // MS}
+        self.publish(self.entries[name])
+
+    def join(self, zone: str) -> str:
+        """A new instance is listed and started."""
+        self.serial += 1
+        name = f"{zone}-n{self.serial}"
+        self.entries[name] = entry(name, zone, since=self.now, joined=self.now)
+        self.publish(self.entries[name])
+        self.start(name)
+        return name
+
+    def remove(self, name: str) -> None:
+        """An instance is known to have ended, and is listed no more."""
+        if name in self.processes:
+            self.kill(name)
+        self.saved.pop(name, None)
+        gone = {**self.entries.pop(name), "phase": "Gone"}
+        self.publish(gone)
+
+    def beat(self) -> None:
+        """A heartbeat on every watch that is not cut."""
+        for process in self.processes.values():
+            if process.watching:
+                process.stream.append(self.stamped({"complete": False, "members": []}))
+
+    # What must hold.
+
+    def totals(self, partition: int) -> dict[str, float]:
+        """By zone, the sum of what all live processes hold of the zone's share of a partition."""
+        total: dict[str, float] = {}
+        for process in self.processes.values():
+            zone = process.fleet.settings.zone
+            held = process.fleet.held(partition, self.now + process.clock_off)
+            total[zone] = total.get(zone, 0.0) + held.portion(process.fleet.settings.reserve)
+        return total
--- /dev/null
+++ b/tests/test_partitioning_shares.py
@@ -0,0 +1,227 @@
+"""The sum of all shares of a limit stays inside it, whatever views, leases, clocks and cuts do."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from honeyhitch.partitioning.settings import SECOND
+
+from .fleet_control import LEASE, MS, REGIONS, RESERVE_LEASE, SKEW, Control
+
+ZONES = [zone for region in REGIONS for zone in region.zones]
+PARTITIONS = 16
+picks = st.integers(min_value=0, max_value=1 << 16)
+steps = st.one_of(
+    st.integers(min_value=1, max_value=SECOND),
+    st.sampled_from(
+        [LEASE - SKEW, LEASE, LEASE + SKEW, LEASE + 2 * SKEW, RESERVE_LEASE, RESERVE_LEASE + SKEW]
+    ),
+)
+
+
+class FleetUnderFaults(RuleBasedStateMachine):
+    """Any order of changes, late and lost views, cuts, kills, restarts and control outages."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.control = Control()
+
+    def one_of(self, names: Any, pick: int) -> str | None:
+        found = sorted(names)
+        return found[pick % len(found)] if found else None
+
+    @rule(by=steps)
+    def time_passes(self, by: int) -> None:
+        self.control.now += by
+
+    @rule()
+    def heartbeat(self) -> None:
+        self.control.beat()
+
+    @rule(count=st.integers(min_value=1, max_value=3))
+    def all_read(self, count: int) -> None:
+        for name in self.control.processes:
+            self.control.read(name, count)
+
+    @rule()
+    def a_second_goes_well(self) -> None:
+        self.control.beat()
+        for name in self.control.processes:
+            self.control.read(name, 1 << 10)
+        self.control.now += SECOND
+
+    @rule(pick=picks, count=st.integers(min_value=1, max_value=3))
+    def one_reads(self, pick: int, count: int) -> None:
+        if name := self.one_of(self.control.processes, pick):
+            self.control.read(name, count)
+
+    @rule(pick=picks)
+    def one_is_cut(self, pick: int) -> None:
+        if name := self.one_of(self.control.processes, pick):
+            self.control.cut(name)
+
+    @rule(pick=picks)
+    def one_is_connected_again(self, pick: int) -> None:
+        cut = [name for name, one in self.control.processes.items() if one.cut]
+        if name := self.one_of(cut, pick):
+            self.control.connect(name)
+
+    @rule(region=st.sampled_from(REGIONS), apart=st.booleans())
+    def regions_part_and_meet(self, region: Any, apart: bool) -> None:
+        for name, process in self.control.processes.items():
+            if process.fleet.settings.zone in region.zones and process.cut is not apart:
+                self.control.cut(name) if apart else self.control.connect(name)
+
+    @rule(up=st.booleans())
+    def control_fails_or_returns(self, up: bool) -> None:
+        if up is not self.control.up:
+            self.control.come_back() if up else self.control.fail()
+
+    @rule(pick=picks, phase=st.sampled_from(["Ready", "Terminating"]))
+    def a_phase_changes(self, pick: int, phase: str) -> None:
+        name = self.one_of(self.control.entries, pick)
+        if self.control.up and name and self.control.entries[name]["phase"] != phase:
+            self.control.set_phase(name, phase)
+
+    @rule(zone=st.sampled_from(ZONES))
+    def one_joins(self, zone: str) -> None:
+        if self.control.up and len(self.control.entries) < 20:
+            self.control.join(zone)
+
+    @rule(pick=picks)
+    def one_is_removed(self, pick: int) -> None:
+        name = self.one_of(self.control.entries, pick)
+        if self.control.up and name and len(self.control.entries) > 1:
+            self.control.remove(name)
+
+    @rule(pick=picks)
+    def one_is_killed(self, pick: int) -> None:
+        if name := self.one_of(self.control.processes, pick):
+            self.control.kill(name)
+
+    @rule(pick=picks)
+    def one_is_started(self, pick: int) -> None:
+        down = self.control.entries.keys() - self.control.processes.keys()
+        if name := self.one_of(down, pick):
+            self.control.start(name)
+
+    @invariant()
+    def no_share_is_held_twice(self) -> None:
+        for partition in range(PARTITIONS):
+            for zone, total in self.control.totals(partition).items():
+                assert total <= 1 + 1e-9, f"{total} of zone {zone}'s share of partition {partition}"
+
+
+TestFleetUnderFaults = FleetUnderFaults.TestCase
+TestFleetUnderFaults.settings = settings(
+    max_examples=150,
+    stateful_step_count=60,
+    deadline=None,
+    derandomize=True,
+    phases=(Phase.explicit, Phase.generate),  # a run that fails is printed as it was: shrinking takes minutes
+    suppress_health_check=list(HealthCheck),
+)
+
+
+def settled(control: Control, seconds: int = 8) -> None:
+    """Time passes, and all goes well."""
+    for _ in range(seconds):
+        control.beat()
+        for name in control.processes:
+            control.read(name, 1 << 10)
+        control.now += SECOND
+
+
+def portions(control: Control, partition: int) -> dict[str, float]:
+    """What each live process holds, where it holds anything."""
+    found = {}
+    for name, one in control.processes.items():
+        held = one.fleet.held(partition, control.now + one.clock_off)
+        if portion := held.portion(one.fleet.settings.reserve):
+            found[name] = portion
+    return found
+
+
+def test_on_a_calm_day_one_instance_of_each_zone_holds_its_whole_share() -> None:
+    control = Control()
+    settled(control)
+    for partition in range(PARTITIONS):
+        found = portions(control, partition)
+        assert list(found.values()) == [1.0] * len(ZONES)
+        assert sorted(name.split("-")[0] for name in found) == ZONES
+
+
+def test_a_new_owner_waits_out_the_lease_of_the_old_one() -> None:
+    control = Control()
+    settled(control)
+    (name,) = [name for name in portions(control, 3) if name.startswith("a1")]
+    control.cut(name)  # it runs on, and does not hear that it was given up
+    control.set_phase(name, "Terminating")
+    published, seen = control.now, dict[str, int]()
+    while control.now < published + 3 * LEASE:
+        control.beat()
+        for other in control.processes:
+            control.read(other, 1 << 10)
+        control.now += 50 * MS
+        for holder in portions(control, 3):
+            seen.setdefault(holder, control.now - published)
+    (new,) = [holder for holder in seen if holder.startswith("a1") and holder != name]
+    assert LEASE <= seen[new] <= LEASE + 2 * SKEW + 50 * MS
+    assert portions(control, 3)[name] == 0.75, "its reserved part stays its own while it is cut off"
+    assert portions(control, 3)[new] == 0.25
+
+
+@pytest.mark.parametrize("seconds", [10, 15])
+def test_while_control_is_gone_every_home_goes_on_with_its_reserved_part(seconds: int) -> None:
+    control = Control()
+    settled(control)
+    control.fail()
+    control.now += seconds * SECOND
+    for name in list(control.processes):  # all restart meanwhile, too
+        control.kill(name)
+        control.start(name)
+    for partition in range(PARTITIONS):
+        assert list(portions(control, partition).values()) == [0.75] * len(ZONES)
+
+
+def test_regions_apart_keep_their_own_shares_and_come_together_again() -> None:
+    control = Control()
+    settled(control)
+    before = [portions(control, partition) for partition in range(PARTITIONS)]
+    west = [name for name, one in control.processes.items() if one.fleet.settings.region == "west"]
+    for name in west:
+        control.cut(name)
+    for _ in range(12):
+        settled(control, 1)
+    for partition in range(PARTITIONS):
+        found = portions(control, partition)
+        assert found.keys() == before[partition].keys()
+        expected = [1.0 if name.startswith("a") else 0.75 for name in found]
+        assert list(found.values()) == expected
+    for name in west:
+        control.connect(name)
+    settled(control)
+    assert [portions(control, partition) for partition in range(PARTITIONS)] == before
+
+
+def test_an_instance_that_joins_takes_its_parts_over_in_two_steps() -> None:
+    control = Control()
+    settled(control)
+    before = {partition: portions(control, partition) for partition in range(PARTITIONS)}
+    name = control.join("a1")
+    settled(control)
+    moved = [p for p in range(PARTITIONS) if name in portions(control, p)]
+    assert moved, "it was given something"
+    for partition in moved:
+        (old,) = [one for one in before[partition] if one.startswith("a1")]
+        found = portions(control, partition)
+        assert (found[name], found[old]) == (0.25, 0.75)
+    control.now += RESERVE_LEASE
+    settled(control)
+    assert all(portions(control, partition)[name] == 1.0 for partition in moved)
+    assert all(portions(control, p) == before[p] for p in before if p not in moved), "and nothing else moved"
