--- a/honeyhitch/wire/agent_check.py
+++ b/honeyhitch/wire/agent_check.py
@@ -29,6 +29,8 @@
 class AgentSession:
     """One agent-check: a line at once, whatever was sent, and the end of the connection."""
 
+    forward = None
+
     def __init__(self, state: Callable[[], State]) -> None:
         self.opening, self.closing, self.more, self.half = agent_line(state()), True, False, False
 
@@ -42,6 +44,7 @@
     """HTTP health: `/health` says whether to send work here, `/live` whether the process answers at all."""
 
     opening = b""
+    forward = None
 
     def __init__(self, state: Callable[[], State]) -> None:
         self.state, self.closing, self.more, self.half, self.seen = state, False, False, False, 0
--- a/honeyhitch/wire/drivers/virtual_server.py
+++ b/honeyhitch/wire/drivers/virtual_server.py
@@ -9,12 +9,13 @@
 import asyncio
 import contextlib
 import socket
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Protocol
 
 from honeyhitch import logs
 from honeyhitch.memory.buffer import Buffer, Overflow
+from honeyhitch.memory.transactions import Transaction
 from honeyhitch.wire.drivers import sockets
 from honeyhitch.wire.drivers.tasks import Tasks
 
@@ -37,6 +38,10 @@
     more: bool  # whole requests are left in the buffer
     half: bool  # a request has come in part
 
+    @property
+    def forward(self) -> Transaction | None:
+        """A transaction whose reply another instance of the fleet gives, and which is waited for."""
+
     def receive(self, buffer: Buffer) -> bytes:
         """Replies to what the buffer holds whole, or to a part of it if that is `more`."""
 
@@ -74,7 +79,12 @@
         tasks: Tasks,
         once: bool = False,
         shared: bool = False,
+        forward: Callable[[Transaction], Awaitable[bytes | None]] | None = None,
     ) -> None:
+        """`forward` brings the reply of the instance that owns a transaction's destination, or None where it
+        got none: then the connection is closed without one, as by a dispatcher that did not answer.
+        """
+        self.forward = forward
         self.session, self.most, self.tasks, self.loop = session, most, tasks, tasks.loop
         self.clients: dict[Client, None] = {}  # those that have stood as they stand for longest come first
         self.draining, self.once = False, once
@@ -172,12 +182,15 @@
                     break
                 replies = session.receive(buffer)
                 if replies:
-                    client.sending = True
+                    await self._send(client, replies)
+                if session.forward is not None:
+                    client.half = True  # it is in use: neither a drain nor a newcomer ends it
                     self._touch(client)
-                    await self.loop.sock_sendall(sock, replies)
-                    client.sending, client.answered = False, True
-                    self._touch(client)
-                elif session.half and not client.half and client.answered:
+                    reply = await self.forward(session.forward) if self.forward is not None else None
+                    if reply is None:
+                        break
+                    await self._send(client, reply)
+                elif not replies and session.half and not client.half and client.answered:
                     self._touch(client)
                 client.half = session.half or session.more
                 if self.draining and client.resting:
@@ -188,6 +201,13 @@
             self.clients.pop(client, None)
             sock.close()
 
+    async def _send(self, client: Client, replies: bytes) -> None:
+        client.sending = True
+        self._touch(client)
+        await self.loop.sock_sendall(client.sock, replies)
+        client.sending, client.answered = False, True
+        self._touch(client)
+
     @property
     def settled(self) -> bool:
         """No request is on its way here, as far as can be told: none in part or unread, nobody new, and
--- a/honeyhitch/wire/management.py
+++ b/honeyhitch/wire/management.py
@@ -20,6 +20,7 @@
     """
 
     opening = b""
+    forward = None
 
     def __init__(self, state: Callable[[], State], figures: Callable[[], dict[str, Any]]) -> None:
         self.state, self.figures = state, figures
--- a/honeyhitch/wire/resp.py
+++ b/honeyhitch/wire/resp.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from enum import Enum
+from typing import Protocol
 
 from honeyhitch import interface as api
 from honeyhitch.delivery import Admission
@@ -17,6 +19,7 @@
 SLACK = 50  # ms by which time limits on sockets are longer than those of the settings (protocol page)
 WORD = 128  # bytes of an id or a key
 TURN = 16  # commands answered before other connections have their turn
+FORWARDED = "via"  # the field that names the instance which passed a request on
 MOST_BAD = 32  # commands in a row that cannot be used, after which the connection is closed
 
 
@@ -163,9 +166,30 @@
         raise FieldError("fields: expected name=value, set apart by commas") from error
 
 
+class Route(Enum):
+    """What becomes of a transaction where a fleet shares the destinations."""
+
+    LOCAL = "local"  # this instance may accept it
+    FORWARD = "forward"  # another instance owns its destination
+    REFUSE = "refuse"  # none can be asked
+
+
+class Router(Protocol):
+    """Decides where a transaction goes before it is accepted."""
+
+    def route(self, transaction: Transaction, forwarded: bool) -> Route:
+        """`forwarded`: another instance has passed it on already, and it must not be passed on again."""
+
+    retry_after: int  # ns; told with a refusal
+
+
 class Session:
     """One client's connection: bytes in, replies out. `closing` is set when it must be closed, `more` when
-    whole commands wait for the connection's next turn, and `half` while the end of one is still to come."""
+    whole commands wait for the connection's next turn, and `half` while the end of one is still to come.
+
+    `forward` is a transaction that another instance owns: its reply is the driver's to bring, and nothing
+    further is read before.
+    """
 
     opening = b""
 
@@ -175,8 +199,11 @@
         offer: Callable[[Transaction], Admission],
         ready: Callable[[], bool],
         clock: Callable[[], int],
+        router: Router | None = None,
     ) -> None:
         self.fields, self.offer, self.ready, self.clock = fields, offer, ready, clock
+        self.router = router
+        self.forward: Transaction | None = None
         self.closing = self.more = self.half = False
         self.reader, self.bad = CommandReader(), 0
 
@@ -184,6 +211,7 @@
         """Replies to whole commands in the buffer, in their order, up to one turn's worth."""
         replies: list[bytes] = []
         self.more = self.half = False
+        self.forward = None
         while not self.closing:
             if len(replies) == TURN:
                 self.more = len(buffer) > 0
@@ -197,7 +225,11 @@
             if command is None:
                 self.half = self.reader.left > 0 or len(buffer) > 0
                 break
-            replies.append(self._reply(command))
+            reply = self._reply(command)
+            if self.forward is not None:
+                self.more = len(buffer) > 0
+                break
+            replies.append(reply)
             self.bad = self.bad + 1 if replies[-1].startswith(b"-ERR") else 0
             self.closing = self.closing or self.bad == MOST_BAD
         return b"".join(replies)
@@ -225,8 +257,17 @@
     def _enqueue(self, command: list[bytes]) -> bytes:
         if len(command) != 5:
             raise FieldError("ENQUEUE: expected a key, an id, fields and a body")
-        _, _, name, fields, body = command
-        admission = self.offer(self.fields.transaction(name, pairs(fields), body, self.clock()))
+        _, _, name, text, body = command
+        fields = pairs(text)
+        transaction = self.fields.transaction(name, fields, body, self.clock())
+        if self.router is not None:
+            route = self.router.route(transaction, FORWARDED in fields)
+            if route is Route.FORWARD:
+                self.forward = transaction
+                return b""
+            if route is Route.REFUSE:
+                return b"-BUSY %d\r\n" % (self.router.retry_after // MS)
+        admission = self.offer(transaction)
         if admission.accepted:
             return b"+OK\r\n"
         return b"-BUSY %d\r\n" % (admission.retry_after // MS) if admission.retry_after else b"-BUSY\r\n"
