Forward messages to the owners of their destinations, with a fleet set up in the operator's file

[fleet] in the operator's file turns it on; without it nothing changes. The view is watched like discovery's list, with stamped heartbeats; a message for a destination of which this instance holds no share is passed on once, before it is accepted, in the RESP2 form that stands, and the owner's reply is relayed. Right before a call's first byte the share is looked at once more; what was lost is handed back. The view is saved in the state folder for restarts while control is silent. honeyhitch fleet show and owner.

--- a/honeyhitch/core.py
+++ b/honeyhitch/core.py
@@ -16,12 +16,13 @@
 from honeyhitch.memory.journal import Journal, JournalFull
 from honeyhitch.memory.pool import Pool, PoolMember
 from honeyhitch.memory.transactions import RESEND, Ending, Transaction, Try
-from honeyhitch.ports import Came, Carrier, Front, Guard, Keeper, Neighbour, Opener, Scheduler
+from honeyhitch.ports import Came, Carrier, Front, Guard, Keeper, Neighbour, Opener, Scheduler, Shares
 from honeyhitch.standing import avoided
 
 log = logs.get()
 MS = 1_000_000  # ns
 NEVER = 1 << 62  # ns
+SHARE_PAUSE = 250 * MS  # ns between looks whether a share of a limit is held again
 BUSY = 500 * MS  # ns; told to clients that are turned away before the module
 
 
@@ -40,6 +41,7 @@
         self.keeper: Keeper | None = None
         self.guard: Guard | None = None
         self.beside: Neighbour | None = None
+        self.shares: Shares | None = None
         self.events: list[api.Event | Transaction] = []
         self.live = False  # one of them is not behind others
         self.out: dict[str, Call] = {}  # calls out, by the id of each transaction in them
@@ -223,6 +225,7 @@
             told.address,
             told.destination,
         )
+        there = there and self._share_held(call.member, now)
         for i, transaction in enumerate(call.parts):
             if call.open[i] and not (self.sending and there and self.brain.goes(now, transaction.id)):
                 self._unused(call, i)
@@ -239,6 +242,22 @@
         call.open, call.begun = [True] * len(goes), True
         return bool(goes)
 
+    def _share_held(self, member: PoolMember, now: int) -> bool:
+        """Whether this instance holds a share of the limit; where not, the module looks again soon."""
+        if self.shares is None or self.shares.portion(member.destination, now) > 0:
+            return True
+        self._add(api.Told(member.destination, member.id, now + SHARE_PAUSE))
+        return False
+
+    def hand_back(self, destination: int, retry_after: int) -> None:
+        """Another instance owns a destination now: what surely never ran is rejected, as handing it in again
+        reaches that one. What may have run, and calls that are out, keep to the module.
+        """
+        for transaction in list(self.held.by_id.values()):
+            untried = transaction.first_ran() is None and transaction.id not in self.out
+            if transaction.destination == destination and untried and transaction.front != RESEND:
+                self.conclude(transaction, Ending.REJECTED, retry_after)
+
     def written(self, call: Call) -> None:
         """The last byte of a call was handed to its connection."""
         self.figures.written(call.parts)
@@ -313,7 +332,7 @@
                 settled=over or not owed,
                 wait=result.wait,
                 allowance=result.told.get("x0", 1.0),
-                limit=result.told.get("x1", 0.0),
+                limit=result.told.get("x1", 0.0) * self._portion(call.member.destination),
                 stale=result.stale,
                 crowded=result.crowded,
                 unused=unused,
@@ -323,6 +342,12 @@
         if self.guard is not None:
             self.guard.attempt_ended(transaction, outcome)
 
+    def _portion(self, destination: int) -> float:
+        """Of a limit that is told; of a share that has just run out, nothing is sent by it in any case."""
+        if self.shares is None:
+            return 1.0
+        return self.shares.portion(destination, self.scheduler.now()) or 1.0
+
     def leave(self, gap: int) -> None:
         """The last round: what cannot outlive so many nanoseconds without decisions is given up, and all else
         that is owed is the next process's, by the journal.
--- a/honeyhitch/lifecycle/cli.py
+++ b/honeyhitch/lifecycle/cli.py
@@ -15,6 +15,7 @@
 from honeyhitch.lifecycle import config as configuration
 
 GROUPS = {
+    "fleet": "honeyhitch.lifecycle.fleet_commands",
     "stats": "honeyhitch.lifecycle.management_commands",
     "status": "honeyhitch.lifecycle.management_commands",
     "tls": "honeyhitch.lifecycle.tls_commands",
--- a/honeyhitch/lifecycle/config/file.py
+++ b/honeyhitch/lifecycle/config/file.py
@@ -110,6 +110,8 @@
     beside = read_operator(
         operator or environ.get("ROUTER_OPERATOR", ""), str(values["name"]), settings, environ
     )
+    if beside.fleet is not None:  # a destination has one owner a zone, and each has its part of the limit
+        settings = replace(settings, instances=len(beside.fleet.zones))
     state = Path(str(values["state"]))
     if beside.control is not None and len(os.fsencode(beside.control.at(state))) > MOST_SOCKET_PATH:
         at = beside.control.at(state)
--- a/honeyhitch/lifecycle/config/operator.py
+++ b/honeyhitch/lifecycle/config/operator.py
@@ -9,7 +9,7 @@
 
 from honeyhitch import interface as api
 from honeyhitch import logs
-from honeyhitch.lifecycle.config import mqtt, tls, undelivered
+from honeyhitch.lifecycle.config import fleet, mqtt, tls, undelivered
 from honeyhitch.lifecycle.config.values import Table
 from honeyhitch.setup import Address, ConfigError, Control, Operator
 from honeyhitch.tls.settings import Partner
@@ -49,14 +49,21 @@
     told_mqtt = table.maybe("mqtt", dict)
     control = _control(table.maybe("control", dict))
     told_undelivered = table.maybe("undelivered", dict)
+    told_fleet = table.maybe("fleet", dict)
     table.done()
+    for key, other in (("mqtt", told_mqtt), ("undelivered", told_undelivered)):
+        if told_fleet is not None and other is not None:
+            raise ConfigError(f"{key}: cannot be had beside [fleet] yet")
     parsed = {key: Address.parse(text, f"beside.{key}") if text else None for key, text in addresses.items()}
     setup = mqtt.setup(told_mqtt, name, settings, environ) if told_mqtt is not None else None
     partners = tls.setup(told_tls, settings, environ) if told_tls is not None else None
     kept = undelivered.setup(told_undelivered, settings) if told_undelivered is not None else None
     if kept is not None:  # it is looked at and cared for through the control socket
         control = control or Control()
-    return Operator(setup, parsed["agent-check"], parsed["health"], form, level, partners, kept, control)
+    shared = fleet.setup(told_fleet, name) if told_fleet is not None else None
+    return Operator(
+        setup, parsed["agent-check"], parsed["health"], form, level, partners, kept, control, shared
+    )
 
 
 def _control(told: object) -> Control | None:
--- a/honeyhitch/lifecycle/management_commands.py
+++ b/honeyhitch/lifecycle/management_commands.py
@@ -44,7 +44,16 @@
         raise click.ClickException(f"no answer from {at}: {error}") from error
 
 
-def _options(command: Callable[..., None]) -> Callable[..., None]:
+def call_figures(at: str | None, path: str | None, call: str) -> dict[str, Any]:
+    """The figures that a running dispatcher answers a call with. Raises ClickException if it gives none."""
+    address = _where(at, path)
+    yes, why, figures = _call(address, call)
+    if not yes:
+        raise click.ClickException(f"{address}: {why or 'no answer'}")
+    return figures
+
+
+def management_options(command: Callable[..., None]) -> Callable[..., None]:
     for option in (
         click.option("--json", "as_json", is_flag=True, help="For programs."),
         click.option(
@@ -57,7 +66,7 @@
 
 
 @click.command()
-@_options
+@management_options
 def status(at: str | None, path: str | None, as_json: bool) -> None:
     """Say whether a dispatcher takes clients; exit code 0 if it does."""
     address = _where(at, path)
@@ -68,13 +77,10 @@
 
 
 @click.command()
-@_options
+@management_options
 def stats(at: str | None, path: str | None, as_json: bool) -> None:
     """Print the figures of a dispatcher; they count from its process's start."""
-    address = _where(at, path)
-    yes, why, figures = _call(address, "stats")
-    if not yes:
-        raise click.ClickException(f"{address}: {why or 'no answer'}")
+    figures = call_figures(at, path, "stats")
     if as_json:
         click.echo(json.dumps(figures))
         return
--- a/honeyhitch/lifecycle/serve.py
+++ b/honeyhitch/lifecycle/serve.py
@@ -14,13 +14,14 @@
 
 from honeyhitch import __version__, logs
 from honeyhitch.core import Dispatcher
-from honeyhitch.delivery import Phase
+from honeyhitch.delivery import Phase, State
 from honeyhitch.lifecycle.beside import Beside
 from honeyhitch.lifecycle.config import FIXED_SOCKETS, Config, ConfigError
 from honeyhitch.lifecycle.signals import Stop, on_reload
 from honeyhitch.memory.folder import FIRST, FolderHeld, StateFolder
 from honeyhitch.memory.journal import Journal, JournalUnusable
 from honeyhitch.memory.pool import GATED, Pool, PoolError, PoolMember
+from honeyhitch.memory.transactions import Transaction
 from honeyhitch.setup import Address, Control, MqttSetup
 from honeyhitch.tls.settings import TlsSetup
 from honeyhitch.undelivered.settings import Undelivered
@@ -35,6 +36,8 @@
 from honeyhitch.wire.management import ManagementSession
 
 if TYPE_CHECKING:  # what a start without an operator's file needs none of
+    from honeyhitch.lifecycle.fleet import FleetService
+    from honeyhitch.partitioning.settings import FleetSettings
     from honeyhitch.undelivered.keeping import Keeping
     from honeyhitch.wire.drivers.broker import Way
     from honeyhitch.wire.drivers.control import ControlServer
@@ -44,6 +47,7 @@
 BACK_AT = 4.3  # seconds after SIGTERM; the next process starts 0.6 s after SIGKILL
 BESIDE_SOCKETS = 16  # connections at once to the agent-check, and as many to health and to management
 CONTROL_FILES, STORE_FILES = 10, 10  # descriptors: a listener and its connections; database, log, lock
+FLEET_FILES = 2  # the view's watch, and its file as it is written
 REDELIVERY = 600 * 10**9  # ns for which ids are remembered that a broker may hand in again
 NS = 10**9
 LOOK = 0.02  # seconds between looks at what is still out
@@ -60,6 +64,7 @@
     others = BESIDE_SOCKETS * sum(address is not None for address in listeners)
     others += CONTROL_FILES if beside.control is not None else 0
     others += STORE_FILES if beside.undelivered is not None else 0
+    others += beside.fleet.peer_connections + FLEET_FILES if beside.fleet is not None else 0
     left = config.limits.sockets - config.settings.slots - processes * (FIXED_SOCKETS + others)
     left //= processes
     most_idle = max(1, left // 4)
@@ -114,6 +119,9 @@
         self.control: ControlServer | None = None
         self.verbs.add("GET", "/state", self._state)
         self.keeping: Keeping | None = None
+        self.fleet: FleetService | None = None
+        if config.operator.fleet is not None:
+            self._fleet(config.operator.fleet, listen)
         if config.operator.undelivered is not None:
             self._undelivered(config.operator.undelivered)
 
@@ -154,6 +162,35 @@
         self.works.append(self.keeping.care)
         register(self.verbs, self.keeping)
 
+    def _fleet(self, settings: FleetSettings, listen: bool) -> None:
+        """Partitioned destinations. Callers in this process could not be sent to another instance."""
+        from honeyhitch.lifecycle.fleet import MOST_SAVED, FleetService
+
+        if not listen:
+            raise ConfigError("fleet: cannot be had by a library's dispatcher, which nothing is handed in to")
+        set_aside = 2 * MOST_SAVED  # the view's file, and the one that takes its place
+        if self.config.limits.disk < 2 * set_aside:
+            raise ConfigError(f"limits.disk_mb: expected {2 * set_aside / 1e6:g} at least with [fleet]")
+        self.journal.disk -= set_aside
+        rng = Random(self.config.seed ^ 0xF1EE7)
+        self.fleet = FleetService(
+            settings,
+            self.dispatcher,
+            self.scheduler,
+            self.loop,
+            self.config.state,
+            rng,
+            self.discovery.refetch,
+        )
+        self.works += [self.fleet.watch, self.fleet.care]
+
+    def state(self) -> State:
+        """Whether it accepts new work; before a fleet's first view it cannot tell what is its own."""
+        state = self.dispatcher.state()
+        if self.fleet is not None and not self.fleet.ready and state.phase is Phase.READY:
+            return replace(state, phase=Phase.STARTING)
+        return state
+
     async def _state(self, asked: Asked) -> dict[str, Any]:
         state = self.dispatcher.state()
         told: dict[str, Any] = {"phase": state.phase.value, "held": state.held, "most": state.most}
@@ -205,6 +242,8 @@
     def start(self, listen: bool = True) -> None:
         """Replay the journal, then serve. Without `listen` only the library's callers hand in."""
         dispatcher, config = self.dispatcher, self.config
+        if self.fleet is not None:
+            self.fleet.restore()
         try:
             dispatcher.news(dispatcher.pool.update(config.known, cached=True))
         except PoolError as error:
@@ -220,26 +259,29 @@
         else:
             self._resume()
         if listen:
-            fields = resp.Fields(config.settings, dispatcher.pool.serves, dispatcher.figures.unusable)
+            served = dispatcher.pool.serves if self.fleet is None else self.fleet.serves
+            fields = resp.Fields(config.settings, served, dispatcher.figures.unusable)
             self.clients = self._listen(
                 "listen",
                 config.listen,
                 lambda: resp.Session(
                     fields,
                     dispatcher.offer,
-                    lambda: dispatcher.state().phase is Phase.READY,
+                    lambda: self.state().phase is Phase.READY,
                     self.scheduler.now,
+                    self.fleet,
                 ),
                 self.most_clients,
                 shared=True,
+                forward=None if self.fleet is None else self.fleet.forwarder.forward,
             )
             if self.beside.there:
                 log.info("listen.beside", steered=sockets.steer(self.clients.listener))
-        beside, state = config.operator, dispatcher.state
+        beside, state = config.operator, self.state
         calls: tuple[tuple[str, Address | None, Callable[[], ServerSession]], ...] = (
             ("beside.agent-check", beside.agent_check, lambda: AgentSession(state)),
             ("beside.health", beside.health, lambda: HealthSession(state)),
-            ("management", config.management, lambda: ManagementSession(state, dispatcher.told)),
+            ("management", config.management, lambda: ManagementSession(state, dispatcher.told, self.fleet)),
         )
         for name, address, session in calls:
             if address is not None:
@@ -253,7 +295,8 @@
     def _refuse_beside(self) -> None:
         """What two processes cannot have at once yet: a store, a socket in the folder, a broker's session."""
         operator = self.config.operator
-        told = {"undelivered": operator.undelivered, "control": operator.control, "mqtt": operator.mqtt}
+        told: dict[str, object] = {"undelivered": operator.undelivered, "control": operator.control}
+        told |= {"mqtt": operator.mqtt, "fleet": operator.fleet}  # each process would use the whole share
         for key, setup in told.items():
             if setup is not None:
                 raise ConfigError(f"{key}: cannot be had beside a running process; stop that one first")
@@ -313,9 +356,12 @@
         most: int,
         once: bool = False,
         shared: bool = False,
+        forward: Callable[[Transaction], Awaitable[bytes | None]] | None = None,
     ) -> VirtualServer:
         try:
-            server = VirtualServer((address.host, address.port), session, most, self.tasks, once, shared)
+            server = VirtualServer(
+                (address.host, address.port), session, most, self.tasks, once, shared, forward
+            )
         except OSError as error:
             raise ConfigError(f"{name}: cannot listen on {address}: {error.strerror}") from error
         self.servers.append(server)
@@ -369,6 +415,8 @@
         await self.tasks.stop()
         if self.keeping is not None:
             await self.keeping.stop()
+        if self.fleet is not None:
+            self.fleet.close()
         self.beside.close()
         self.journal.close()
         self.folder.close()
--- a/honeyhitch/memory/pool.py
+++ b/honeyhitch/memory/pool.py
@@ -54,6 +54,8 @@
         self.fixed: dict[str, PoolMember] = {}  # set up by the operator, never in discovery's list
         self.revision = 0
         self.carrier_of: Callable[[PoolMember], str] = lambda member: member.carrier
+        self.keeps: Callable[[int], bool] | None = None  # destinations whose members are kept, if not all
+        self.portion: Callable[[int], float] | None = None  # of a listed rate that this instance may use
         self.destinations: set[int] = set()  # each that was ever listed; one between two members still exists
 
     def serves(self, destination: int) -> bool:
@@ -69,10 +71,11 @@
         """Enter one list or one change, in discovery's form, and say what is new."""
         try:
             rows, revision = told["members"], int(told["revision"])
-            read = [self._member(row) for row in rows]
+            complete = bool(told.get("complete", False))
+            read = [self._member(row) for row in rows if self._wanted(row, complete)]
         except (KeyError, TypeError, ValueError, OverflowError) as error:
             raise PoolError(f"members: {type(error).__name__}: {error}") from error
-        if revision < self.revision and not told.get("complete", False):
+        if revision < self.revision and not complete:
             # Late, it would bring back what went since; an agent that counts anew has to give its whole list.
             raise PoolError(f"revision: a change of {revision} after {self.revision}")
         members = [one for one in read if one.status is not api.Status.GONE or one.id in self.members]
@@ -81,8 +84,8 @@
         moved = [
             replace(old, status=api.Status.GONE) for old, one in known if old.destination != one.destination
         ]
-        self.revision, news = revision, tuple(member.entry() for member in [*moved, *members])
-        if told.get("complete", False):  # what a whole list leaves out is gone as well
+        self.revision, news = revision, tuple(self._entry(member) for member in [*moved, *members])
+        if complete:  # what a whole list leaves out is gone as well
             named = {entry.endpoint for entry in news} | self.fixed.keys()
             self.members = {name: member for name, member in self.members.items() if name in named}
         for member in members:
@@ -91,11 +94,29 @@
             elif member.id not in self.fixed:
                 self.members.pop(member.id, None)
         self.destinations.update(entry.destination for entry in news)
-        if not told.get("complete", False):
+        if not complete:
             return api.ListNews(api.ListMode.CHANGES, news)
-        news += tuple(member.entry() for member in self.fixed.values())
+        news += tuple(self._entry(member) for member in self.fixed.values())
         return api.ListNews(api.ListMode.CACHED if cached else api.ListMode.FULL, news)
 
+    def _wanted(self, row: dict[str, Any], complete: bool) -> bool:
+        """Whether the entry is kept: one of a destination that is, or a change of a member that was."""
+        cell = row.get("cell")
+        if self.keeps is None or (cell is not None and self.keeps(int(cell))):
+            return True
+        return not complete and row["id"] in self.members
+
+    def _entry(self, member: PoolMember) -> api.Entry:
+        entry = member.entry()
+        if self.portion is None:
+            return entry
+        return replace(entry, scale=entry.scale * self.portion(member.destination))
+
+    def refreshed(self, changed: Callable[[int], bool]) -> api.ListNews:
+        """The entries of destinations whose portion has changed, as a change of the list."""
+        members = [member for member in self.members.values() if changed(member.destination)]
+        return api.ListNews(api.ListMode.CHANGES, tuple(self._entry(member) for member in members))
+
     def _member(self, row: dict[str, Any]) -> PoolMember:
         name = str(row["id"])
         old = self.members.get(name)
--- a/honeyhitch/partitioning/fleet.py
+++ b/honeyhitch/partitioning/fleet.py
@@ -111,6 +111,16 @@
         """The part of its zone's share of the destination's limit that this instance may use, 0 to 1."""
         return self.held(self.partition(destination), now).portion(self.settings.reserve)
 
+    def awaits(self, destination: int, now: int) -> bool:
+        """Whether this instance is to own a destination, and only waits out the lease of another one."""
+        partition = self.partition(destination)
+        if partition not in self.kept or self.heard is None:
+            return False
+        candidates = self.candidates(self.settings.zone, partition)
+        owner, settings = first_ready(candidates), self.settings
+        is_owner = owner is not None and owner.name == settings.name
+        return is_owner and now < self.heard + settings.lease - settings.clock_skew
+
     def owners(self, destination: int) -> list[Instance]:
         """Other instances that may take a message for a destination, in the order in which to ask them: those
         of the own zone first, then of the own region, then of the others.
--- a/honeyhitch/partitioning/settings.py
+++ b/honeyhitch/partitioning/settings.py
@@ -30,7 +30,7 @@
     lease: int = 3 * SECOND  # of the rest: how long a heartbeat of the control machines is good for
     reserve_lease: int = 2 * 3600 * SECOND  # the same for the reserved part
     clock_skew: int = SECOND // 4  # by which any two clocks of the fleet may differ at most
-    peer_connections: int = 16  # open to other instances at once
+    peer_connections: int = 96  # open to other instances at once
 
     def __post_init__(self) -> None:
         """Raises ValueError naming the setting at fault."""
--- a/honeyhitch/ports.py
+++ b/honeyhitch/ports.py
@@ -94,3 +94,10 @@
 
     def settles(self, transaction: Transaction) -> bool:
         """Whether its delivery settles what is kept."""
+
+
+class Shares(Protocol):
+    """Which part of a destination's limit this instance may use, where a fleet shares the destinations."""
+
+    def portion(self, destination: int, now: int) -> float:
+        """0 to 1 of what one instance has of it; at 0 nothing may be sent there. `now` is in nanoseconds."""
--- a/honeyhitch/setup.py
+++ b/honeyhitch/setup.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from honeyhitch.partitioning.settings import FleetSettings
 from honeyhitch.tls.settings import Partner, TlsSetup
 from honeyhitch.undelivered.settings import Undelivered
 
@@ -93,3 +94,4 @@
     tls: TlsSetup | None = None
     undelivered: Undelivered | None = None
     control: Control | None = None
+    fleet: FleetSettings | None = None
--- a/honeyhitch/wire/drivers/discovery.py
+++ b/honeyhitch/wire/drivers/discovery.py
@@ -42,6 +42,13 @@
         self.address, self.moved = address, True
         self.start()
 
+    def refetch(self) -> None:
+        """Ask for the whole list anew: entries that were left out of the last one are wanted now."""
+        if self.works:
+            self.works[0].cancel()
+            self.moved = True
+            self.works[0] = self.tasks.keep(self.watch)
+
     async def watch(self) -> None:
         """Watch for ever; the pool as it is stays in use while discovery is silent."""
         pool, settings = self.dispatcher.pool, self.dispatcher.s
--- a/honeyhitch/wire/management.py
+++ b/honeyhitch/wire/management.py
@@ -4,26 +4,42 @@
 
 import json
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 from honeyhitch.delivery import Phase, State
 from honeyhitch.memory.buffer import Buffer
 
+MOST_DIGITS = 15  # of a destination's number
 MOST_LINE = 256  # bytes of a call, its line end included
-CALLS = ("status", "stats")
+CALLS = ("status", "stats", "fleet", "owner NUMBER")
+
+
+class FleetFigures(Protocol):
+    """What is told of a fleet, where one is set up."""
+
+    def describe(self) -> dict[str, Any]:
+        """The view in force."""
+
+    def describe_owners(self, destination: int) -> dict[str, Any]:
+        """Who owns a destination."""
 
 
 class ManagementSession:
     """One connection: the first line is the call, and its answer is the end of the connection.
 
-    `+OK` or `-ERR` opens each answer but that of `stats`: the figures as a line of JSON, and a line `.`.
+    `+OK` or `-ERR` opens each answer but those with figures: a line of JSON, and a line `.`.
     """
 
     opening = b""
     forward = None
 
-    def __init__(self, state: Callable[[], State], figures: Callable[[], dict[str, Any]]) -> None:
-        self.state, self.figures = state, figures
+    def __init__(
+        self,
+        state: Callable[[], State],
+        figures: Callable[[], dict[str, Any]],
+        fleet: FleetFigures | None = None,
+    ) -> None:
+        self.state, self.figures, self.fleet = state, figures, fleet
         self.closing = self.more = self.half = False
 
     def receive(self, buffer: Buffer) -> bytes:
@@ -47,11 +63,24 @@
                 return b"+OK ready\r\n"
             return _error(f"status: {state.phase.value}")
         if call == "stats":
-            text = json.dumps(self.figures(), separators=(",", ":"))
-            return f"{text}\r\n.\r\n".encode()
+            return _figures(self.figures())
+        name, _, number = call.partition(" ")
+        if name in ("fleet", "owner") and self.fleet is None:
+            return _error(f"{name}: no fleet is set up here")
+        if call == "fleet" and self.fleet is not None:
+            return _figures(self.fleet.describe())
+        if name == "owner" and self.fleet is not None:
+            if not number.isascii() or not number.isdigit() or len(number) > MOST_DIGITS:
+                return _error(f"owner: expected the number of a destination, got {number[:40]!r}")
+            return _figures(self.fleet.describe_owners(int(number)))
         return _error(f"call: unknown, expected {' or '.join(CALLS)}, got {call[:40]!r}")
 
 
+def _figures(figures: dict[str, Any]) -> bytes:
+    text = json.dumps(figures, separators=(",", ":"))
+    return f"{text}\r\n.\r\n".encode()
+
+
 def _error(why: str) -> bytes:
     return f"-ERR {why}\r\n".encode("ascii", "backslashreplace")
 
--- a/tests/agent.py
+++ b/tests/agent.py
@@ -20,6 +20,8 @@
         self.watched: Callable[[], None] = lambda: None  # called when a watch is opened
         self.doubled: list[str] = []
         self.told: Callable[[], None] = lambda: None  # called after each notice
+        self.stamp: Callable[[], dict[str, Any]] = dict  # what every list, change and heartbeat says besides
+        self.beat = 2.0  # seconds between heartbeats
 
     async def start(self) -> Agent:
         """Listen, at the same address again after `go_down`."""
@@ -34,17 +36,21 @@
             writer.transport.abort()
 
     def list(self) -> bytes:
-        told = {"revision": self.revision, "complete": True, "members": self.members}
+        told = {"revision": self.revision, "complete": True, "members": self.members, **self.stamp()}
         return json.dumps(told).encode() + b"\n"
 
     def change(self, *members: dict[str, Any]) -> None:
         """Tell every watch of a change."""
         self.revision += 1
-        told = {"revision": self.revision, "complete": False, "members": list(members)}
-        line = json.dumps(told).encode() + b"\n"
+        chunk = self._chunk(members)
         for writer in self.watches:
             if not writer.is_closing():
-                writer.write(b"%x\r\n%s\r\n" % (len(line), line))
+                writer.write(chunk)
+
+    def _chunk(self, members: tuple[dict[str, Any], ...]) -> bytes:
+        told = {"revision": self.revision, "complete": False, "members": members, **self.stamp()}
+        line = json.dumps(told).encode() + b"\n"
+        return b"%x\r\n%s\r\n" % (len(line), line)
 
     async def _client(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.open.add(writer)
@@ -66,9 +72,9 @@
                     self.watches.append(writer)
                     self.watched()
                     while not writer.is_closing():
-                        writer.write(b"1\r\n\n\r\n")
+                        writer.write(self._chunk(()) if self.stamp() else b"1\r\n\n\r\n")
                         await writer.drain()
-                        await asyncio.sleep(2)
+                        await asyncio.sleep(self.beat)
                 else:
                     told = self.list()
                     writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(told), told))
--- a/tests/test_crowded_start.py
+++ b/tests/test_crowded_start.py
@@ -7,58 +7,21 @@
 import asyncio
 import contextlib
 import json
-import shlex
-import sys
 import time
 from asyncio.subprocess import Process
-from collections.abc import AsyncIterator
 from pathlib import Path
 from typing import Any
 
 from .agent import Agent
+from .processes import PING, PONG, ask, killed, spawn, until_ready
 from .program import enqueue, free_port, play, write
 from .rig import row
 from .test_upgrade import Events
 
-ROOT = Path(__file__).parent.parent
 SOCKETS = 72  # descriptors of the process, as its configuration says
 CLIENTS = 300  # that connect and say nothing
 RESTARTED, OWED = 10, 30  # processes killed at once, messages that each of them holds
 READY_WITHIN = 10.0  # seconds; nine in ten restarted processes (standing test)
-PING, PONG = b"PING\r\n", b"+PONG\r\n"
-
-
-async def spawn(path: str, descriptors: int | None = None) -> Process:
-    """A real process with this configuration, and with so few descriptors if that is said."""
-
-    limit = f"ulimit -n {descriptors}; " if descriptors is not None else ""
-    program = shlex.join((sys.executable, "-m", "honeyhitch", "serve", "--config", path))
-    return await asyncio.create_subprocess_shell(
-        f"{limit}exec {program}", cwd=ROOT, stderr=asyncio.subprocess.DEVNULL
-    )
-
-
-async def ask(port: int, request: bytes) -> bytes:
-    """The first line of the answer. A connection that is shut before the request on it was read, as the
-    protocol allows, is followed by another one.
-    """
-    while True:
-        reader, writer = await asyncio.open_connection("127.0.0.1", port)
-        writer.write(request)
-        with contextlib.suppress(ConnectionResetError):
-            if line := await reader.readline():
-                writer.close()
-                return line
-
-
-async def until_ready(process: Process, port: int) -> None:
-    """Wait until it answers PING with PONG."""
-    while process.returncode is None:
-        with contextlib.suppress(OSError):
-            if await ask(port, PING) == PONG:
-                return
-        await asyncio.sleep(0.02)
-    raise AssertionError(f"it ended with {process.returncode}")
 
 
 async def idle(port: int) -> None:
@@ -70,18 +33,6 @@
             writer.close()
 
 
-@contextlib.asynccontextmanager
-async def killed(processes: list[Process]) -> AsyncIterator[None]:
-    """Whatever still runs at the end is killed, by its id."""
-    try:
-        yield
-    finally:
-        for process in processes:
-            with contextlib.suppress(ProcessLookupError):
-                process.kill()
-            await process.wait()
-
-
 class Partner:
     """An endpoint that delivers, or holds every call without an answer."""
 
--- /dev/null
+++ b/tests/test_partitioning_view.py
@@ -0,0 +1,182 @@
+"""Views and ownership: bad input has one clear error and changes nothing; balance and movement are exact."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import Any
+
+import pytest
+
+from honeyhitch.partitioning.fleet import ClockError, Fleet
+from honeyhitch.partitioning.ownership import ZoneCandidates, partition_of, rank
+from honeyhitch.partitioning.settings import SECOND, FleetSettings, Region
+from honeyhitch.partitioning.view import FleetViewError
+
+from .fleet_control import MS, REGIONS, START, entry, fleet_settings
+
+ROWS = [entry(f"{zone}-{number}", zone) for zone in ("a1", "a2", "b1", "b2") for number in range(2)]
+
+
+def view(**told: Any) -> dict[str, Any]:
+    """A whole list as the control machines send it, with changes."""
+    return {"revision": 5, "complete": True, "members": ROWS, "issued_ms": START // MS, **told}
+
+
+def fleet(name: str = "a1-0") -> Fleet:
+    one = Fleet(fleet_settings(name, name.split("-")[0]))
+    one.take(view(), START)
+    return one
+
+
+@pytest.mark.parametrize(
+    ("told", "field"),
+    [
+        (view(members=[{**ROWS[0], "locality": "a9"}]), "locality: unknown zone 'a9'"),
+        (view(members=[{**ROWS[0], "flavor": "north"}]), "flavor: 'north' is not the region"),
+        (view(members=[{**ROWS[0], "flavor": "west"}]), "flavor: 'west' is not the region"),
+        (view(members=[{**ROWS[0], "locality": "a2"}]), "but it was in 'a1'"),
+        (view(members=[*ROWS, ROWS[3]]), "'a2-1' is named twice"),
+        (view(members=[]), "a fleet has one instance at least"),
+        (view(members=None), "members: expected a list"),
+        (view(members=["a1-0"]), "members.0.id"),
+        (view(members=[{**ROWS[0], "id": ""}]), "members.0.id"),
+        (view(members=[{**ROWS[0], "id": "x" * 129}]), "members.0.id"),
+        (view(members=[{**ROWS[0], "phase": "Asleep"}]), "phase: unknown phase 'Asleep'"),
+        (view(members=[{**ROWS[0], "host_port": "10.0.0.1"}]), "host_port: expected HOST:PORT"),
+        (view(members=[{**ROWS[0], "host_port": "10.0.0.1:0"}]), "host_port: expected HOST:PORT"),
+        (view(members=[{**ROWS[0], "up_since_ms": -1}]), "up_since_ms"),
+        (view(members=[{**ROWS[0], "joined_ms": "now"}]), "joined_ms"),
+        (view(members=[{**ROWS[0], "up_since_ms": 1e300}]), "up_since_ms"),
+        (view(revision=4), "revision: 4 is older than 5"),
+        (view(revision=4, complete=False, members=[]), "revision: 4 is older than 5"),
+        (view(revision=True), "revision: expected a whole number"),
+        (view(lease_ms=10_000), "lease_ms: 10000, but 3000 is set up here"),
+        (view(issued_ms="late"), "issued_ms: expected a whole number"),
+        (
+            view(complete=False, members=[{**row, "phase": "Gone"} for row in ROWS]),
+            "a fleet has one instance at least",
+        ),
+    ],
+)
+def test_a_view_that_cannot_be_used_is_named_and_changes_nothing(told: dict[str, Any], field: str) -> None:
+    one = fleet()
+    before = one.view, one.heard, one.kept
+    with pytest.raises(FleetViewError) as error:
+        one.take(told, START)
+    assert field in str(error.value) and one.problem == str(error.value)
+    assert (one.view, one.heard, one.kept) == before
+
+
+def test_an_instance_listed_in_another_zone_than_it_is_set_up_in_is_refused() -> None:
+    one = Fleet(fleet_settings("a2-0", "a1"))
+    with pytest.raises(FleetViewError, match="a2-0: locality: 'a2', but 'a1' is set up here"):
+        one.take(view(), START)
+
+
+def test_a_heartbeat_from_a_clock_too_far_ahead_renews_nothing_and_its_view_counts() -> None:
+    one, ahead = fleet(), START + SECOND
+    with pytest.raises(ClockError, match="later than this machine's clock"):
+        one.take(view(revision=6, issued_ms=ahead // MS), START)
+    assert one.view.revision == 6 and one.heard == START
+    one.take(view(revision=6, issued_ms=(START + SECOND // 8) // MS), START)  # inside the skew
+    assert one.heard == START + SECOND // 8
+    one.take(view(revision=6, issued_ms=START // MS), START)  # one that was overtaken takes nothing back
+    assert one.heard == START + SECOND // 8 and not one.problem
+
+
+def test_an_instance_that_is_not_listed_owns_nothing_and_knows_who_does() -> None:
+    one = fleet("a1-9")
+    assert not one.kept and not any(one.portion(number, START) for number in range(100))
+    assert len(one.owners(7)) == 4 and one.owners(7)[0].zone == "a1"
+
+
+def test_owners_of_the_own_zone_come_first_then_those_of_the_own_region() -> None:
+    regions = {"a1": 0, "a2": 1, "b1": 2, "b2": 2}
+    one = fleet("a1-0")
+    for destination in range(50):
+        order = [regions[owner.zone] for owner in one.owners(destination)]
+        assert order == sorted(order) and len(order) >= 3
+        assert all(owner.name != "a1-0" for owner in one.owners(destination))
+
+
+def test_what_was_saved_is_restored_and_a_form_that_is_not_known_is_refused() -> None:
+    one, other = fleet(), Fleet(fleet_settings("a1-0", "a1"))
+    other.restore(one.saved(), START)
+    assert (other.view, other.heard, other.kept) == (one.view, one.heard, one.kept)
+    with pytest.raises(FleetViewError, match="form"):
+        other.restore({**one.saved(), "form": 99}, START)
+
+
+@pytest.mark.parametrize(
+    ("changes", "problem"),
+    [
+        ({"zone": "a9"}, "zone: not a zone"),
+        ({"regions": ()}, "regions: at least one zone"),
+        ({"regions": (Region("e", ("a1", "a1")),)}, "regions: a zone is named twice"),
+        ({"partitions": 0}, "partitions"),
+        ({"reserve": 1.5}, "reserve"),
+        ({"candidates": 0}, "candidates"),
+        ({"lease": SECOND, "clock_skew": SECOND}, "lease: must be more than four times"),
+        ({"reserve_lease": SECOND}, "reserve-lease"),
+        ({"peer_connections": 0}, "peer-connections"),
+    ],
+)
+def test_settings_that_cannot_hold_are_refused(changes: dict[str, Any], problem: str) -> None:
+    given: dict[str, Any] = {"name": "a1-0", "zone": "a1", "view": "127.0.0.1:1", "regions": REGIONS}
+    with pytest.raises(ValueError, match=problem):
+        FleetSettings(**{**given, **changes})
+
+
+NAMES = [f"d{number}" for number in range(77)]  # a zone of 770 dispatchers in ten
+PARTITIONS = 4096
+
+
+@pytest.fixture(scope="module")
+def zone() -> ZoneCandidates:
+    found = ZoneCandidates(PARTITIONS, 2)
+    found.update(NAMES)
+    return found
+
+
+def first(zone: ZoneCandidates) -> list[str]:
+    return [zone.of(partition)[0] for partition in range(PARTITIONS)]
+
+
+def test_partitions_and_destinations_are_spread_evenly(zone: ZoneCandidates) -> None:
+    owned = Counter(first(zone))
+    mean = PARTITIONS / len(NAMES)
+    assert len(owned) == len(NAMES) and sum(owned.values()) == PARTITIONS
+    assert max(owned.values()) <= 1.6 * mean and min(owned.values()) >= 0.5 * mean
+    destinations = Counter(partition_of(number, PARTITIONS) for number in range(190_000))
+    assert len(destinations) == PARTITIONS and max(destinations.values()) <= 2 * 190_000 / PARTITIONS
+
+
+def test_the_candidates_are_the_highest_ranks_and_the_same_by_any_way_there(zone: ZoneCandidates) -> None:
+    other = ZoneCandidates(PARTITIONS, 2)
+    other.update(NAMES[:50])
+    other.partitions_of("d0")
+    other.update([*NAMES, "more"])
+    other.update(NAMES)
+    for partition in range(0, PARTITIONS, 16):
+        best = sorted((rank(partition, name) for name in NAMES), reverse=True)[:2]
+        assert zone.of(partition) == other.of(partition) == tuple(name for _, name in best)
+
+
+def test_one_that_leaves_moves_its_own_partitions_alone_to_those_next_in_rank() -> None:
+    one = ZoneCandidates(PARTITIONS, 2)
+    one.update(NAMES)
+    before = {partition: one.of(partition) for partition in range(PARTITIONS)}
+    one.update(name for name in NAMES if name != "d7")
+    for partition, (owner, second) in before.items():
+        assert one.of(partition)[0] == (second if owner == "d7" else owner)
+
+
+def test_one_that_joins_takes_its_part_and_nothing_moves_between_others() -> None:
+    one = ZoneCandidates(PARTITIONS, 2)
+    one.update(NAMES)
+    before = first(one)
+    one.update([*NAMES, "new"])
+    after = first(one)
+    moved = [now for then, now in zip(before, after, strict=True) if then != now]
+    assert set(moved) == {"new"}
+    assert 0.5 * PARTITIONS / 78 <= len(moved) <= 1.6 * PARTITIONS / 78
