Read lists of any length piece by piece where a fleet keeps only some of their members

wire/member_reader.py over the standard library's JSON decoder; the watch and the whole list go through it with a fleet alone, without one nothing changes.

--- a/honeyhitch/lifecycle/serve.py
+++ b/honeyhitch/lifecycle/serve.py
@@ -182,6 +182,7 @@
             rng,
             self.discovery.refetch,
         )
+        self.discovery.filters = True
         self.works += [self.fleet.watch, self.fleet.care]
 
     def state(self) -> State:
@@ -290,7 +291,8 @@
             self._control(beside.control)
         for work in self.works:
             self.tasks.keep(work)
-        self.discovery.start()
+        # Before a fleet's first view nothing of a list would be kept: it is asked for once that has come.
+        self.discovery.start(watch=self.fleet is None or self.fleet.ready)
 
     def _refuse_beside(self) -> None:
         """What two processes cannot have at once yet: a store, a socket in the folder, a broker's session."""
--- a/honeyhitch/memory/pool.py
+++ b/honeyhitch/memory/pool.py
@@ -72,7 +72,7 @@
         try:
             rows, revision = told["members"], int(told["revision"])
             complete = bool(told.get("complete", False))
-            read = [self._member(row) for row in rows if self._wanted(row, complete)]
+            read = [self._member(row) for row in rows if self.wanted(row, complete)]
         except (KeyError, TypeError, ValueError, OverflowError) as error:
             raise PoolError(f"members: {type(error).__name__}: {error}") from error
         if revision < self.revision and not complete:
@@ -99,12 +99,12 @@
         news += tuple(self._entry(member) for member in self.fixed.values())
         return api.ListNews(api.ListMode.CACHED if cached else api.ListMode.FULL, news)
 
-    def _wanted(self, row: dict[str, Any], complete: bool) -> bool:
-        """Whether the entry is kept: one of a destination that is, or a change of a member that was."""
+    def wanted(self, row: dict[str, Any], complete: bool = False) -> bool:
+        """Whether an entry is kept: one of a destination that is, or a change of a member that was."""
         cell = row.get("cell")
-        if self.keeps is None or (cell is not None and self.keeps(int(cell))):
+        if self.keeps is None or (isinstance(cell, int) and self.keeps(cell)):
             return True
-        return not complete and row["id"] in self.members
+        return not complete and row.get("id") in self.members
 
     def _entry(self, member: PoolMember) -> api.Entry:
         entry = member.entry()
--- a/honeyhitch/wire/discovery.py
+++ b/honeyhitch/wire/discovery.py
@@ -4,9 +4,11 @@
 
 import json
 import re
+from collections.abc import Callable
 from typing import Any
 
 from honeyhitch.wire import http1
+from honeyhitch.wire.member_reader import ListError, MemberReader
 
 MOST_LINE = 4 << 20  # bytes of one list
 TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*"|[{}\[\]]')  # what tells where an object ends: strings and brackets
@@ -52,15 +54,25 @@
 class Watch:
     """One watch: fed bytes, it gives the lists and changes that they hold. Empty lines are heartbeats; an
     object may come on one line or indented over several, none of them empty.
+
+    With `wanted`, lists may be of any length, and of their members only those for which it is true are kept.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, wanted: Callable[[dict[str, Any]], bool] | None = None) -> None:
+        self.reader = MemberReader(wanted) if wanted is not None else None
         self.line = bytearray()
         self.object, self.depth = bytearray(), 0  # one that has begun, and its brackets open
         self.news: list[dict[str, Any]] = []
+        self.ended = False  # the answer is whole, and its last object was given
         self.machine = http1.AnswerMachine(self._piece)
 
     def _piece(self, data: bytes) -> None:
+        if self.reader is not None:
+            try:
+                self.news += self.reader.feed(data)
+            except ListError as error:
+                raise WatchError(f"watch: {error}") from error
+            return
         self.line += data
         if len(self.line) + len(self.object) > MOST_LINE:
             raise WatchError("watch: a line is too long")
@@ -91,6 +103,7 @@
         status = self.machine.answer.status
         if self.machine.in_body and status != 200:
             raise WatchError(f"watch: answered {status}", status)
-        if answer is not None and not self.news:
+        self.ended = answer is not None
+        if self.ended and not self.news:
             raise WatchError("watch: ended", status)
         return self.news
--- a/honeyhitch/wire/drivers/discovery.py
+++ b/honeyhitch/wire/drivers/discovery.py
@@ -30,10 +30,13 @@
         self.waiting: list[Transaction] = []
         self.wake = asyncio.Event()
         self.works: list[asyncio.Task[None]] = []
+        self.filters = False  # only some members of lists are kept, and so they are read piece by piece
 
-    def start(self) -> None:
-        """Keep the watch open and send notices from now on."""
-        self.works = [self.tasks.keep(self.watch), self.tasks.keep(self.notify)]
+    def start(self, watch: bool = True) -> None:
+        """Send notices from now on, and keep the watch open; without `watch`, from `refetch` on."""
+        self.works = [self.tasks.keep(self.notify)]
+        if watch:
+            self.works.append(self.tasks.keep(self.watch))
 
     def move(self, address: str) -> None:
         """The agent is at another address now; notices that the old one has not confirmed go there too."""
@@ -45,16 +48,18 @@
     def refetch(self) -> None:
         """Ask for the whole list anew: entries that were left out of the last one are wanted now."""
         if self.works:
-            self.works[0].cancel()
             self.moved = True
-            self.works[0] = self.tasks.keep(self.watch)
+            for watch in self.works[1:]:
+                watch.cancel()
+            self.works[1:] = [self.tasks.keep(self.watch)]
 
     async def watch(self) -> None:
         """Watch for ever; the pool as it is stays in use while discovery is silent."""
         pool, settings = self.dispatcher.pool, self.dispatcher.s
         known, grace = len(pool.members) > len(pool.fixed), settings.drain_grace / NS
         asking = Asking(self.rng, settings.instances, known, self.moved, grace)
-        await ListWatch(self.address, self.loop, asking, lambda: pool.revision, self._take).run()
+        wanted = pool.wanted if self.filters else None
+        await ListWatch(self.address, self.loop, asking, lambda: pool.revision, self._take, wanted).run()
 
     def _take(self, told: dict[str, Any]) -> None:
         self.dispatcher.news(self.dispatcher.pool.update(told))
--- a/honeyhitch/wire/drivers/list_watch.py
+++ b/honeyhitch/wire/drivers/list_watch.py
@@ -11,7 +11,14 @@
 from honeyhitch.memory.buffer import Buffer
 from honeyhitch.wire import http1
 from honeyhitch.wire.asking import Asking
-from honeyhitch.wire.discovery import MOST_LINE, Watch, list_request, watch_request, whole_list
+from honeyhitch.wire.discovery import (
+    MOST_LINE,
+    Watch,
+    WatchError,
+    list_request,
+    watch_request,
+    whole_list,
+)
 from honeyhitch.wire.drivers import sockets
 
 log = logs.get()
@@ -31,9 +38,11 @@
         asking: Asking,
         revision: Callable[[], int],
         take: Callable[[dict[str, Any]], None],
+        wanted: Callable[[dict[str, Any]], bool] | None = None,
     ) -> None:
+        """With `wanted`, only those members of lists are kept for which it is true."""
         self.address, self.loop, self.asking = address, loop, asking
-        self.revision, self.take = revision, take
+        self.revision, self.take, self.wanted = revision, take, wanted
 
     async def run(self) -> None:
         """Watch for ever; what was taken stays in use while the agent is silent."""
@@ -55,7 +64,7 @@
 
     async def _watch(self) -> None:
         """One watch, till it breaks or falls silent."""
-        asking, watch, buffer = self.asking, Watch(), Buffer()
+        asking, watch, buffer = self.asking, Watch(self.wanted), Buffer()
         asking.opens()
         until = self.loop.time() + asking.within
         sock = await connect_by(self.loop, self.address, until)
@@ -63,10 +72,9 @@
             if asking.whole:
                 # An agent that took another's place need not go on with its revisions, and would take the old
                 # one's number for news that this process has had.
-                async with asyncio.timeout_at(until):
-                    answer = await ask(self.loop, sock, buffer, list_request(self.address))
-                self.take(whole_list(answer))
+                self.take(await self._whole_list(sock, buffer, until))
                 asking.listed()
+                until = self.loop.time() + asking.within
             await self.loop.sock_sendall(sock, watch_request(self.address, self.revision()))
             while True:
                 async with asyncio.timeout_at(until):
@@ -80,6 +88,25 @@
         finally:
             sock.close()
 
+    async def _whole_list(self, sock: socket.socket, buffer: Buffer, until: float) -> dict[str, Any]:
+        """The whole list; one that is read piece by piece has to begin by then, and to go on."""
+        if self.wanted is None:
+            async with asyncio.timeout_at(until):
+                return whole_list(await ask(self.loop, sock, buffer, list_request(self.address)))
+        watch, found = Watch(self.wanted), list[dict[str, Any]]()
+        await self.loop.sock_sendall(sock, list_request(self.address))
+        while not watch.ended:
+            async with asyncio.timeout_at(until):
+                count = await sockets.read(self.loop, sock, buffer)
+            if not count:
+                raise ConnectionResetError("the agent ended the connection before its answer")
+            self.asking.heard()
+            found += watch.feed(buffer.take())
+            until = self.loop.time() + self.asking.within
+        if len(found) != 1:
+            raise WatchError(f"list: expected one object, got {len(found)}")
+        return found[0]
+
 
 async def connect_by(loop: asyncio.AbstractEventLoop, address: str, by: float) -> socket.socket:
     """Connect to HOST:PORT until a time of the loop's clock; TimeoutError after it."""
--- a/honeyhitch/wire/management.py
+++ b/honeyhitch/wire/management.py
@@ -11,7 +11,8 @@
 
 MOST_DIGITS = 15  # of a destination's number
 MOST_LINE = 256  # bytes of a call, its line end included
-CALLS = ("status", "stats", "fleet", "owner NUMBER")
+CALLS = ("status", "stats")
+FLEET_CALLS = ("fleet", "owner NUMBER")  # where a fleet is set up
 
 
 class FleetFigures(Protocol):
@@ -73,7 +74,8 @@
             if not number.isascii() or not number.isdigit() or len(number) > MOST_DIGITS:
                 return _error(f"owner: expected the number of a destination, got {number[:40]!r}")
             return _figures(self.fleet.describe_owners(int(number)))
-        return _error(f"call: unknown, expected {' or '.join(CALLS)}, got {call[:40]!r}")
+        known = CALLS + (FLEET_CALLS if self.fleet is not None else ())
+        return _error(f"call: unknown, expected {' or '.join(known)}, got {call[:40]!r}")
 
 
 def _figures(figures: dict[str, Any]) -> bytes:
--- a/tests/test_partitioning_program.py
+++ b/tests/test_partitioning_program.py
@@ -1,7 +1,7 @@
 """A fleet of real processes on loopback: requests that are passed on, and owners that die, hang or drain.
 
-The books are the partner's: each call with its message's id. Whatever happens, a message whose client was told
-`+OK` is delivered once, and none is out twice.
+The books are the partner's: each call with its message's id. Whatever happens, a message whose client was
+told `+OK` is delivered once, and none is out twice.
 """
 
 from __future__ import annotations
