Test a dispatcher's own part in a fleet in virtual time; refuse a saved view that is no object

tests/test_partitioning_service.py: what is kept of lists, routes, shares that run out before a first byte, what is handed back and what is not, the part of listed and reported limits, saved views, what is passed on. A saved view that was a JSON list ended the start with an AttributeError: it is as good as none now.

--- a/honeyhitch/partitioning/fleet.py
+++ b/honeyhitch/partitioning/fleet.py
@@ -161,6 +161,7 @@
 
     def restore(self, saved: Mapping[str, Any], now: int) -> None:
         """Take over what an earlier process saved. Raises FleetViewError where it cannot be read."""
-        if saved.get("form") != SAVED_FORM:
-            raise FleetViewError(f"form: expected {SAVED_FORM}, got {saved.get('form')!r}")
+        form = saved.get("form") if isinstance(saved, Mapping) else None
+        if form != SAVED_FORM:
+            raise FleetViewError(f"form: expected {SAVED_FORM}, got {form!r}")
         self.take(saved, now)
--- /dev/null
+++ b/tests/test_partitioning_service.py
@@ -0,0 +1,230 @@
+"""What one dispatcher does as its shares of limits come and go: virtual time, stand-in ports, no socket."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from random import Random
+from typing import Any, cast
+
+import pytest
+
+from honeyhitch import interface as api
+from honeyhitch.lifecycle import fleet as service
+from honeyhitch.lifecycle.fleet import FILE, FleetService
+from honeyhitch.memory.buffer import Buffer
+from honeyhitch.memory.transactions import Ending, Transaction
+from honeyhitch.wire import forwarding, resp
+from honeyhitch.wire.resp import Route
+
+from .fleet_control import LEASE, MS, SKEW, entry, fleet_settings
+from .rig import SETTINGS, Stand, row
+from .world import SECOND, settings
+
+ROWS = [entry(f"{zone}-{number}", zone) for zone in ("a1", "a2", "b1", "b2") for number in range(3)]
+NAME = "a1-0"
+
+
+class FleetStand(Stand):
+    """One dispatcher of a fleet; its heartbeats come when a test says so."""
+
+    refetched = 0
+
+    def prepare(self) -> None:
+        self.core.scheduler = self.time
+        loop = cast(Any, None)  # of the connections to other instances, which are not used here
+        self.fleet = FleetService(
+            fleet_settings(NAME, "a1"), self.core, self.time, loop, self.folder, Random(1), self.refetch
+        )
+        self.fleet.restore()
+
+    def __init__(self, folder: Path, **more: Any) -> None:
+        self.folder = folder
+        listed = [{**row(f"s-{number}", number), "size": 40.0} for number in range(1, 60)]
+        known = {"revision": 1, "complete": True, "members": listed}
+        super().__init__(folder, known=known, instances=4, **more)
+
+    def refetch(self) -> None:
+        self.refetched += 1
+
+    def hear(self, revision: int = 1, complete: bool = True, members: Any = ROWS, **more: Any) -> None:
+        """A list, a change or a heartbeat comes from the control machines."""
+        told = {"revision": revision, "complete": complete, "members": members, "issued_ms": self.now // MS}
+        self.fleet.take({**told, **more})
+
+    @property
+    def now(self) -> int:
+        return self.time.time
+
+    def beats(self, seconds: int, revision: int = 1) -> None:
+        """Time passes with a heartbeat in each second."""
+        for _ in range(seconds):
+            self.hear(revision, False, [])
+            self.time.run(1)
+            self.fleet.look()
+
+    def home(self, second: str | None = None) -> int:
+        """A destination that this instance is home to, or the second candidate of, behind that one."""
+        for number in range(1, 60):
+            names = [
+                one.name for one in self.fleet.fleet.candidates("a1", self.fleet.fleet.partition(number))
+            ]
+            if names[0] == NAME if second is None else names == [second, NAME]:
+                return number
+        raise AssertionError("none")
+
+    def route(self, number: int, forwarded: bool = False) -> Route:
+        return self.fleet.route(Transaction("probe", 0, number, self.now + SECOND, b""), forwarded)
+
+
+def stand(folder: Path, **more: Any) -> FleetStand:
+    """With the view of an earlier process at hand, as after a restart."""
+    first = FleetStand(folder / "first", **more)
+    first.hear()
+    saved = (folder / "first" / FILE).read_bytes()
+    (folder / "next").mkdir()
+    (folder / "next" / FILE).write_bytes(saved)
+    return FleetStand(folder / "next", **more)
+
+
+@pytest.fixture(autouse=True)
+def folders(tmp_path: Path) -> None:
+    (tmp_path / "first").mkdir()
+
+
+def test_before_any_view_nothing_is_this_instances_and_the_first_one_has_lists_asked_for(
+    tmp_path: Path,
+) -> None:
+    one = FleetStand(tmp_path / "first")
+    assert not one.fleet.ready and one.route(1) is Route.REFUSE and not one.core.pool.members
+    one.hear()
+    assert one.fleet.ready and one.refetched == 1
+    one.hear(1, False, [])
+    assert one.refetched == 1, "once"
+
+
+def test_only_what_may_become_its_own_is_kept_of_a_list(tmp_path: Path) -> None:
+    one = stand(tmp_path)
+    kept = {member.destination for member in one.core.pool.members.values()}
+    assert kept == {number for number in range(1, 60) if one.fleet.fleet.keeps(number)}
+    assert 0 < len(kept) < 59
+    other = next(number for number in range(1, 60) if number not in kept)
+    assert one.fleet.serves(other), "its owner knows it"
+    change = {"revision": 2, "complete": False, "members": [row("s-9999", other)]}
+    assert not one.core.pool.update(change).entries
+
+
+def test_messages_are_taken_for_what_is_held_and_passed_on_for_the_rest(tmp_path: Path) -> None:
+    one = stand(tmp_path)
+    one.hear()
+    mine, other = one.home(), one.home(second="a1-1")
+    assert one.route(mine) is Route.LOCAL and one.route(mine, forwarded=True) is Route.LOCAL
+    assert one.route(other) is Route.FORWARD and one.route(other, forwarded=True) is Route.REFUSE
+    assert one.hand_in("held", mine)
+    held = Transaction("held", 0, mine, one.now + SECOND, b"")
+    one.time.run(LEASE / SECOND + 30)
+    assert one.fleet.route(held, False) is Route.LOCAL, "its reserved part, also while control is silent"
+
+
+def test_nothing_is_sent_once_the_share_has_run_out_and_what_never_ran_is_handed_back(tmp_path: Path) -> None:
+    """The second candidate owns the leased part while the first one is away, until control falls silent."""
+    one = stand(tmp_path)
+    number = one.home(second="a1-1")
+    away = entry("a1-1", "a1", "Terminating", since=one.now)
+    one.hear(2, False, [away])
+    assert one.fleet.portion(number, one.now) == 0
+    assert one.fleet.fleet.awaits(destination=number, now=one.now)
+    one.beats(4, 2)
+    assert one.fleet.portion(number, one.now) == 0.25
+    one.hear(2, False, [])
+    assert one.hand_in("sent", number)
+    (call,) = one.run(0.1)
+    one.end(call, api.Outcome.DELIVERED)
+    lease_ends = one.fleet.fleet.heard + LEASE - SKEW  # type: ignore[operator]
+    one.time.run((lease_ends - one.now) / SECOND + 0.001)
+    assert one.hand_in("late", number)
+    assert not one.run(1), "its share has run out before the first byte"
+    one.fleet.look()
+    late = next(answer for answer in one.answers if answer.id == "late")
+    assert late.ending is Ending.REJECTED and late.come_back > 0
+    assert "late" not in one.core.held.by_id
+
+
+def test_a_call_that_is_out_keeps_its_end_and_what_may_have_run_is_not_handed_back(tmp_path: Path) -> None:
+    one = stand(tmp_path)
+    number = one.home()
+    one.hear()
+    assert one.hand_in("out", number) and one.hand_in("ran", number)
+    calls = one.run(0.1)
+    one.end(calls[-1], api.Outcome.ERROR)
+    gone_from = next(row for row in ROWS if row["id"] == NAME)
+    one.hear(2, False, [{**gone_from, "phase": "Gone"}])
+    assert one.fleet.portion(number, one.now) == 0
+    names = {part.id for call in calls for part in call.parts}
+    assert names <= set(one.core.held.by_id), "neither is answered for it"
+    assert not one.run(2), "and neither is sent again"
+    one.end(calls[0], api.Outcome.DELIVERED)
+    assert calls[0].parts[0].id not in one.core.held.by_id
+
+
+def test_the_module_is_told_the_part_of_listed_and_of_reported_limits(tmp_path: Path) -> None:
+    one = stand(tmp_path)
+    number = one.home()
+    one.beats(2)
+    lane = one.core.brain.dests[number].lane
+    assert (lane is not None and lane.part() == 40.0 / 1.0 / 4 / 1) or lane.part() == 10.0
+    assert one.hand_in("a", number)
+    (call,) = one.run(0.1)
+    one.end(call, api.Outcome.DELIVERED, told={"x1": 20.0})
+    one.run(0.1)
+    assert lane.part() == 5.0
+    one.time.run(LEASE / SECOND)
+    one.fleet.look()
+    one.run(0.1)
+    assert one.hand_in("b", number)
+    (call,) = one.run(0.1)
+    one.end(call, api.Outcome.DELIVERED, told={"x1": 20.0})
+    one.run(0.1)
+    assert lane.part() == 3.75, "three quarters of it while control is silent"
+
+
+def test_a_saved_view_that_cannot_be_read_is_as_good_as_none(tmp_path: Path) -> None:
+    for text in ("", "{", "[]", '{"form": 9}', json.dumps({"form": 1, "revision": 1, "members": 3})):
+        (tmp_path / "first" / FILE).write_text(text)
+        assert not FleetStand(tmp_path / "first").fleet.ready
+
+
+def test_a_view_too_large_to_save_is_used_all_the_same(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(service, "MOST_SAVED", 100)
+    one = FleetStand(tmp_path / "first")
+    one.hear()
+    assert one.fleet.ready and not (tmp_path / "first" / FILE).exists()
+
+
+def test_a_request_that_is_passed_on_says_what_is_left_of_its_time_and_who_passed_it_on() -> None:
+    given = settings(**SETTINGS)
+    now = 1_700_000_000 * SECOND
+    one = Transaction("id", 0, 7, now + 900 * MS, b"a\r\nb", key="k", came_again=True)
+    data = forwarding.request(given, one, NAME, now + 100 * MS)
+    assert data is not None
+    command, buffer = resp.CommandReader(), Buffer()
+    with buffer.room() as room:
+        room[: len(data)] = data
+    buffer.filled(len(data))
+    parts = command.next(buffer)
+    assert parts is not None
+    fields = resp.pairs(parts[3])
+    assert fields == {
+        "c": "standard",
+        "t": "studio",
+        "d": "800",
+        "k": "k",
+        "dest": "7",
+        "again": "1",
+        "via": NAME,
+    }
+    read = resp.Fields(given, lambda number: True).transaction(parts[2], fields, parts[4], now)
+    assert (read.id, read.body, read.key, read.came_again) == ("id", b"a\r\nb", "k", True)
+    assert forwarding.request(given, one, NAME, one.deadline - MS // 2) is None
