--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 PYTHON ?= python3
 
-.PHONY: capacity env try try-tls try-undelivered test
+.PHONY: capacity env scale try try-tls try-undelivered test
 
 env: $(VENV)/.run
 
@@ -31,6 +31,10 @@
 capacity: $(VENV)/.test
 	$(VENV)/bin/python benchmarks/capacity.py --json benchmarks/results/capacity.json
 
+# A fleet of hundreds of dispatchers on this machine, before and after partitioned destinations; some minutes.
+scale: $(VENV)/.test
+	$(VENV)/bin/python benchmarks/scale.py --json benchmarks/results/scale.json
+
 # Installs what the tests need and runs them, their files in memory where there is such a place: on some machines
 # each file that is written anew waits for the disk.
 MEMORY := $(wildcard /dev/shm)
--- /dev/null
+++ b/benchmarks/real_fleet.py
@@ -0,0 +1,128 @@
+"""Some real `serve` processes as the first instances of a fleet's view, under traffic for what they own."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import socket
+import sys
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from types import TracebackType
+from typing import Any
+
+ROOT = Path(__file__).parent.parent
+sys.path.insert(0, str(ROOT))
+from benchmarks.fleet_control import FleetControl, entries, fleet_regions  # noqa: E402
+from benchmarks.service_process import ServiceProcess, enqueue, members, running  # noqa: E402
+from benchmarks.standins import Agent  # noqa: E402
+from honeyhitch.partitioning.fleet import Fleet  # noqa: E402
+from honeyhitch.partitioning.settings import FleetSettings  # noqa: E402
+from tests.program import SETTINGS, free_port  # noqa: E402
+
+ROOMY = {"sockets": 1024, "disk_mb": 50}
+LIST_WITHIN = 120.0  # seconds
+
+
+class RealFleet:
+    """All are in one zone, so that a message for what one of them owns may reach it by way of another."""
+
+    def __init__(self, folder: Path, real: int, count: int, agent: Agent, settle: float) -> None:
+        """`count` instances are in the view; of these the first `real` ones of one zone run."""
+        self.folder, self.agent, self.settle = folder, agent, settle
+        self.view = entries(count)
+        self.zone = self.view[0]["locality"]
+        self.rows = [row for row in self.view if row["locality"] == self.zone][:real]
+        for row in self.rows:
+            row["host_port"] = f"127.0.0.1:{free_port()}"
+        self.processes: list[ServiceProcess] = []
+        self.stack = contextlib.ExitStack()
+
+    def __enter__(self) -> RealFleet:
+        """Start the control machines' stand-in, and then all processes; each has its whole list."""
+        self.control = FleetControl(self.view)
+        self.stack.callback(self.control.close)
+        for row in self.rows:
+            self.processes.append(self.stack.enter_context(self._start(row)))
+        fleet = self._fleet(self.rows[0]["id"])
+        self.owned = list[tuple[int, int]]()  # destinations of the real ones, and which of them
+        names = [row["id"] for row in self.rows]
+        for number in range(1, len(self.agent.members) + 1):
+            first = fleet.candidates(self.zone, fleet.partition(number))[0].name
+            if first in names:
+                self.owned.append((number, names.index(first)))
+        self._until_listed()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """End them all."""
+        self.stack.close()
+
+    def _fleet(self, name: str) -> Fleet:
+        fleet = Fleet(FleetSettings(name, self.zone, "127.0.0.1:1", fleet_regions()))
+        fleet.take({"revision": 1, "complete": True, "members": self.view}, 0)
+        return fleet
+
+    @contextlib.contextmanager
+    def _start(self, row: dict[str, Any]) -> Iterator[ServiceProcess]:
+        folder = self.folder / row["id"]
+        folder.mkdir()
+        operator = f'[fleet]\nview = "127.0.0.1:{self.control.port}"\nzone = "{self.zone}"\n[fleet.regions]\n'
+        operator += "".join(f"{one.name} = {json.dumps(list(one.zones))}\n" for one in fleet_regions())
+        caps = {**SETTINGS["caps"], "max-open": 10_000}
+        family = {**SETTINGS["family-info"], "call-slots": 64, "per-call": [1, 1]}
+        told = {"settings": {**SETTINGS, "caps": caps, "family-info": family}, "limits": ROOMY}
+        port = int(row["host_port"].rpartition(":")[2])
+        with running(folder, self.agent.port, [], operator, port=port, name=row["id"], **told) as service:
+            yield service
+
+    def _until_listed(self) -> None:
+        """Until each of them accepts a message for something of its own: it has read its list."""
+        end = time.monotonic() + LIST_WITHIN
+        for index, service in enumerate(self.processes):
+            number = next(number for number, owner in self.owned if owner == index)
+            while service.ask(enqueue(f"l{time.monotonic_ns()}", number)) != b"+OK\r\n":
+                if time.monotonic() > end:
+                    raise RuntimeError(f"{self.rows[index]['id']} did not take its list")
+                time.sleep(0.05)
+        time.sleep(self.settle)
+
+    def time_a_change(self, agent: Agent, destinations: int) -> float:
+        """Seconds until a new endpoint is in force at the real one that owns its destination."""
+        fleet, names = self._fleet(self.rows[0]["id"]), [row["id"] for row in self.rows]
+        for number in range(destinations + 1, destinations + 100_000):
+            first = fleet.candidates(self.zone, fleet.partition(number))[0].name
+            if first in names:
+                began = time.monotonic()
+                agent.change(*members(1, first=number))
+                service = self.processes[names.index(first)]
+                while service.ask(enqueue(f"n{time.monotonic_ns()}", number)) != b"+OK\r\n":
+                    time.sleep(0.001)
+                return time.monotonic() - began
+        raise RuntimeError("the real ones own too little")
+
+    def traffic(self, events: int) -> tuple[int, int, int]:
+        """Hand events in at their owner and at another one in turn: accepted directly, by way, refused."""
+        accepted, refused = [0, 0], 0
+        with contextlib.ExitStack() as stack:
+            sockets = [
+                stack.enter_context(socket.create_connection(("127.0.0.1", one.port), timeout=60))
+                for one in self.processes
+            ]
+            replies = [stack.enter_context(sock.makefile("rb")) for sock in sockets]
+            for event in range(events):
+                number, owner = self.owned[event * 7919 % len(self.owned)]
+                forwarded = event % 2
+                via = (owner + forwarded) % len(sockets)
+                sockets[via].sendall(enqueue(f"t{event}", number))
+                if replies[via].readline() == b"+OK\r\n":
+                    accepted[forwarded] += 1
+                else:
+                    refused += 1
+        return accepted[0], accepted[1], refused
--- a/benchmarks/service_process.py
+++ b/benchmarks/service_process.py
@@ -88,10 +88,11 @@
     discovery: int,
     known: list[dict[str, Any]],
     operator: str | None = None,
+    port: int = 0,
     **told: Any,
 ) -> Iterator[ServiceProcess]:
-    """A real process, from exec to `+PONG`; it is killed at the end."""
-    port = free_port()
+    """A real process, from exec to `+PONG`, at this port or a free one; it is killed at the end."""
+    port = port or free_port()
     path, operator_path = write(folder, port, discovery, known, operator, **told)
     program = [sys.executable, "-m", "honeyhitch", "serve", "--config", path]
     program += ["--operator", operator_path] if operator_path is not None else []
--- a/honeyhitch/lifecycle/fleet.py
+++ b/honeyhitch/lifecycle/fleet.py
@@ -56,6 +56,8 @@
         self._portions: dict[int, float] = {}  # by partition, as the module was told last
         self._lost = set[int]()  # partitions without a portion, of which messages are held
         self._saved_at = 0
+        self._look_at: int | None = 0  # when a portion may change though nothing is heard
+        self._lease_lasted = False  # at the last look
         dispatcher.shares = self
         dispatcher.pool.keeps = self.fleet.keeps
         dispatcher.pool.portion = lambda destination: self.portion(destination, scheduler.now())
@@ -80,7 +82,7 @@
         now, destination = self.scheduler.now(), transaction.destination
         if self.dispatcher.journal.knows(transaction.id) or self.portion(destination, now) > 0:
             return Route.LOCAL
-        if forwarded or not self.fleet.owners(destination):
+        if forwarded or not self.fleet.owners(destination, now):
             return Route.REFUSE
         return Route.FORWARD
 
@@ -112,7 +114,7 @@
         return {"destination": destination, "partition": partition, "portion": portion, "zones": candidates}
 
     def _addresses(self, destination: int) -> list[str]:
-        return [one.address for one in self.fleet.owners(destination)]
+        return [one.address for one in self.fleet.owners(destination, self.scheduler.now())]
 
     # What runs.
 
@@ -152,17 +154,25 @@
             self.refetch()
         if before.instances != self.fleet.view.instances or now - self._saved_at >= SAVE_EVERY:
             self._save(now)
-        self.look()
+        if before is not self.fleet.view or self._lease_lasted is not self.fleet.lease_lasts(now):
+            self.look()
 
     async def care(self) -> None:
         """Follow what changes with the time alone: leases that run out, and those that were waited for."""
         while True:
             await asyncio.sleep(LOOK_EVERY)
+            self.look_if_due()
+
+    def look_if_due(self) -> None:
+        """Look if a portion may have changed with the time, or if messages of lost partitions are held."""
+        due = self._look_at is not None and self.scheduler.now() >= self._look_at
+        if due or self._lost:
             self.look()
 
     def look(self) -> None:
         """Tell the module of portions that have changed, and hand back what is another instance's now."""
         now, changed = self.scheduler.now(), set[int]()
+        self._look_at, self._lease_lasted = self.fleet.next_change(now), self.fleet.lease_lasts(now)
         for partition in self.fleet.kept | self._portions.keys():
             portion = self.fleet.held(partition, now).portion(self.settings.reserve)
             if portion != self._portions.get(partition, 0.0):
--- a/honeyhitch/partitioning/fleet.py
+++ b/honeyhitch/partitioning/fleet.py
@@ -11,7 +11,7 @@
 
 from honeyhitch.partitioning.ownership import ZoneCandidates, partition_of
 from honeyhitch.partitioning.settings import FleetSettings
-from honeyhitch.partitioning.shares import NOTHING, HeldParts, first_ready, held_parts
+from honeyhitch.partitioning.shares import NOTHING, HeldParts, first_ready, held_parts, likely_holder
 from honeyhitch.partitioning.view import MS, FleetView, FleetViewError, Instance
 
 SAVED_FORM = 1  # of `Fleet.saved`
@@ -43,6 +43,7 @@
         self.heard: int | None = None  # when the last heartbeat was issued, by the control machines' clock
         self.problem = ""
         self.kept: frozenset[int] = frozenset()  # partitions whose lists this instance keeps
+        self._nearest = _nearest_zones(settings)
         self._zones = {
             zone: ZoneCandidates(settings.partitions, settings.candidates) for zone in settings.zones
         }
@@ -80,6 +81,8 @@
         self.heard = max(self.heard or 0, issued * MS)
 
     def _adopt(self, view: FleetView) -> None:
+        if view == self.view:
+            return
         before, self.view = self.view, view
         if before.instances.keys() == view.instances.keys():  # phases alone change no candidates
             return
@@ -114,23 +117,42 @@
     def awaits(self, destination: int, now: int) -> bool:
         """Whether this instance is to own a destination, and only waits out the lease of another one."""
         partition = self.partition(destination)
-        if partition not in self.kept or self.heard is None:
+        if partition not in self.kept:
             return False
-        candidates = self.candidates(self.settings.zone, partition)
-        owner, settings = first_ready(candidates), self.settings
-        is_owner = owner is not None and owner.name == settings.name
-        return is_owner and now < self.heard + settings.lease - settings.clock_skew
+        owner = first_ready(self.candidates(self.settings.zone, partition))
+        return owner is not None and owner.name == self.settings.name and self.lease_lasts(now)
+
+    def lease_lasts(self, now: int) -> bool:
+        """Whether the last heartbeat is recent enough for leased parts."""
+        return self.heard is not None and now < self.heard + self.settings.lease - self.settings.clock_skew
 
-    def owners(self, destination: int) -> list[Instance]:
+    def next_change(self, now: int) -> int | None:
+        """The next instant at which a part may change hands though nothing new is heard, None if there is
+        none. A heartbeat heard meanwhile may put it off.
+        """
+        settings, moments = self.settings, list[int]()
+        if self.heard is not None:
+            moments += [self.heard + settings.lease, self.heard + settings.reserve_lease]
+        for one in self.view.in_zone(settings.zone):
+            moments += [at + settings.lease for at in (one.since, one.joined) if at]
+            moments += [one.joined + settings.reserve_lease] if one.joined else []
+        skew = settings.clock_skew
+        return min(
+            (at for moment in moments for at in (moment - skew, moment + skew) if at > now), default=None
+        )
+
+    def owners(self, destination: int, now: int) -> list[Instance]:
         """Other instances that may take a message for a destination, in the order in which to ask them: those
-        of the own zone first, then of the own region, then of the others.
+        of the own zone first, then of the own region, then of the others. One that still waits for a lease to
+        run out would refuse it, and comes last.
         """
-        partition, settings = self.partition(destination), self.settings
-        start = settings.zones.index(settings.zone)
-        zones = [*settings.zones[start:], *settings.zones[:start]]  # neighbours differ from zone to zone
-        zones.sort(key=lambda zone: (zone != settings.zone, settings.region_of(zone) != settings.region))
-        found = [first_ready(self.candidates(zone, partition)) for zone in zones]
-        return [one for one in found if one is not None and one.name != settings.name]
+        partition, lasts = self.partition(destination), self.lease_lasts(now)
+        holding, waiting = list[Instance](), list[Instance]()
+        for zone in self._nearest:
+            owner, holds = likely_holder(self.settings, self.candidates(zone, partition), now, lasts)
+            if owner is not None and owner.name != self.settings.name:
+                (holding if holds else waiting).append(owner)
+        return holding + waiting
 
     def status(self, now: int) -> ViewStatus:
         """The view in force, for people."""
@@ -165,3 +187,11 @@
         if form != SAVED_FORM:
             raise FleetViewError(f"form: expected {SAVED_FORM}, got {form!r}")
         self.take(saved, now)
+
+
+def _nearest_zones(settings: FleetSettings) -> list[str]:
+    """All zones, the own one first, then those of the own region; neighbours differ from zone to zone."""
+    start = settings.zones.index(settings.zone)
+    zones = [*settings.zones[start:], *settings.zones[:start]]
+    zones.sort(key=lambda zone: (zone != settings.zone, settings.region_of(zone) != settings.region))
+    return zones
--- a/honeyhitch/partitioning/shares.py
+++ b/honeyhitch/partitioning/shares.py
@@ -62,15 +62,36 @@
 
 
 def _is_owner(settings: FleetSettings, candidates: Sequence[Instance], now: int) -> bool:
+    owner = first_ready(candidates)
+    if owner is None or owner.name != settings.name:
+        return False
+    return now >= _leased_from(settings, candidates, owner)
+
+
+def _leased_from(settings: FleetSettings, candidates: Sequence[Instance], owner: Instance) -> int:
+    """When the leases of all who may have owned the leased part before have certainly run out."""
     latest = 0
     for one in candidates:
         latest = max(latest, one.since, one.joined)
-        if one.ready:
-            free = latest + settings.lease + settings.clock_skew if latest else 0
-            return one.name == settings.name and now >= free
-    return False
+        if one is owner:
+            break
+    return latest + settings.lease + settings.clock_skew if latest else 0
 
 
 def first_ready(candidates: Sequence[Instance]) -> Instance | None:
     """The owner of a partition's leased part, as far as the view tells."""
     return next((one for one in candidates if one.ready), None)
+
+
+def likely_holder(
+    settings: FleetSettings, candidates: Sequence[Instance], now: int, leases_last: bool
+) -> tuple[Instance | None, bool]:
+    """The instance that takes messages for a partition in a zone, as far as the view tells, and whether it
+    holds a part by now. One that waits for another's lease to run out does not; nor does one that is not the
+    home where leases do not last, as control is silent here and may be so there.
+    """
+    owner = first_ready(candidates)
+    if owner is None:
+        return None, False
+    leased = leases_last and now >= _leased_from(settings, candidates, owner)
+    return owner, owner is candidates[0] or leased
--- a/tests/test_partitioning_service.py
+++ b/tests/test_partitioning_service.py
@@ -61,7 +61,7 @@
         for _ in range(seconds):
             self.hear(revision, False, [])
             self.time.run(1)
-            self.fleet.look()
+            self.fleet.look_if_due()
 
     def home(self, second: str | None = None) -> int:
         """A destination that this instance is home to, or the second candidate of, behind that one."""
@@ -144,7 +144,7 @@
     one.time.run((lease_ends - one.now) / SECOND + 0.001)
     assert one.hand_in("late", number)
     assert not one.run(1), "its share has run out before the first byte"
-    one.fleet.look()
+    one.fleet.look_if_due()
     late = next(answer for answer in one.answers if answer.id == "late")
     assert late.ending is Ending.REJECTED and late.come_back > 0
     assert "late" not in one.core.held.by_id
@@ -179,7 +179,7 @@
     one.run(0.1)
     assert lane.part() == 5.0
     one.time.run(LEASE / SECOND)
-    one.fleet.look()
+    one.fleet.look_if_due()
     one.run(0.1)
     assert one.hand_in("b", number)
     (call,) = one.run(0.1)
--- a/tests/test_partitioning_shares.py
+++ b/tests/test_partitioning_shares.py
@@ -110,6 +110,16 @@
         if name := self.one_of(down, pick):
             self.control.start(name)
 
+    @rule()
+    def what_is_held_changes_only_when_it_was_said_to(self) -> None:
+        control = self.control
+        for one in control.processes.values():
+            fleet, now = one.fleet, control.now + one.clock_off
+            until = fleet.next_change(now)
+            before = [fleet.held(partition, now) for partition in range(PARTITIONS)]
+            last = until - 1 if until is not None else now + 10 * RESERVE_LEASE
+            assert before == [fleet.held(partition, last) for partition in range(PARTITIONS)]
+
     @invariant()
     def no_share_is_held_twice(self) -> None:
         for partition in range(PARTITIONS):
--- a/tests/test_partitioning_view.py
+++ b/tests/test_partitioning_view.py
@@ -87,16 +87,30 @@
 def test_an_instance_that_is_not_listed_owns_nothing_and_knows_who_does() -> None:
     one = fleet("a1-9")
     assert not one.kept and not any(one.portion(number, START) for number in range(100))
-    assert len(one.owners(7)) == 4 and one.owners(7)[0].zone == "a1"
+    assert len(one.owners(7, START)) == 4 and one.owners(7, START)[0].zone == "a1"
 
 
 def test_owners_of_the_own_zone_come_first_then_those_of_the_own_region() -> None:
     regions = {"a1": 0, "a2": 1, "b1": 2, "b2": 2}
     one = fleet("a1-0")
     for destination in range(50):
-        order = [regions[owner.zone] for owner in one.owners(destination)]
+        order = [regions[owner.zone] for owner in one.owners(destination, START)]
         assert order == sorted(order) and len(order) >= 3
-        assert all(owner.name != "a1-0" for owner in one.owners(destination))
+        assert all(owner.name != "a1-0" for owner in one.owners(destination, START))
+
+
+def test_one_that_waits_for_anothers_lease_is_asked_last() -> None:
+    one = fleet("a2-0")
+    for destination in range(50):
+        (first, *rest) = [owner for owner in one.owners(destination, START) if owner.zone == "a1"]
+        away = entry(first.name, "a1", "Terminating", since=START)
+        other = fleet("a2-0")
+        other.take(view(revision=6, complete=False, members=[away]), START)
+        assert other.owners(destination, START)[-1].zone == "a1" and not rest
+        later = START + other.settings.lease + other.settings.clock_skew
+        assert other.owners(destination, later)[-1].zone == "a1", "control is silent: it holds nothing yet"
+        other.take(view(revision=6, complete=False, members=[], issued_ms=later // MS), later)
+        assert other.owners(destination, later)[-1].zone != "a1"
 
 
 def test_what_was_saved_is_restored_and_a_form_that_is_not_known_is_refused() -> None:
