--- a/benchmarks/real_fleet.py
+++ b/benchmarks/real_fleet.py
@@ -8,6 +8,7 @@
 import sys
 import time
 from collections.abc import Iterator
+from dataclasses import dataclass, field
 from pathlib import Path
 from types import TracebackType
 from typing import Any
@@ -23,6 +24,17 @@
 
 ROOMY = {"sockets": 1024, "disk_mb": 50}
 LIST_WITHIN = 120.0  # seconds
+SETTLED_SECONDS = 1.0
+
+
+@dataclass(slots=True)
+class Traffic:
+    """What became of some events, and what they cost."""
+
+    accepted: int = 0
+    refused: int = 0
+    cpu: float = 0.0  # seconds, of all processes
+    waits: list[float] = field(default_factory=list)  # seconds until each reply
 
 
 class RealFleet:
@@ -107,9 +119,9 @@
                 return time.monotonic() - began
         raise RuntimeError("the real ones own too little")
 
-    def traffic(self, events: int) -> tuple[int, int, int]:
-        """Hand events in at their owner and at another one in turn: accepted directly, by way, refused."""
-        accepted, refused = [0, 0], 0
+    def traffic(self, events: int, by_way: bool) -> Traffic:
+        """Hand events in one after the other, at their owner or at another one that passes them on."""
+        found, before = Traffic(), self.cpu()
         with contextlib.ExitStack() as stack:
             sockets = [
                 stack.enter_context(socket.create_connection(("127.0.0.1", one.port), timeout=60))
@@ -118,11 +130,17 @@
             replies = [stack.enter_context(sock.makefile("rb")) for sock in sockets]
             for event in range(events):
                 number, owner = self.owned[event * 7919 % len(self.owned)]
-                forwarded = event % 2
-                via = (owner + forwarded) % len(sockets)
-                sockets[via].sendall(enqueue(f"t{event}", number))
-                if replies[via].readline() == b"+OK\r\n":
-                    accepted[forwarded] += 1
-                else:
-                    refused += 1
-        return accepted[0], accepted[1], refused
+                at = (owner + by_way) % len(sockets)
+                began = time.monotonic()
+                sockets[at].sendall(enqueue(f"t{by_way:d}-{event}", number))
+                accepted = replies[at].readline() == b"+OK\r\n"
+                found.waits.append(time.monotonic() - began)
+                found.accepted += accepted
+                found.refused += not accepted
+        time.sleep(SETTLED_SECONDS)  # until the last is delivered
+        found.cpu = self.cpu() - before
+        return found
+
+    def cpu(self) -> float:
+        """CPU seconds of all processes together."""
+        return sum(one.cpu() for one in self.processes)
--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -30,7 +30,7 @@
 from benchmarks.fleet_control import FleetControl, entries  # noqa: E402
 from benchmarks.fleet_watchers import watch_in_process  # noqa: E402
 from benchmarks.hollow_fleet import Fault, FaultKind, HollowPlay, Totals  # noqa: E402
-from benchmarks.real_fleet import RealFleet  # noqa: E402
+from benchmarks.real_fleet import SETTLED_SECONDS, RealFleet  # noqa: E402
 from benchmarks.service_process import members  # noqa: E402
 from benchmarks.standins import Agent, Endpoint, LoopThread  # noqa: E402
 
@@ -127,11 +127,8 @@
         change = fleet.time_a_change(agent, destinations)
         say("service: traffic")
         time.sleep(1)  # what was handed in to look is delivered
-        delivered_before = endpoint.messages
-        direct, forwarded, refused = fleet.traffic(events)
-        until, before = time.monotonic() + 60, delivered_before
-        while endpoint.messages - before < direct + forwarded and time.monotonic() < until:
-            time.sleep(0.05)
+        delivered_before, idle_cpu = endpoint.messages, sum(idle) * SETTLED_SECONDS
+        direct, by_way = fleet.traffic(events, False), fleet.traffic(events, True)
         return {
             "real": real,
             "destinations": destinations,
@@ -143,10 +140,15 @@
             "start_cpu_median_s": statistics.median(started_cpu),
             "idle_cpu_median": statistics.median(idle),
             "change_in_force_s": change,
-            "handed_in": direct + forwarded + refused,
-            "accepted_direct": direct,
-            "accepted_forwarded": forwarded,
-            "refused": refused,
+            "handed_in": 2 * events,
+            "accepted_direct": direct.accepted,
+            "accepted_forwarded": by_way.accepted,
+            "refused": direct.refused + by_way.refused,
+            "cpu_direct_event_s": (direct.cpu - idle_cpu) / events,
+            "cpu_forwarded_event_s": (by_way.cpu - idle_cpu) / events,
+            "reply_direct_median_s": statistics.median(direct.waits),
+            "reply_forwarded_median_s": statistics.median(by_way.waits),
+            "reply_forwarded_p99_s": sorted(by_way.waits)[int(0.99 * events)],
             "delivered": endpoint.messages - delivered_before,
         }
 
@@ -224,6 +226,10 @@
         taken = one["accepted_direct"] + one["accepted_forwarded"]
         events = f"{one['handed_in']}, {taken} ({one['accepted_forwarded']}), {one['delivered']}"
         rows.append(("events: in, accepted (forwarded), delivered", events, ""))
+        cpu = f"{one['cpu_direct_event_s'] * 1e3:.2f}, {one['cpu_forwarded_event_s'] * 1e3:.2f} ms"
+        rows.append(("CPU of an event: at its owner, passed on", cpu, ""))
+        waits = f"{one['reply_direct_median_s'] * 1e3:.1f}, {one['reply_forwarded_median_s'] * 1e3:.1f} ms"
+        rows.append(("reply, median: at its owner, passed on", waits, ""))
     for name, one in results.get("plays", {}).items():
         rates = f"{one['delivered'] / one['handed_in']:.3f} delivered, "
         rates += f"{one['turned_away'] / one['handed_in']:.4f} turned away, {one['lost_with_machine']} lost, "
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -150,3 +150,50 @@
     assert wrong.exit_code == 2 and "ROUTER_CONFIG: cannot read absent.json" in wrong.output
     nobody = runner.invoke(main, ["send", "127.0.0.1:1", "--dest", "1", "hi"])
     assert nobody.exit_code == 1 and nobody.output.startswith("Error: ")
+
+
+FLEET = {"view": "127.0.0.1:8600", "zone": "a"}
+
+
+def fleet_file(regions: str = 'east = ["a", "b"]', **changes: Any) -> str:
+    """An operator's file with `[fleet]`; a key that is None is left out."""
+    told = {**FLEET, **changes}
+    lines = [f"{key} = {json.dumps(value)}" for key, value in told.items() if value is not None]
+    return "\n".join(["[fleet]", *lines, "[fleet.regions]", regions])
+
+
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        (fleet_file(view=None), "fleet.view: missing"),
+        (fleet_file(view="nowhere"), "fleet.view: expected HOST:PORT"),
+        (fleet_file(zone="z"), "fleet.zone: not a zone of any region: 'z'"),
+        (fleet_file(regions=""), "fleet.regions: at least one zone is needed"),
+        (fleet_file(regions="east = []"), "fleet.regions.east: expected a list"),
+        (fleet_file(regions='east = ["a"]\nwest = ["a"]'), "fleet.regions: a zone is named twice"),
+        (fleet_file(partitions=0), "fleet.partitions: expected 1 to"),
+        (fleet_file(reserve=2), "fleet.reserve: expected 0 to 1"),
+        (fleet_file(lease=0.5), "fleet.lease: must be more than four times"),
+        (fleet_file(lease=-1), "fleet.lease: expected 0 to"),
+        (fleet_file(**{"reserve-lease": 1}), "fleet.reserve-lease: must not be shorter"),
+        (fleet_file(candidates="two"), "fleet.candidates: expected int"),
+        (fleet_file(shards=3), "fleet.shards: no such key"),
+        (fleet_file() + "\n[undelivered]\n", "undelivered: cannot be had beside [fleet] yet"),
+    ],
+)
+def test_a_fleet_that_cannot_be_set_up_is_refused_with_its_key(tmp_path: Path, text: str, says: str) -> None:
+    path, operator = write(tmp_path, 6379, 8500, [], text)
+    told = CliRunner().invoke(main, ["check", "--config", path, "--operator", str(operator)])
+    assert told.exit_code == 2 and says in told.output, told.output
+
+
+def test_with_a_fleet_a_limit_is_split_over_its_zones(tmp_path: Path) -> None:
+    path, operator = write(tmp_path, 6379, 8500, [], fleet_file())
+    assert config.read({}, path, operator).settings.instances == 2
+    assert config.read({}, path, None).settings.instances == 1
+
+
+def test_the_fleet_example_can_be_read(tmp_path: Path) -> None:
+    path, _ = write(tmp_path, 6379, 8500, [])
+    read = config.read({}, path, str(ROOT / "deploy" / "fleet.toml"))
+    assert read.operator.fleet is not None and len(read.operator.fleet.zones) == 10
