--- /dev/null
+++ b/honeyhitch/lifecycle/optional_parts.py
@@ -0,0 +1,101 @@
+"""The parts of a service that are off unless the operator's file asks for them.
+
+Each imports what it needs when it is added: a plain `serve` starts without.
+"""
+
+from __future__ import annotations
+
+import os
+from random import Random
+from typing import TYPE_CHECKING
+
+from honeyhitch.lifecycle.config import ConfigError
+from honeyhitch.memory.pool import GATED, PoolMember
+from honeyhitch.partitioning.settings import FleetSettings
+from honeyhitch.setup import MqttSetup
+from honeyhitch.tls.settings import TlsSetup
+from honeyhitch.undelivered.settings import Undelivered
+
+if TYPE_CHECKING:
+    from honeyhitch.lifecycle.serve import Service
+    from honeyhitch.wire.drivers.broker import Way
+
+
+def add_tls(service: Service, most: int) -> Way | None:
+    """What speaks TLS, where the operator's file asks for it; the way to the broker is returned."""
+    operator, dispatcher = service.config.operator, service.dispatcher
+    broker = operator.mqtt.tls if operator.mqtt is not None else None
+    setup = operator.tls or TlsSetup(())
+    if broker is None and not setup.partners:
+        return None
+    from honeyhitch.tls.partners import Partners  # needs the extra honeyhitch[tls]
+    from honeyhitch.wire.drivers.tls_broker import TlsWay
+    from honeyhitch.wire.drivers.tls_members import TlsCarrier
+
+    every = TlsSetup((*setup.partners, *([broker] if broker is not None else [])))
+    rng = Random(service.config.seed ^ 0x715)
+    partners = Partners(every, service.config.settings, os.environ, service.scheduler.now, rng)
+    carrier = TlsCarrier(dispatcher, service.scheduler, service.tasks, most, partners)
+    dispatcher.carriers[GATED] = dispatcher.openers[GATED] = carrier
+    service.idling.append(carrier)
+
+    def carrier_of(member: PoolMember) -> str:
+        kind = service.config.settings.kind(member.kind).name
+        return GATED if partners.of(member.id, member.destination, kind) is not None else member.carrier
+
+    dispatcher.pool.carrier_of = carrier_of
+    service.works += [carrier.sweep, carrier.watch_files, carrier.watch_ends]
+    service.look_at_files = carrier.look_at_files
+    return TlsWay(service.loop, partners, partners.known[broker]) if broker is not None else None
+
+
+def add_mqtt(service: Service, setup: MqttSetup, way: Way | None) -> None:
+    """The MQTT front, and the members behind its broker."""
+    from honeyhitch.wire.drivers.broker import MqttCarrier, MqttFront
+
+    front = MqttFront(setup, service.dispatcher, service.scheduler, service.tasks, way)
+    carrier = MqttCarrier(setup, service.dispatcher, service.scheduler, service.tasks, way)
+    service.dispatcher.fronts["mqtt"], service.dispatcher.carriers["mqtt"] = front, carrier
+    pool = service.dispatcher.pool
+    for told in setup.members:
+        kind = pool.kinds.index(told.kind)
+        zone = pool.zones.index(told.zone) if told.zone in pool.zones else 0
+        member = PoolMember(told.id, told.topic, told.destination, kind, zone, told.rate, carrier="mqtt")
+        pool.fix(member)
+    service.works += [link.run for link in (*front.links, carrier.link)]
+
+
+def add_fleet(service: Service, settings: FleetSettings, listen: bool) -> None:
+    """Partitioned destinations. Callers in this process could not be sent to another instance."""
+    from honeyhitch.lifecycle.fleet import MOST_SAVED, FleetService
+
+    if not listen:
+        raise ConfigError("fleet: cannot be had by a library's dispatcher, which nothing is handed in to")
+    set_aside = 2 * MOST_SAVED  # the view's file, and the one that takes its place
+    if service.config.limits.disk < 2 * set_aside:
+        raise ConfigError(f"limits.disk_mb: expected {2 * set_aside / 1e6:g} at least with [fleet]")
+    service.journal.disk -= set_aside
+    rng = Random(service.config.seed ^ 0xF1EE7)
+    service.fleet = FleetService(
+        settings,
+        service.dispatcher,
+        service.scheduler,
+        service.loop,
+        service.config.state,
+        rng,
+        service.discovery.refetch,
+    )
+    service.discovery.filters = True
+    service.works += [service.fleet.watch, service.fleet.care]
+
+
+def add_undelivered(service: Service, setup: Undelivered) -> None:
+    """The store of undelivered messages, with what looks after it."""
+    from honeyhitch.undelivered.keeping import Keeping  # needs the extra honeyhitch[undelivered]
+    from honeyhitch.undelivered.verbs import register
+
+    service.keeping = Keeping(
+        setup, service.config.state, service.dispatcher, service.scheduler, service.loop
+    )
+    service.works.append(service.keeping.care)
+    register(service.verbs, service.keeping)
--- a/honeyhitch/lifecycle/serve.py
+++ b/honeyhitch/lifecycle/serve.py
@@ -15,16 +15,16 @@
 from honeyhitch import __version__, logs
 from honeyhitch.core import Dispatcher
 from honeyhitch.delivery import Phase, State
+from honeyhitch.lifecycle import optional_parts, shutdown
 from honeyhitch.lifecycle.beside import Beside
-from honeyhitch.lifecycle.config import FIXED_SOCKETS, Config, ConfigError
+from honeyhitch.lifecycle.config import Config, ConfigError
+from honeyhitch.lifecycle.descriptors import BESIDE_SOCKETS, budget
 from honeyhitch.lifecycle.signals import Stop, on_reload
 from honeyhitch.memory.folder import FIRST, FolderHeld, StateFolder
 from honeyhitch.memory.journal import Journal, JournalUnusable
-from honeyhitch.memory.pool import GATED, Pool, PoolError, PoolMember
+from honeyhitch.memory.pool import Pool, PoolError
 from honeyhitch.memory.transactions import Transaction
-from honeyhitch.setup import Address, Control, MqttSetup
-from honeyhitch.tls.settings import TlsSetup
-from honeyhitch.undelivered.settings import Undelivered
+from honeyhitch.setup import Address, Control
 from honeyhitch.wire import resp
 from honeyhitch.wire.agent_check import AgentSession, HealthSession
 from honeyhitch.wire.control import Asked, Verbs
@@ -37,40 +37,14 @@
 
 if TYPE_CHECKING:  # what a start without an operator's file needs none of
     from honeyhitch.lifecycle.fleet import FleetService
-    from honeyhitch.partitioning.settings import FleetSettings
     from honeyhitch.undelivered.keeping import Keeping
-    from honeyhitch.wire.drivers.broker import Way
     from honeyhitch.wire.drivers.control import ControlServer
 
 log = logs.get()
-ACCEPT_ON, SEND_ON, LEAVE_AT = 0.6, 2.8, 3.3  # seconds after SIGTERM; SIGKILL comes after 3.7 at the soonest
-BACK_AT = 4.3  # seconds after SIGTERM; the next process starts 0.6 s after SIGKILL
-BESIDE_SOCKETS = 16  # connections at once to the agent-check, and as many to health and to management
-CONTROL_FILES, STORE_FILES = 10, 10  # descriptors: a listener and its connections; database, log, lock
-FLEET_FILES = 2  # the view's watch, and its file as it is written
 REDELIVERY = 600 * 10**9  # ns for which ids are remembered that a broker may hand in again
-NS = 10**9
-LOOK = 0.02  # seconds between looks at what is still out
 AT_START_ONLY = ("name", "listen", "management", "state", "seed", "limits", "known", "settings", "operator")
 
 
-def budget(config: Config, processes: int = 1) -> tuple[int, int]:
-    """How many clients and how many idle connections to members there may be; with the calls out and what
-    is always open they stay under the limit of descriptors. Connections in a TLS handshake count as idle
-    ones. While an upgrade lasts two processes have one limit.
-    """
-    beside = config.operator
-    listeners = (beside.agent_check, beside.health, config.management)
-    others = BESIDE_SOCKETS * sum(address is not None for address in listeners)
-    others += CONTROL_FILES if beside.control is not None else 0
-    others += STORE_FILES if beside.undelivered is not None else 0
-    others += beside.fleet.peer_connections + FLEET_FILES if beside.fleet is not None else 0
-    left = config.limits.sockets - config.settings.slots - processes * (FIXED_SOCKETS + others)
-    left //= processes
-    most_idle = max(1, left // 4)
-    return max(1, left - most_idle), most_idle
-
-
 class Service:
     """One dispatcher with all that stands around it; it belongs to the running loop."""
 
@@ -110,9 +84,9 @@
             self.beside.watch,
         ]
         self.look_at_files: Callable[[bool], Coroutine[Any, Any, None]] | None = None
-        way = self._tls(max(1, most_idle - most_plain))
+        way = optional_parts.add_tls(self, max(1, most_idle - most_plain))
         if config.operator.mqtt is not None:
-            self._mqtt(config.operator.mqtt, way)
+            optional_parts.add_mqtt(self, config.operator.mqtt, way)
         self.servers: list[VirtualServer] = []
         self.clients: VirtualServer | None = None  # the one of them for clients
         self.verbs = Verbs()
@@ -121,9 +95,9 @@
         self.keeping: Keeping | None = None
         self.fleet: FleetService | None = None
         if config.operator.fleet is not None:
-            self._fleet(config.operator.fleet, listen)
+            optional_parts.add_fleet(self, config.operator.fleet, listen)
         if config.operator.undelivered is not None:
-            self._undelivered(config.operator.undelivered)
+            optional_parts.add_undelivered(self, config.operator.undelivered)
 
     @staticmethod
     def _hold(config: Config, listen: bool) -> StateFolder:
@@ -154,37 +128,6 @@
         if self.clients is not None:
             self.clients.limit(self.most_clients)
 
-    def _undelivered(self, setup: Undelivered) -> None:
-        from honeyhitch.undelivered.keeping import Keeping  # needs the extra honeyhitch[undelivered]
-        from honeyhitch.undelivered.verbs import register
-
-        self.keeping = Keeping(setup, self.config.state, self.dispatcher, self.scheduler, self.loop)
-        self.works.append(self.keeping.care)
-        register(self.verbs, self.keeping)
-
-    def _fleet(self, settings: FleetSettings, listen: bool) -> None:
-        """Partitioned destinations. Callers in this process could not be sent to another instance."""
-        from honeyhitch.lifecycle.fleet import MOST_SAVED, FleetService
-
-        if not listen:
-            raise ConfigError("fleet: cannot be had by a library's dispatcher, which nothing is handed in to")
-        set_aside = 2 * MOST_SAVED  # the view's file, and the one that takes its place
-        if self.config.limits.disk < 2 * set_aside:
-            raise ConfigError(f"limits.disk_mb: expected {2 * set_aside / 1e6:g} at least with [fleet]")
-        self.journal.disk -= set_aside
-        rng = Random(self.config.seed ^ 0xF1EE7)
-        self.fleet = FleetService(
-            settings,
-            self.dispatcher,
-            self.scheduler,
-            self.loop,
-            self.config.state,
-            rng,
-            self.discovery.refetch,
-        )
-        self.discovery.filters = True
-        self.works += [self.fleet.watch, self.fleet.care]
-
     def state(self) -> State:
         """Whether it accepts new work; before a fleet's first view it cannot tell what is its own."""
         state = self.dispatcher.state()
@@ -199,47 +142,6 @@
             told["undelivered"] = self.keeping.figures()
         return told | {"pid": os.getpid(), "name": self.config.name, "version": __version__}
 
-    def _tls(self, most: int) -> Way | None:
-        """What speaks TLS, where the operator's file asks for it; the way to the broker is returned."""
-        operator, dispatcher = self.config.operator, self.dispatcher
-        broker = operator.mqtt.tls if operator.mqtt is not None else None
-        setup = operator.tls or TlsSetup(())
-        if broker is None and not setup.partners:
-            return None
-        from honeyhitch.tls.partners import Partners  # needs the extra honeyhitch[tls]
-        from honeyhitch.wire.drivers.tls_broker import TlsWay
-        from honeyhitch.wire.drivers.tls_members import TlsCarrier
-
-        every = TlsSetup((*setup.partners, *([broker] if broker is not None else [])))
-        rng = Random(self.config.seed ^ 0x715)
-        partners = Partners(every, self.config.settings, os.environ, self.scheduler.now, rng)
-        carrier = TlsCarrier(dispatcher, self.scheduler, self.tasks, most, partners)
-        dispatcher.carriers[GATED] = dispatcher.openers[GATED] = carrier
-        self.idling.append(carrier)
-
-        def carrier_of(member: PoolMember) -> str:
-            kind = self.config.settings.kind(member.kind).name
-            return GATED if partners.of(member.id, member.destination, kind) is not None else member.carrier
-
-        dispatcher.pool.carrier_of = carrier_of
-        self.works += [carrier.sweep, carrier.watch_files, carrier.watch_ends]
-        self.look_at_files = carrier.look_at_files
-        return TlsWay(self.loop, partners, partners.known[broker]) if broker is not None else None
-
-    def _mqtt(self, setup: MqttSetup, way: Way | None) -> None:
-        from honeyhitch.wire.drivers.broker import MqttCarrier, MqttFront
-
-        front = MqttFront(setup, self.dispatcher, self.scheduler, self.tasks, way)
-        carrier = MqttCarrier(setup, self.dispatcher, self.scheduler, self.tasks, way)
-        self.dispatcher.fronts["mqtt"], self.dispatcher.carriers["mqtt"] = front, carrier
-        pool = self.dispatcher.pool
-        for told in setup.members:
-            kind = pool.kinds.index(told.kind)
-            zone = pool.zones.index(told.zone) if told.zone in pool.zones else 0
-            member = PoolMember(told.id, told.topic, told.destination, kind, zone, told.rate, carrier="mqtt")
-            pool.fix(member)
-        self.works += [link.run for link in (*front.links, carrier.link)]
-
     def start(self, listen: bool = True) -> None:
         """Replay the journal, then serve. Without `listen` only the library's callers hand in."""
         dispatcher, config = self.dispatcher, self.config
@@ -371,32 +273,6 @@
         self.tasks.keep(server.sweep)
         return server
 
-    async def leave(self) -> None:
-        """Let what is held finish for a bounded time; the journal keeps the rest.
-
-        New connections keep coming for a moment. What they hand in is still taken on, as there is time to do
-        it; after that it is turned away.
-        """
-        began, dispatcher = self.loop.time(), self.dispatcher
-        dispatcher.leaving = True
-        for server in self.servers:
-            server.drain()
-        self.beside.look()
-        while self.beside.there and self.loop.time() - began < LEAVE_AT:
-            dispatcher.hand_over()
-            if not dispatcher.out and not self.discovery.waiting and self.servers_settled():
-                return
-            await asyncio.sleep(LOOK)
-        while (gone := self.loop.time() - began) < LEAVE_AT:
-            dispatcher.taking = gone <= ACCEPT_ON
-            done = not dispatcher.held.by_id
-            if gone > SEND_ON:
-                dispatcher.leave(int((BACK_AT - gone) * NS))
-                done = not dispatcher.out and not self.discovery.waiting
-            if gone > ACCEPT_ON and done and self.servers_settled():
-                return
-            await asyncio.sleep(LOOK)
-
     def servers_settled(self) -> bool:
         """No client of this process has a request on its way."""
         return self.clients is None or self.clients.settled
@@ -434,7 +310,7 @@
     try:
         service.start()
         await stop.asked.wait()
-        await service.leave()
+        await shutdown.leave(service)
     finally:
         await service.close()
 
--- /dev/null
+++ b/honeyhitch/lifecycle/shutdown.py
@@ -0,0 +1,41 @@
+"""The time between the signal to stop and the end of the process."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from honeyhitch.lifecycle.serve import Service
+
+ACCEPT_ON, SEND_ON, LEAVE_AT = 0.6, 2.8, 3.3  # seconds after SIGTERM; SIGKILL comes after 3.7 at the soonest
+BACK_AT = 4.3  # seconds after SIGTERM; the next process starts 0.6 s after SIGKILL
+LOOK = 0.02  # seconds between looks at what is still out
+NS = 10**9
+
+
+async def leave(service: Service) -> None:
+    """Let what is held finish for a bounded time; the journal keeps the rest.
+
+    New connections keep coming for a moment. What they hand in is still taken on, as there is time to do
+    it; after that it is turned away.
+    """
+    began, dispatcher = service.loop.time(), service.dispatcher
+    dispatcher.leaving = True
+    for server in service.servers:
+        server.drain()
+    service.beside.look()
+    while service.beside.there and service.loop.time() - began < LEAVE_AT:
+        dispatcher.hand_over()
+        if not dispatcher.out and not service.discovery.waiting and service.servers_settled():
+            return
+        await asyncio.sleep(LOOK)
+    while (gone := service.loop.time() - began) < LEAVE_AT:
+        dispatcher.taking = gone <= ACCEPT_ON
+        done = not dispatcher.held.by_id
+        if gone > SEND_ON:
+            dispatcher.leave(int((BACK_AT - gone) * NS))
+            done = not dispatcher.out and not service.discovery.waiting
+        if gone > ACCEPT_ON and done and service.servers_settled():
+            return
+        await asyncio.sleep(LOOK)
--- a/honeyhitch/middleware.py
+++ b/honeyhitch/middleware.py
@@ -12,6 +12,7 @@
 from honeyhitch.core import Dispatcher
 from honeyhitch.delivery import Admission
 from honeyhitch.lifecycle import config as configuration
+from honeyhitch.lifecycle import shutdown
 from honeyhitch.lifecycle.serve import Service
 from honeyhitch.memory.transactions import Ending, Transaction
 from honeyhitch.wire.resp import Fields
@@ -152,7 +153,7 @@
     async def _stop(self) -> None:
         service, self.service, self.front = self.service, None, None
         if service is not None:
-            await service.leave()
+            await shutdown.leave(service)
             await service.close()
 
     async def _lifespan(self, scope: Message, receive: Receive, send: Send) -> None:
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -17,7 +17,8 @@
 from honeyhitch.delivery import Phase, State
 from honeyhitch.lifecycle import config
 from honeyhitch.lifecycle.cli import main
-from honeyhitch.lifecycle.serve import BESIDE_SOCKETS, budget, run
+from honeyhitch.lifecycle.descriptors import BESIDE_SOCKETS, budget
+from honeyhitch.lifecycle.serve import run
 from honeyhitch.memory.buffer import Buffer
 from honeyhitch.memory.transactions import Ending
 from honeyhitch.wire import resp
--- a/tests/test_virtual_server.py
+++ b/tests/test_virtual_server.py
@@ -15,7 +15,7 @@
 
 from honeyhitch.delivery import Admission
 from honeyhitch.lifecycle import config
-from honeyhitch.lifecycle.serve import budget
+from honeyhitch.lifecycle.descriptors import budget
 from honeyhitch.memory.buffer import Buffer
 from honeyhitch.wire import resp
 from honeyhitch.wire.drivers import sockets, virtual_server
