--- a/honeyhitch/brain.py
+++ b/honeyhitch/brain.py
@@ -10,7 +10,9 @@
 from random import Random
 
 from honeyhitch import interface as api
+from honeyhitch.decaying_tally import DecayingTally
 from honeyhitch.interface import Effect, Outcome
+from honeyhitch.message_queue import MessageQueue
 
 MS, SECOND, NEVER = 10**6, 10**9, 1 << 62  # ns
 LADDER = (250 * MS, SECOND, 4 * SECOND, 16 * SECOND)  # ns; the design's pauses between tries
@@ -19,7 +21,7 @@
 START_LATENCY, LATENCY_WEIGHT = 200 * MS, 0.1  # ns, share; until a first answer, and of a new sample
 TIMEOUT_FACTOR, UNSAFE_ROOM = 10, 2  # x mean latency: the far tail; x that where a time-out is the end
 OVERDUE_FACTOR, LEAST_OVERDUE = 5, 700 * MS  # x mean latency, ns; longer with no later answer is a hang
-MEMORY, FADE, LONG_FADE = 5.0, 8 * SECOND, 30 * SECOND  # outcomes, ns; what a tally keeps, and how long
+FADE, LONG_FADE = 8 * SECOND, 30 * SECOND  # ns; how long a tally keeps an outcome
 RISKY_SHARE, LOOK = 0.35, SECOND  # failing share from which unsafe messages wait; ns, and look again
 BAD_SHARE, BAD_RUN, THIN = 0.7, 3, 0.5  # that mean out: share, failures in a row, one if less good is known
 QUIET, QUIET_CALLS = 2 * SECOND, 10  # ns, calls of this instance's part; refusals alone so long mean shut
@@ -39,23 +41,6 @@
 RESTING = (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED)  # after these it may still run: a key rests
 
 
-class Tally:
-    """Bad and good outcomes: they fade with time, and the oldest yield to new ones beyond MEMORY."""
-
-    def __init__(self, fade: int) -> None:
-        self.bad, self.good, self.at, self.fade = 0.0, 0.0, 0, fade
-
-    def note(self, now: int, bad: bool, weight: float = 1.0) -> None:
-        self.share(now)
-        keep = min(1.0, (MEMORY - weight) / max(1e-9, self.bad + self.good))
-        self.bad, self.good = self.bad * keep + weight * bad, self.good * keep + weight * (not bad)
-
-    def share(self, now: int) -> float:  # of bad ones; one unknown outcome counts with them
-        keep, self.at = exp((self.at - now) / self.fade), now
-        self.bad, self.good = self.bad * keep, self.good * keep
-        return self.bad / (self.bad + self.good + 1)
-
-
 class Message:
     """One message taken, with all that the rules need to know of it."""
 
@@ -110,15 +95,17 @@
         self.calls, self.used_at = 0, -NEVER
         self.room, self.shut = 0 if entry.gated else NEVER, 0  # calls it takes; no connection before then
         self.crowded = 0  # times in a row that its full table turned us away
-        self.tallies = defaultdict[int, Tally](lambda: Tally(LONG_FADE))  # by class: one alone may fail here
+        # By class: one alone may fail here.
+        self.tallies = defaultdict[int, DecayingTally](lambda: DecayingTally(LONG_FADE))
 
 
 class Lane:
     """One limit and its health: a destination, or one endpoint where endpoints are routes apart."""
 
-    def __init__(self, settings: api.Settings, rng: Random, tight: Tally) -> None:
+    def __init__(self, settings: api.Settings, rng: Random, tight: DecayingTally) -> None:
         self.s, self.rng, self.latency = settings, rng, float(START_LATENCY)
-        self.tight, self.tally = tight, Tally(FADE)  # failed connects of all its kind; failed calls here
+        self.tight = tight  # failed connects of all its kind
+        self.tally = DecayingTally(FADE)  # failed calls here
         self.calls: dict[Call, None] = {}  # oldest first
         self.scale, self.limit, self.flow, self.rate, self.risk = 0.0, 0.0, 0.0, inf, RISKY_SHARE
         self.wait_until = self.trial_at = self.last_send = self.cut_at = self.down_at = 0
@@ -199,26 +186,12 @@
             self.close(now)
 
 
-Queue = list[tuple[int, int, Message]]
 Offer = tuple[float, int, Message, Endpoint]
 
 
-def head(queue: tuple[Queue, Queue], now: int) -> Message | None:  # the urgent first; else the freshest
-    in_time, late = queue
-    while in_time and (not in_time[0][2].queued or in_time[0][0] <= now):
-        _, seq, message = heappop(in_time)
-        if message.queued:
-            heappush(late, (-message.deadline, seq, message))
-            if not len(late) & (len(late) - 1):  # at each doubling, what has ended beneath the top goes
-                late[:] = sorted(one for one in late if one[2].queued)
-    while late and not late[0][2].queued:
-        heappop(late)
-    return in_time[0][2] if in_time else late[0][2] if late else None
-
-
 class Destination:
     def __init__(self) -> None:
-        self.queues: dict[tuple[int, int | None, bool], tuple[Queue, Queue]] = {}  # in time, late
+        self.queues: dict[tuple[int, int | None, bool], MessageQueue[Message]] = {}
         self.endpoints: dict[str, Endpoint] = {}
         self.lane: Lane | None = None  # of the endpoint named last; all share it where limits are shared
         self.waiting: dict[Message, None] = {}  # on the ladder
@@ -231,7 +204,7 @@
         self.most, self.margin = min(ATTEMPTS, settings.max_attempts), 2 * settings.resolution
         self.messages: dict[str, Message] = {}
         self.dests: dict[int, Destination] = {}
-        self.kinds = [(kind, Tally(LONG_FADE)) for kind in settings.kinds]
+        self.kinds = [(kind, DecayingTally(LONG_FADE)) for kind in settings.kinds]
         self.lines: dict[
             int | None, tuple[deque[Message], list[int]]
         ] = {}  # a key's messages, its rest's end
@@ -371,9 +344,10 @@
         if self._opens(message.dest) >= self._last(message):
             return self._finish(message)
         self._wake(self._last(message), self._expire, message)
-        queue = message.dest.queues.setdefault((message.number, message.zone(), message.behind), ([], []))
+        key = message.number, message.zone(), message.behind
+        queue = message.dest.queues.setdefault(key, MessageQueue())
         self.seq += 1
-        heappush(queue[0], (message.aim, self.seq, message))
+        queue.push(message.aim, self.seq, message)
         message.queued, self.hot[message.dest] = True, None
 
     def _woken(self, message: Message) -> None:
@@ -495,7 +469,7 @@
 
     def _offer(self, dest: Destination, offers: list[Offer]) -> None:
         found, wake = list[Offer](), NEVER
-        for message in filter(None, (head(queue, self.now) for queue in dest.queues.values())):
+        for message in filter(None, (queue.head(self.now) for queue in dest.queues.values())):
             endpoint, at = self._endpoint(message)
             wake = min(wake, at)
             if endpoint is not None:
@@ -534,7 +508,7 @@
         if bare and not ready:
             wanted = min(bare, key=lambda e: self._rank(e, message))
             paced = wanted.lane.out or wanted.lane.pace(self.now) < inf
-            queued = sum(len(queue) for pair in dest.queues.values() for queue in pair)
+            queued = sum(map(len, dest.queues.values()))
             self.actions.append(api.Open(wanted.name, 1 if paced else min(queued, self.s.slots)))
         return (min(ready, key=lambda e: self._rank(e, message)) if ready else None), soonest
 
@@ -552,7 +526,7 @@
         self._put(message, call)
         most = 1 if lane.out else min(dest.per_call, lane.most)
         for queue in dest.queues.values():  # further messages ride along where a call takes several
-            while call.left < most and (rider := head(queue, self.now)) is not None:
+            while call.left < most and (rider := queue.head(self.now)) is not None:
                 alike = rider.cls is message.cls and rider.behind is message.behind
                 alike &= not message.unsafe or min(rider.deadline, message.deadline) - self.now > message.span
                 if not alike or rider.zone() not in (None, endpoint.zone):
--- a/honeyhitch/standing.py
+++ b/honeyhitch/conditions.py
@@ -1,9 +1,9 @@
-"""How a destination stands as the module sees it, for those who hand in what may wait. It decides nothing."""
+"""The condition of destinations as the module sees them, for figures and for resends. It decides nothing."""
 
 from __future__ import annotations
 
 from honeyhitch import interface as api
-from honeyhitch.brain import RISKY_SHARE, Brain, Destination, head
+from honeyhitch.brain import RISKY_SHARE, Brain, Destination
 
 
 def condition(brain: Brain, destination: int, now: int) -> api.Condition:
@@ -17,7 +17,7 @@
         sick=not well,
         ramping=any(now - lane.back_at < brain.s.cold for lane in lanes),
         waits_until=min((lane.wait_until for lane in well), default=0),
-        queued=any(head(queue, brain.now) is not None for queue in queues),
+        queued=any(queue.head(brain.now) is not None for queue in queues),
         part=sum(lane.part() for lane in well),
         last_send=max((lane.last_send for lane in lanes), default=0),
         used=brain.used,
--- a/honeyhitch/core.py
+++ b/honeyhitch/core.py
@@ -11,13 +11,13 @@
 from honeyhitch import interface as api
 from honeyhitch import logs
 from honeyhitch.brain import Brain
+from honeyhitch.conditions import avoided
 from honeyhitch.delivery import Admission, Call, Phase, Result, State
 from honeyhitch.figures import Figures
 from honeyhitch.memory.journal import Journal, JournalFull
 from honeyhitch.memory.pool import Pool, PoolMember
 from honeyhitch.memory.transactions import RESEND, Ending, Transaction, Try
 from honeyhitch.ports import Came, Carrier, Front, Guard, Keeper, Neighbour, Opener, Scheduler, Shares
-from honeyhitch.standing import avoided
 
 log = logs.get()
 MS = 1_000_000  # ns
--- a/honeyhitch/undelivered/resending.py
+++ b/honeyhitch/undelivered/resending.py
@@ -16,10 +16,10 @@
 
 from honeyhitch import interface as api
 from honeyhitch import logs
+from honeyhitch.conditions import condition
 from honeyhitch.core import BUSY, Dispatcher
 from honeyhitch.memory.transactions import RESEND, Ending, Transaction
 from honeyhitch.ports import Came, Scheduler
-from honeyhitch.standing import condition
 from honeyhitch.undelivered import resends
 from honeyhitch.undelivered.copies import Copies, Key
 from honeyhitch.undelivered.pacing import Pacing, Rates
--- a/tests/test_undelivered_resending.py
+++ b/tests/test_undelivered_resending.py
@@ -12,9 +12,9 @@
 import pytest
 
 from honeyhitch import interface as api
+from honeyhitch.conditions import condition
 from honeyhitch.memory.transactions import Ending, Transaction
 from honeyhitch.ports import Came
-from honeyhitch.standing import condition
 from honeyhitch.undelivered import operations, resends, rules
 from honeyhitch.undelivered.copies import Copies
 from honeyhitch.undelivered.eligibility import Decision, Verdict
