--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 PYTHON ?= python3
 
-.PHONY: capacity env scale try try-tls try-undelivered test
+.PHONY: capacity env scale try try-fleet try-tls try-undelivered test
 
 env: $(VENV)/.run
 
@@ -23,6 +23,10 @@
 try-tls: $(VENV)/.test
 	$(VENV)/bin/python example/try.py --tls
 
+# Two dispatchers that share the destinations: a message handed in at either reaches its owner.
+try-fleet: $(VENV)/.run
+	$(VENV)/bin/python example/try_fleet.py
+
 # A message that ends undelivered: it is kept, listed, and resent by a rule once the toy is mended.
 try-undelivered: $(VENV)/.test
 	$(VENV)/bin/python example/try.py --undelivered
--- /dev/null
+++ b/example/parts.py
@@ -0,0 +1,44 @@
+"""What the examples share: free ports, waiting for a dispatcher, and showing what the toy prints."""
+
+from __future__ import annotations
+
+import re
+import socket
+import subprocess
+import time
+from typing import IO
+
+PATIENCE = 30.0  # seconds for each step
+
+
+def free_ports(count: int) -> list[int]:
+    """Ports on which nothing listens now."""
+    socks = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
+
+
+def serves(port: int, program: subprocess.Popen[str]) -> bool:
+    """Wait till the dispatcher answers a PING with +PONG: it takes messages from then on."""
+    until = time.monotonic() + PATIENCE
+    while time.monotonic() < until and program.poll() is None:
+        try:
+            with socket.create_connection(("127.0.0.1", port), timeout=1) as client:
+                client.sendall(b"PING\r\n")
+                if client.recv(16) == b"+PONG\r\n":
+                    return True
+        except OSError:
+            pass
+        time.sleep(0.05)
+    return False
+
+
+def shown(lines: IO[str], wanted: str) -> bool:
+    """Print what the toy prints until a line tells of this message."""
+    for line in lines:
+        print(f"toy         {line}", end="", flush=True)
+        if re.search(wanted, line):
+            return True
+    return False
--- a/example/try.py
+++ b/example/try.py
@@ -10,52 +10,18 @@
 from __future__ import annotations
 
 import json
-import re
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
 import time
 from pathlib import Path
-from typing import IO
 
 HERE = Path(__file__).parent
-HELLO = "hello from make try"
-PATIENCE = 30.0  # seconds for each of the three steps
-
-
-def free_ports(count: int) -> list[int]:
-    """Ports on which nothing listens now."""
-    socks = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
-    return ports
-
-
-def serves(port: int, program: subprocess.Popen[str]) -> bool:
-    """Wait till the dispatcher answers a PING with +PONG: it takes messages from then on."""
-    until = time.monotonic() + PATIENCE
-    while time.monotonic() < until and program.poll() is None:
-        try:
-            with socket.create_connection(("127.0.0.1", port), timeout=1) as client:
-                client.sendall(b"PING\r\n")
-                if client.recv(16) == b"+PONG\r\n":
-                    return True
-        except OSError:
-            pass
-        time.sleep(0.05)
-    return False
-
+sys.path.insert(0, str(HERE.parent))
+from example.parts import PATIENCE, free_ports, serves, shown  # noqa: E402
 
-def shown(lines: IO[str], wanted: str) -> bool:
-    """Print what the toy prints until a line tells of this message."""
-    for line in lines:
-        print(f"toy         {line}", end="", flush=True)
-        if re.search(wanted, line):
-            return True
-    return False
+HELLO = "hello from make try"
 
 
 def certificate(folder: str) -> tuple[list[str], list[str]]:
