Skip zones without a change of names when a view is taken over

ZoneCandidates.update walked all ranks of a zone though nobody had joined or left it: 40% of the CPU of a hollow play at 60 instances (cProfile, 610 calls, 6.1 of 15.2 s). The hollow plays look when the service would.

--- a/benchmarks/hollow_fleet.py
+++ b/benchmarks/hollow_fleet.py
@@ -99,7 +99,7 @@
 
     def __init__(self, name: str, zone: str, number: int) -> None:
         self.name, self.zone, self.number = name, zone, number
-        self.alive, self.gone = True, False
+        self.alive = True
         self.incarnation = 0
         self.clock_off = 0
         self.reads_until = 0  # lines of its watch arrive in their order
@@ -108,6 +108,8 @@
         self.held: set[str] = set()
         self.idle: Counter[int] = Counter()
         self.portions: dict[int, float] = {}
+        self.look_at: int | None = 0  # as the service has it: when a portion may change
+        self.lease_lasted = False
 
     @property
     def ready(self) -> bool:
@@ -257,7 +259,7 @@
     def _start(self, one: Hollow, saved: dict[str, Any] | None = None) -> None:
         one.alive, one.incarnation, one.idle = True, one.incarnation + 1, Counter()
         one.brain = Brain(self.s, self.rng.randrange(1 << 32))
-        one.portions = {}
+        one.portions, one.look_at, one.lease_lasted = {}, 0, False
         if self.partitioned:
             regions = self.regions
             given = FleetSettings(one.name, one.zone, "127.0.0.1:1", regions, partitions=self.partitions)
@@ -419,8 +421,11 @@
 
         def read() -> None:
             if one.alive and one.incarnation == incarnation and one.fleet is not None:
+                before = one.fleet.view
                 one.fleet.take(told, self._clock(one))
-                self._refresh(one)
+                lasts = one.fleet.lease_lasts(self._clock(one))
+                if before is not one.fleet.view or lasts is not one.lease_lasted:
+                    self._refresh(one)
                 if published is not None:
                     self.totals.in_force.append((self.now - published) / SECOND)
 
@@ -440,6 +445,7 @@
         """As the service does: the module is told of parts that changed, and what is lost is handed back."""
         assert one.fleet is not None
         now, entries, lost = self._clock(one), list[api.Entry](), set[int]()
+        one.look_at, one.lease_lasted = one.fleet.next_change(now), one.fleet.lease_lasts(now)
         for number in self.partners:
             if not one.fleet.keeps(number):
                 continue
@@ -461,7 +467,7 @@
         totals = dict[tuple[str, int], float]()
         for one in self.hollows:
             if one.alive and one.fleet is not None:
-                if not one.gone:
+                if one.look_at is not None and self._clock(one) >= one.look_at:
                     self._refresh(one)
                 for number, portion in one.portions.items():
                     exact = one.fleet.portion(number, self._clock(one)) if portion else 0.0
@@ -501,8 +507,6 @@
         """Machines fall silent; the control machines notice a while later."""
         chosen = [one for one in chosen if one.alive]
         saved = {one.name: self._kill(one, back is not None) for one in chosen}
-        for one in chosen:
-            one.gone = back is None
         self.at(self.now + NOTICED, lambda: self._publish(chosen, "Terminating"))
         if back is not None:
             self.at(back, lambda: self._return(chosen, saved))
--- a/honeyhitch/partitioning/ownership.py
+++ b/honeyhitch/partitioning/ownership.py
@@ -40,6 +40,8 @@
         """The zone's instances as of now. Work is done for the difference alone."""
         now = frozenset(names)
         joined, left = now - self.names, self.names - now
+        if not joined and not left:
+            return
         self.names = now
         for partition, ranks in list(self._ranks.items()):
             if any(name in left for _, name in ranks):
