--- a/honeyhitch/wire/drivers/broker.py
+++ b/honeyhitch/wire/drivers/broker.py
@@ -21,7 +21,8 @@
 from honeyhitch.wire.drivers import sockets
 from honeyhitch.wire.drivers.channel import Channel, PlainChannel
 from honeyhitch.wire.drivers.tasks import LoopScheduler, Tasks
-from honeyhitch.wire.mqtt import Outgoing, Packet, Session
+from honeyhitch.wire.mqtt import Outgoing, Session
+from honeyhitch.wire.mqtt_packets import Packet
 from honeyhitch.wire.resp import FieldError, Fields
 
 log = logs.get()
--- a/honeyhitch/wire/mqtt_messages.py
+++ b/honeyhitch/wire/mqtt_messages.py
@@ -9,8 +9,8 @@
 from honeyhitch.delivery import Call, Result
 from honeyhitch.memory.transactions import Ending, Transaction
 from honeyhitch.wire.calls import batch_body, report, wait
-from honeyhitch.wire.mqtt import Kind as PacketKind
-from honeyhitch.wire.mqtt import Packet, Properties
+from honeyhitch.wire.mqtt_packets import Kind as PacketKind
+from honeyhitch.wire.mqtt_packets import Packet, Properties
 from honeyhitch.wire.resp import FieldError, Fields
 
 MS = 1_000_000  # ns
--- a/tests/broker.py
+++ b/tests/broker.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 
 from honeyhitch.memory.buffer import Buffer
-from honeyhitch.wire.mqtt import Kind, Packet, decode, encode
+from honeyhitch.wire.mqtt_packets import Kind, Packet, decode, encode
 
 
 @dataclass
--- a/tests/test_first_byte.py
+++ b/tests/test_first_byte.py
@@ -26,7 +26,7 @@
 from honeyhitch.wire.drivers.broker import MqttCarrier
 from honeyhitch.wire.drivers.members import HttpCarrier
 from honeyhitch.wire.drivers.tasks import LoopScheduler, Tasks
-from honeyhitch.wire.mqtt import Kind, Packet, decode, encode
+from honeyhitch.wire.mqtt_packets import Kind, Packet, decode, encode
 
 from .rig import SETTINGS, row
 from .world import SECOND, settings
--- a/tests/test_mqtt.py
+++ b/tests/test_mqtt.py
@@ -10,7 +10,8 @@
 from paho.mqtt.properties import Properties
 
 from honeyhitch.memory.buffer import Buffer
-from honeyhitch.wire.mqtt import Kind, Packet, Session, decode, encode
+from honeyhitch.wire.mqtt import Session
+from honeyhitch.wire.mqtt_packets import Kind, Packet, decode, encode
 
 
 class Writer(paho.Client):
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -24,7 +24,7 @@
 
 from honeyhitch.memory.account import unpack
 from honeyhitch.wire import calls
-from honeyhitch.wire.mqtt import Kind, Packet
+from honeyhitch.wire.mqtt_packets import Kind, Packet
 
 from .broker import Broker
 from .program import Peer, free_port, play, started, write
