Hand back what comes home untried after its share was lost; check rows before lists are kept

Found on reading the change once more, before any play of it: - a replacement that a formatter had moved from under it never took place: messages whose call was out as their share was lost were not handed back later, but held to their end (lifecycle/fleet.py); - a row that is no object had pool.wanted raise AttributeError, which the start does not take for an unusable list, also without a fleet (memory/pool.py); - a heartbeat that is no number was refused after its view had been taken over (partitioning/fleet.py). Each has a test that failed on the tree before. Defaults of [fleet] stand in one place, as does the tests' partner.

--- a/honeyhitch/lifecycle/config/fleet.py
+++ b/honeyhitch/lifecycle/config/fleet.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 from honeyhitch.lifecycle.config.values import Table
 from honeyhitch.partitioning.settings import SECOND, FleetSettings, Region
 from honeyhitch.setup import Address, ConfigError
 
 MOST_SECONDS = 30 * 86400
+NUMBERS = {"partitions": int, "candidates": int, "reserve": float, "peer-connections": int}
+TIMES = ("lease", "reserve-lease", "clock-skew")  # seconds
 
 
 def setup(told: object, name: str) -> FleetSettings:
@@ -15,28 +19,16 @@
     view = Address.parse(table.get("view", str), "fleet.view")
     zone = table.get("zone", str)
     regions = _regions(table.get("regions", dict))
-    lease = _seconds(table, "lease", 3)
-    reserve_lease = _seconds(table, "reserve-lease", 2 * 3600)
-    clock_skew = _seconds(table, "clock-skew", 0.25)
-    partitions = table.get("partitions", int, 4096)
-    candidates = table.get("candidates", int, 2)
-    reserve = table.get("reserve", float, 0.75)
-    connections = table.get("peer-connections", int, 96)
+    given: dict[str, Any] = {"name": name, "zone": zone, "view": str(view), "regions": regions}
+    for key, form in NUMBERS.items():
+        if (value := table.maybe(key, form)) is not None:
+            given[key.replace("-", "_")] = value
+    for key in TIMES:
+        if (seconds := table.maybe(key, float)) is not None:
+            given[key.replace("-", "_")] = _nanoseconds(key, seconds)
     table.done()
     try:
-        return FleetSettings(
-            name=name,
-            zone=zone,
-            view=str(view),
-            regions=regions,
-            partitions=partitions,
-            candidates=candidates,
-            reserve=reserve,
-            peer_connections=connections,
-            lease=lease,
-            reserve_lease=reserve_lease,
-            clock_skew=clock_skew,
-        )
+        return FleetSettings(**given)
     except ValueError as error:
         raise ConfigError(f"fleet.{error}") from error
 
@@ -50,8 +42,7 @@
     return tuple(regions)
 
 
-def _seconds(table: Table, key: str, default: float) -> int:
-    seconds = table.get(key, float, float(default))
+def _nanoseconds(key: str, seconds: float) -> int:
     if not 0 <= seconds <= MOST_SECONDS:
         raise ConfigError(f"fleet.{key}: expected 0 to {MOST_SECONDS} seconds, got {seconds:g}")
     return int(seconds * SECOND)
--- a/honeyhitch/lifecycle/fleet.py
+++ b/honeyhitch/lifecycle/fleet.py
@@ -15,7 +15,6 @@
 from honeyhitch.memory.transactions import Transaction
 from honeyhitch.partitioning.fleet import ClockError, Fleet
 from honeyhitch.partitioning.settings import SECOND, FleetSettings
-from honeyhitch.partitioning.view import FleetViewError
 from honeyhitch.ports import Scheduler
 from honeyhitch.wire.asking import Asking
 from honeyhitch.wire.drivers.list_watch import ListWatch
@@ -130,16 +129,12 @@
 
     async def watch(self) -> None:
         """Watch the view for ever; the one in force stays while its agent is silent."""
-        asking = Asking(self.rng, self.settings_instances, self.ready, False, self.settings.lease / SECOND)
+        size, lease = max(1, len(self.fleet.view.instances)), self.settings.lease / SECOND
+        asking = Asking(self.rng, size, self.ready, False, lease)
         await ListWatch(
             self.settings.view, self.loop, asking, lambda: self.fleet.view.revision, self.take
         ).run()
 
-    @property
-    def settings_instances(self) -> int:
-        """How many ask the view's agent, as far as is known."""
-        return max(1, len(self.fleet.view.instances))
-
     def take(self, told: dict[str, Any]) -> None:
         """Take over a list, a change or a heartbeat. Raises FleetViewError where it cannot be used."""
         before, kept = self.fleet.view, self.fleet.kept
@@ -178,19 +173,23 @@
             if portion != self._portions.get(partition, 0.0):
                 changed.add(partition)
                 self._portions[partition] = portion
-        if not changed:
-            return
-        news = self.dispatcher.pool.refreshed(
-            lambda destination: self.fleet.partition(destination) in changed
-        )
-        if news.entries:
-            self.dispatcher.news(news)
-        self._hand_back(now)
+        self._lost = {one for one in self._lost | changed if not self._portions[one]}
+        if changed:
+            pool = self.dispatcher.pool
+            news = pool.refreshed(lambda destination: self.fleet.partition(destination) in changed)
+            if news.entries:
+                self.dispatcher.news(news)
+        if self._lost:
+            self._hand_back(now)
 
     def _hand_back(self, now: int) -> None:
-        for destination in {one.destination for one in self.dispatcher.held.by_id.values()}:
-            if not self.portion(destination, now) and not self.fleet.awaits(destination, now):
+        """Of partitions that were lost; those of which nothing is held any more need no further look."""
+        held = {one.destination for one in self.dispatcher.held.by_id.values()}
+        held = {one for one in held if self.fleet.partition(one) in self._lost}
+        for destination in held:
+            if not self.fleet.awaits(destination, now):
                 self.dispatcher.hand_back(destination, BUSY)
+        self._lost = {self.fleet.partition(destination) for destination in held}
 
     def _save(self, now: int) -> None:
         data = json.dumps(self.fleet.saved(), separators=(",", ":")).encode()
@@ -208,6 +207,3 @@
     def close(self) -> None:
         """Let go of connections."""
         self.connections.close()
-
-
-__all__ = ["FILE", "MOST_SAVED", "FleetService", "FleetViewError"]
--- a/honeyhitch/memory/pool.py
+++ b/honeyhitch/memory/pool.py
@@ -101,10 +101,11 @@
 
     def wanted(self, row: dict[str, Any], complete: bool = False) -> bool:
         """Whether an entry is kept: one of a destination that is, or a change of a member that was."""
-        cell = row.get("cell")
-        if self.keeps is None or (isinstance(cell, int) and self.keeps(cell)):
+        if self.keeps is None:
+            return True
+        if "cell" in row and isinstance(row["cell"], int) and self.keeps(row["cell"]):
             return True
-        return not complete and row.get("id") in self.members
+        return not complete and row["id"] in self.members
 
     def _entry(self, member: PoolMember) -> api.Entry:
         entry = member.entry()
--- a/honeyhitch/partitioning/fleet.py
+++ b/honeyhitch/partitioning/fleet.py
@@ -70,12 +70,12 @@
             raise FleetViewError(
                 f"{own.name}: locality: {own.zone!r}, but {self.settings.zone!r} is set up here"
             )
-        self._adopt(view)
         issued = told.get("issued_ms")
+        if issued is not None and (isinstance(issued, bool) or not isinstance(issued, int)):
+            raise FleetViewError(f"issued_ms: expected a whole number, got {issued!r}")
+        self._adopt(view)
         if issued is None:
             return
-        if isinstance(issued, bool) or not isinstance(issued, int):
-            raise FleetViewError(f"issued_ms: expected a whole number, got {issued!r}")
         if issued * MS > now + self.settings.clock_skew:
             raise ClockError(f"issued_ms: {issued} is later than this machine's clock, {now // MS}")
         self.heard = max(self.heard or 0, issued * MS)
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import contextlib
+import re
 import shlex
 import sys
 from asyncio.subprocess import Process
-from collections.abc import AsyncIterator
+from collections import Counter
+from collections.abc import AsyncIterator, Callable
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
@@ -59,3 +61,29 @@
             with contextlib.suppress(ProcessLookupError):
                 process.kill()
             await process.wait()
+
+
+class Partner:
+    """An endpoint of every destination: it counts calls by their message, and delivers or holds them all."""
+
+    def __init__(self, told: Callable[[], None], answers: bool = True) -> None:
+        """`told` is called with each call that has come."""
+        self.told, self.answers, self.port = told, answers, 0
+        self.calls = Counter[str]()
+
+    async def start(self) -> Partner:
+        server = await asyncio.start_server(self._client, "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
+        return self
+
+    async def _client(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\nbody")).decode()
+                found = re.search(r"x-txn: (\S+)", head, re.I)
+                assert found is not None
+                self.calls[found[1]] += 1
+                self.told()
+                if self.answers:
+                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        writer.close()
--- a/tests/test_crowded_start.py
+++ b/tests/test_crowded_start.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 from .agent import Agent
-from .processes import PING, PONG, ask, killed, spawn, until_ready
+from .processes import PING, PONG, Partner, ask, killed, spawn, until_ready
 from .program import enqueue, free_port, play, write
 from .rig import row
 from .test_upgrade import Events
@@ -33,34 +33,12 @@
             writer.close()
 
 
-class Partner:
-    """An endpoint that delivers, or holds every call without an answer."""
-
-    def __init__(self, events: Events, answers: bool = True) -> None:
-        self.events, self.answers, self.calls, self.port = events, answers, 0, 0
-
-    async def start(self) -> Partner:
-        server = await asyncio.start_server(self._client, "127.0.0.1", 0)
-        self.port = server.sockets[0].getsockname()[1]
-        return self
-
-    async def _client(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
-            while True:
-                await reader.readuntil(b"\r\n\r\nbody")
-                self.calls += 1
-                self.events.tell()
-                if self.answers:
-                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-        writer.close()
-
-
 def test_discovery_endpoints_and_notices_get_theirs_while_idle_clients_fill_the_descriptors(
     tmp_path: Path,
 ) -> None:
     async def work() -> None:
         events, port = Events(), free_port()
-        partner = await Partner(events).start()
+        partner = await Partner(events.tell).start()
         agent = await Agent(
             [{**row("s-1", 1), "host_port": f"127.0.0.1:{partner.port}"}, row("s-2", 2)]
         ).start()
@@ -77,7 +55,7 @@
             await agent.start()
             await events.until(lambda: len(agent.watches) > watches)  # discovery
             assert await ask(port, enqueue("one")) == b"+OK\r\n"
-            await events.until(lambda: partner.calls == 1)  # an endpoint
+            await events.until(lambda: partner.calls.total() == 1)  # an endpoint
             lost = enqueue("two", left=300).replace(b"dest=1", b"dest=2")  # nobody listens there
             assert await ask(port, lost) == b"+OK\r\n"
             await events.until(lambda: "two" in agent.notices)  # and a notice
@@ -85,7 +63,7 @@
             other = enqueue("three").replace(b"dest=1", b"dest=3")
             while await ask(port, other) != b"+OK\r\n":  # until the change has arrived
                 await asyncio.sleep(0.02)
-            await events.until(lambda: partner.calls == 2)
+            await events.until(lambda: partner.calls.total() == 2)
             assert process.returncode is None
             for task in crowd:
                 task.cancel()
@@ -96,7 +74,7 @@
 def test_nine_in_ten_of_those_restarted_at_once_are_ready_in_time(tmp_path: Path) -> None:
     async def work() -> None:
         events = Events()
-        partner = await Partner(events, answers=False).start()
+        partner = await Partner(events.tell, answers=False).start()
         agent = await Agent([{**row("s-1", 1), "host_port": f"127.0.0.1:{partner.port}"}]).start()
         paths: dict[int, str] = {}
         for number in range(RESTARTED):
--- a/tests/test_partitioning_program.py
+++ b/tests/test_partitioning_program.py
@@ -9,7 +9,6 @@
 import asyncio
 import contextlib
 import json
-import re
 import signal
 import time
 from asyncio.subprocess import Process
@@ -26,7 +25,7 @@
 from honeyhitch.partitioning.settings import FleetSettings, Region
 
 from .agent import Agent
-from .processes import ask, spawn, until_ready
+from .processes import Partner, ask, spawn, until_ready
 from .program import enqueue, free_port, play, write
 from .rig import row
 from .test_upgrade import Events
@@ -37,35 +36,12 @@
 DESTINATIONS = range(1, 41)
 
 
-class Partner:
-    """An endpoint of every destination: it delivers each call, and keeps account of them by message."""
-
-    def __init__(self, events: Events) -> None:
-        self.events, self.calls, self.port = events, Counter[str](), 0
-
-    async def start(self) -> Partner:
-        server = await asyncio.start_server(self._client, "127.0.0.1", 0)
-        self.port = server.sockets[0].getsockname()[1]
-        return self
-
-    async def _client(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
-            while True:
-                head = (await reader.readuntil(b"\r\n\r\nbody")).decode()
-                found = re.search(r"x-txn: (\S+)", head, re.I)
-                assert found is not None
-                self.calls[found[1]] += 1
-                self.events.tell()
-                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-        writer.close()
-
-
 class FleetRig:
     """Discovery's agent, the view's agent, a partner, and the processes."""
 
     def __init__(self, folder: Path) -> None:
         self.folder, self.events = folder, Events()
-        self.partner, self.control = Partner(self.events), Agent([])
+        self.partner, self.control = Partner(self.events.tell), Agent([])
         self.control.stamp = lambda: {"issued_ms": time.time_ns() // 10**6, "lease_ms": LEASE_MS}
         self.control.beat = 0.3
         self.ports = {name: free_port() for name in INSTANCES}
--- a/tests/test_partitioning_service.py
+++ b/tests/test_partitioning_service.py
@@ -167,6 +167,25 @@
     assert calls[0].parts[0].id not in one.core.held.by_id
 
 
+def test_what_was_out_as_its_share_was_lost_and_never_ran_is_handed_back_then(tmp_path: Path) -> None:
+    one = stand(tmp_path)
+    number = one.home()
+    one.hear()
+    assert one.hand_in("out", number)
+    (call,) = one.run(0.1)
+    gone = next(row for row in ROWS if row["id"] == NAME)
+    one.hear(2, False, [{**gone, "phase": "Gone"}])
+    one.time.run(1)
+    one.fleet.look_if_due()
+    assert "out" in one.core.held.by_id, "its call is out"
+    one.end(call, api.Outcome.REFUSED)
+    one.time.run(0.2)
+    one.fleet.look_if_due()
+    assert [answer.ending for answer in one.answers] == [Ending.REJECTED]
+    one.fleet.look_if_due()
+    assert not one.fleet._lost, "and nothing more is looked for"
+
+
 def test_the_module_is_told_the_part_of_listed_and_of_reported_limits(tmp_path: Path) -> None:
     one = stand(tmp_path)
     number = one.home()
--- a/tests/test_partitioning_view.py
+++ b/tests/test_partitioning_view.py
@@ -52,6 +52,7 @@
         (view(revision=True), "revision: expected a whole number"),
         (view(lease_ms=10_000), "lease_ms: 10000, but 3000 is set up here"),
         (view(issued_ms="late"), "issued_ms: expected a whole number"),
+        (view(revision=6, members=ROWS[:3], issued_ms=1.5), "issued_ms: expected a whole number"),
         (
             view(complete=False, members=[{**row, "phase": "Gone"} for row in ROWS]),
             "a fleet has one instance at least",
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import copy
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -80,3 +81,14 @@
         config.read({}, *write(tmp_path, 1, 1, [], settings=told))
     del told["replicas-of-me"]
     assert config.read({}, *write(tmp_path, 1, 1, [], settings=told)).settings.instances == 1
+
+
+@pytest.mark.parametrize("row", [7, "s-1", None, [], {}])
+@pytest.mark.parametrize("keeps", [None, lambda destination: True, lambda destination: False])
+def test_a_row_that_is_no_member_is_a_pool_error_whatever_is_kept(
+    row: object, keeps: Callable[[int], bool] | None
+) -> None:
+    one = Pool(settings())
+    one.keeps = keeps
+    with pytest.raises(PoolError, match="members"):
+        one.update({"revision": 1, "complete": True, "members": [row]})
