--- a/honeyhitch/memory/pool.py
+++ b/honeyhitch/memory/pool.py
@@ -103,9 +103,8 @@
         """Whether an entry is kept: one of a destination that is, or a change of a member that was."""
         if self.keeps is None:
             return True
-        if "cell" in row and isinstance(row["cell"], int) and self.keeps(row["cell"]):
-            return True
-        return not complete and row["id"] in self.members
+        known, cell = row["id"] in self.members, row.get("cell")
+        return (isinstance(cell, int) and self.keeps(cell)) or (known and not complete)
 
     def _entry(self, member: PoolMember) -> api.Entry:
         entry = member.entry()
--- a/honeyhitch/wire/drivers/discovery.py
+++ b/honeyhitch/wire/drivers/discovery.py
@@ -58,7 +58,8 @@
         pool, settings = self.dispatcher.pool, self.dispatcher.s
         known, grace = len(pool.members) > len(pool.fixed), settings.drain_grace / NS
         asking = Asking(self.rng, settings.instances, known, self.moved, grace)
-        wanted = pool.wanted if self.filters else None
+        # One without an id is let through, so that the list is refused for it as any other would be.
+        wanted = (lambda row: "id" not in row or pool.wanted(row)) if self.filters else None
         await ListWatch(self.address, self.loop, asking, lambda: pool.revision, self._take, wanted).run()
 
     def _take(self, told: dict[str, Any]) -> None:
