--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -31,7 +31,7 @@
 from benchmarks.fleet_watchers import watch_in_process  # noqa: E402
 from benchmarks.hollow_fleet import Fault, FaultKind, HollowPlay, Totals  # noqa: E402
 from benchmarks.real_fleet import SETTLED_SECONDS, RealFleet  # noqa: E402
-from benchmarks.service_process import members  # noqa: E402
+from benchmarks.service_process import members, running  # noqa: E402
 from benchmarks.standins import Agent, Endpoint, LoopThread  # noqa: E402
 
 MEMORY_BUDGET, CPU_BUDGET, BYTES_BUDGET, FORCE_BUDGET = 64e6, 0.014, 11_000, 4.0  # of a dispatcher
@@ -114,6 +114,8 @@
     with contextlib.ExitStack() as stack:
         place = "/dev/shm" if Path("/dev/shm").is_dir() else None
         folder = Path(stack.enter_context(tempfile.TemporaryDirectory(dir=place)))
+        plain = without_fleet(folder / "plain", agent, listed)
+        say("service: one process without a fleet was measured")
         fleet = stack.enter_context(RealFleet(folder, real, count, agent, SETTLE_SECONDS))
         say(f"service: {real} real processes are ready")
         resident = [one.resident() for one in fleet.processes]
@@ -133,6 +135,7 @@
             "real": real,
             "destinations": destinations,
             "list_bytes": len(agent.whole_list()),
+            "before": plain,
             "resident_median": statistics.median(resident),
             "resident_most": max(resident),
             "ready_median_s": statistics.median(ready),
@@ -153,6 +156,16 @@
         }
 
 
+def without_fleet(folder: Path, agent: Agent, listed: list[dict[str, Any]]) -> dict[str, float]:
+    """One real process as it is without `[fleet]`: it knows the whole list."""
+    folder.mkdir()
+    with running(folder, agent.port, listed) as one:
+        found = {"ready_s": one.seconds_to_ready, "resident": one.resident(), "start_cpu_s": one.cpu()}
+        before = one.cpu()
+        time.sleep(SETTLE_SECONDS)
+        return found | {"idle_cpu": (one.cpu() - before) / SETTLE_SECONDS}
+
+
 def ordinary_day(count: int) -> tuple[Fault, ...]:
     """An ordinary day and what comes every month or year, sped up: 43 of 770 restarted, two machines lost."""
     return (
@@ -215,6 +228,9 @@
         rows.append(("control machine: CPU idle", f"{one['control_cpu_idle']:.1%} of a core", "5 machines"))
         rows.append(("control machine: CPU, 2 changes a second", f"{one['control_cpu_changing']:.1%}", ""))
     if one := results.get("service"):
+        plain = one["before"]
+        was = f"{plain['resident'] / 1e6:.0f} MB, {plain['ready_s']:.1f} s, {plain['idle_cpu']:.2%}"
+        rows.append(("one process without [fleet]: memory, start, idle", was, "64 MB, 10 s, 1.4%"))
         memory = f"{one['resident_median'] / 1e6:.0f}, {one['resident_most'] / 1e6:.0f} MB"
         rows.append(("memory of a real process: median, most", memory, f"{MEMORY_BUDGET / 1e6:.0f} MB"))
         ready = f"{one['ready_median_s']:.1f}, {one['ready_most_s']:.1f} s"
