--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import pytest
+from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import strategies as st
 
 from benchmarks.hollow_fleet import Fault, FaultKind, HollowPlay, Totals
 
@@ -45,3 +47,33 @@
     before, after = play(DAY, partitioned=False, dispatchers=160), play(DAY, dispatchers=160)
     assert after.handshakes < 0.6 * before.handshakes
     assert after.delivered >= before.delivered
+
+
+moments = st.floats(min_value=2, max_value=25)
+faults = st.builds(
+    lambda kind, at, lasts, count: Fault(kind, at, at + lasts, count),
+    st.sampled_from(FaultKind),
+    moments,
+    st.floats(min_value=0.5, max_value=15),
+    st.integers(min_value=1, max_value=5),
+)
+
+
+@settings(
+    max_examples=20,
+    deadline=None,
+    derandomize=True,
+    phases=(Phase.explicit, Phase.generate),
+    suppress_health_check=list(HealthCheck),
+)
+@given(st.lists(faults, max_size=5), st.integers(min_value=0, max_value=1 << 16))
+def test_whatever_fails_together_no_message_is_out_twice_and_none_is_forgotten(
+    planned: list[Fault], seed: int
+) -> None:
+    """Machines, restarts, racks, zones, the link between regions and the control machines, in any order."""
+    total = HollowPlay(
+        16, 2, True, seed=seed, seconds=30, zones=2, down=1, faults=tuple(planned), partitions=16
+    ).run()
+    assert total.two_out == 0 and total.most_share <= 1 + 1e-9
+    ended = total.delivered + total.turned_away + total.returned + total.lost_with_machine
+    assert ended == total.handed_in
