--- a/tests/test_beside.py
+++ b/tests/test_beside.py
@@ -499,11 +499,15 @@
     play(work())
 
 
+FLEET = '[fleet]\nview = "127.0.0.1:9"\nzone = "a"\n[fleet.regions]\neast = ["a"]\n'
+
+
 @pytest.mark.parametrize(
     ("change", "operator", "says"),
     [
         ({"name": "n1"}, None, "name: the state folder is held by 'n0', which runs"),
         ({}, "[control]", "control: cannot be had beside a running process; stop that one first"),
+        ({}, FLEET, "fleet: cannot be had beside a running process; stop that one first"),
         ({}, None, ""),
     ],
 )
