--- a/honeyhitch/wire/drivers/peers.py
+++ b/honeyhitch/wire/drivers/peers.py
@@ -6,6 +6,7 @@
 import socket
 from collections import deque
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 
 from honeyhitch import interface as api
 from honeyhitch import logs
@@ -13,13 +14,28 @@
 from honeyhitch.memory.transactions import Transaction
 from honeyhitch.wire import forwarding
 from honeyhitch.wire.drivers import sockets
-from honeyhitch.wire.forwarding import ForwardOutcome, NothingWritten, Relayed, Unanswered
+from honeyhitch.wire.forwarding import (
+    ConnectionEnded,
+    ForwardOutcome,
+    NothingWritten,
+    Relayed,
+    Unanswered,
+)
 
 log = logs.get()
 CONNECT_WITHIN = 0.1  # seconds; owners are on the same network
 ANSWER_WITHIN = 0.35  # seconds for all of it: a client waits 0.4 s for its reply (protocol page)
 
 
+@dataclass(frozen=True, slots=True)
+class PeerConnection:
+    """A connection in use; one that was kept from an earlier request may be closed at the other end."""
+
+    sock: socket.socket
+    address: str
+    kept: bool
+
+
 class PeerConnections:
     """A bounded number of connections, one request at a time on each; those that rest are used again."""
 
@@ -32,21 +48,23 @@
         """Connections in use and at rest."""
         return self.in_use + sum(map(len, self.idle.values()))
 
-    async def acquire(self, address: str, by: float) -> socket.socket | None:
-        """A connection on which nothing is open, or None where none can be had until then."""
+    async def acquire(self, address: str, by: float, fresh: bool = False) -> PeerConnection | None:
+        """A connection on which nothing is open, a new one if it has to be `fresh`; None where none can be
+        had until then.
+        """
         resting = self.idle.get(address, deque())
-        while resting:
+        while resting and not fresh:
             sock = resting.pop()
             if sockets.quiet(sock):
                 self.in_use += 1
-                return sock
+                return PeerConnection(sock, address, kept=True)
             sock.close()
         if self.open >= self.most and not self._close_one():
             return None
         self.in_use += 1
         try:
             async with asyncio.timeout_at(by):
-                return await sockets.connect(self.loop, address)
+                return PeerConnection(await sockets.connect(self.loop, address), address, kept=False)
         except (OSError, TimeoutError):
             self.in_use -= 1
             return None
@@ -54,13 +72,13 @@
             self.in_use -= 1
             raise
 
-    def release(self, address: str, sock: socket.socket, reusable: bool) -> None:
+    def release(self, connection: PeerConnection, reusable: bool) -> None:
         """Done with it; one that is not reusable is closed."""
         self.in_use -= 1
         if reusable:
-            self.idle.setdefault(address, deque()).append(sock)
+            self.idle.setdefault(connection.address, deque()).append(connection.sock)
         else:
-            sock.close()
+            connection.sock.close()
 
     def _close_one(self) -> bool:
         """Close the connection at rest that has been there for longest at the address with most of them."""
@@ -102,19 +120,26 @@
         for address in self.owners(transaction.destination):
             if self.loop.time() >= by:
                 break
-            match await self._ask(address, transaction, by):
+            outcome = await self._ask(address, transaction, by)
+            if isinstance(outcome, ConnectionEnded):
+                outcome = await self._ask(address, transaction, by, fresh=True)
+                if isinstance(outcome, NothingWritten):
+                    outcome = Unanswered()  # the first bytes were: nobody else may have it
+            match outcome:
                 case Relayed(reply):
                     return reply
-                case Unanswered():
+                case Unanswered() | ConnectionEnded():
                     log.warning("forward.unanswered", message=transaction.id, key=address)
                     return None
         log.warning("forward.unreachable", message=transaction.id, key=str(transaction.destination))
         return self.refusal
 
-    async def _ask(self, address: str, transaction: Transaction, by: float) -> ForwardOutcome:
+    async def _ask(
+        self, address: str, transaction: Transaction, by: float, fresh: bool = False
+    ) -> ForwardOutcome:
         connect_by = min(by, self.loop.time() + CONNECT_WITHIN)
-        sock = await self.connections.acquire(address, connect_by)
-        if sock is None:
+        connection = await self.connections.acquire(address, connect_by, fresh)
+        if connection is None:
             return NothingWritten()
         outcome: ForwardOutcome = NothingWritten()
         try:
@@ -123,18 +148,22 @@
                 return outcome
             outcome = Unanswered()  # from here on bytes may be on their way
             async with asyncio.timeout_at(by):
-                await self.loop.sock_sendall(sock, request)
-                outcome = Relayed(await self._reply(sock))
+                outcome = await self._exchange(connection, request)
         except (OSError, TimeoutError, ValueError) as error:
             log.warning("forward.failed", error=f"{type(error).__name__}: {error}", key=address)
         finally:
-            self.connections.release(address, sock, isinstance(outcome, Relayed))
+            self.connections.release(connection, isinstance(outcome, Relayed))
         return outcome
 
-    async def _reply(self, sock: socket.socket) -> bytes:
-        reader, buffer = forwarding.ReplyReader(), Buffer()
-        while True:
-            if not await sockets.read(self.loop, sock, buffer):
-                raise ConnectionResetError("the owner ended the connection before its reply")
-            if (reply := reader.feed(buffer.take())) is not None:
-                return reply
+    async def _exchange(self, connection: PeerConnection, request: bytes) -> ForwardOutcome:
+        reader, buffer, sock = forwarding.ReplyReader(), Buffer(), connection.sock
+        began = False
+        try:
+            await self.loop.sock_sendall(sock, request)
+            while await sockets.read(self.loop, sock, buffer):
+                began = True
+                if (reply := reader.feed(buffer.take())) is not None:
+                    return Relayed(reply)
+        except ConnectionError as error:
+            log.warning("forward.failed", error=str(error), key=connection.address)
+        return ConnectionEnded() if connection.kept and not began else Unanswered()
--- a/honeyhitch/wire/forwarding.py
+++ b/honeyhitch/wire/forwarding.py
@@ -32,7 +32,17 @@
     """The request, or a part of it, was written and no reply came: the owner may have accepted it."""
 
 
-ForwardOutcome = Relayed | NothingWritten | Unanswered
+@dataclass(frozen=True, slots=True)
+class ConnectionEnded:
+    """The request was written to a kept connection, which ended with no byte of a reply.
+
+    A dispatcher may close a connection between two requests. Where that crosses one which it has not read,
+    the request is sent once more on a new connection (protocol page). The owner knows it by its id if it has
+    accepted it, so that only this owner may be asked again.
+    """
+
+
+ForwardOutcome = Relayed | NothingWritten | Unanswered | ConnectionEnded
 
 
 def request(settings: api.Settings, transaction: Transaction, instance: str, now: int) -> bytes | None:
--- /dev/null
+++ b/tests/test_forwarder.py
@@ -0,0 +1,138 @@
+"""Passing a request on over kept connections: what ends in the moment in which it is written. Loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
+
+from honeyhitch.memory.transactions import Transaction
+from honeyhitch.wire.drivers.peers import Forwarder, PeerConnections
+
+from .program import play
+from .rig import SETTINGS
+from .world import SECOND, settings
+
+BUSY = b"-BUSY 500\r\n"
+Stream = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+
+class Owner:
+    """A stand-in for another instance: a test says what it does with each request that has come."""
+
+    def __init__(self, act: Callable[[int, asyncio.StreamWriter], Awaitable[None]]) -> None:
+        self.act, self.requests, self.connections, self.port = act, list[bytes](), 0, 0
+
+    async def start(self) -> Owner:
+        self.server = await asyncio.start_server(self._client, "127.0.0.1", self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def _client(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                self.requests.append(await reader.readuntil(b"\r\nbody\r\n"))
+                await self.act(len(self.requests), writer)
+
+
+def forwarder(*owners: Owner) -> Forwarder:
+    loop = asyncio.get_running_loop()
+    addresses = [f"127.0.0.1:{one.port}" for one in owners]
+    connections = PeerConnections(loop, 4)
+    return Forwarder(settings(**SETTINGS), "x", lambda number: addresses, connections, lambda: 0, BUSY)
+
+
+def message(name: str) -> Transaction:
+    return Transaction(name, 0, 1, 5 * SECOND, b"body", key=name)
+
+
+def run(work: Callable[[], Coroutine[Any, Any, None]]) -> None:
+    play(work())
+
+
+async def accept(number: int, writer: asyncio.StreamWriter) -> None:
+    writer.write(b"+OK\r\n")
+
+
+async def accept_once_then_end(number: int, writer: asyncio.StreamWriter) -> None:
+    """As a dispatcher that shuts a resting connection while the next request is on its way."""
+    if number == 2:
+        writer.close()
+    else:
+        writer.write(b"+OK\r\n")
+
+
+def test_a_request_that_crosses_the_end_of_a_kept_connection_goes_once_more_to_the_same_owner() -> None:
+    async def work() -> None:
+        owner, other = await Owner(accept_once_then_end).start(), await Owner(accept).start()
+        one = forwarder(owner, other)
+        assert await one.forward(message("a")) == b"+OK\r\n"
+        assert await one.forward(message("b")) == b"+OK\r\n"
+        assert owner.requests[1] == owner.requests[2], "the same request, by the same id"
+        assert owner.connections == 2 and not other.requests
+
+    run(work)
+
+
+def test_it_is_not_sent_to_another_owner_where_the_first_is_gone_then() -> None:
+    async def work() -> None:
+        async def end_for_good(number: int, writer: asyncio.StreamWriter) -> None:
+            if number == 2:
+                owner.server.close()
+                writer.transport.abort()
+            else:
+                writer.write(b"+OK\r\n")
+
+        owner, other = await Owner(end_for_good).start(), await Owner(accept).start()
+        one = forwarder(owner, other)
+        assert await one.forward(message("a")) == b"+OK\r\n"
+        assert await one.forward(message("b")) is None
+        assert not other.requests, "the first one may have accepted it"
+
+    run(work)
+
+
+def test_a_new_connection_that_ends_without_a_reply_is_not_asked_again() -> None:
+    async def work() -> None:
+        async def end(number: int, writer: asyncio.StreamWriter) -> None:
+            writer.close()
+
+        owner, other = await Owner(end).start(), await Owner(accept).start()
+        assert await forwarder(owner, other).forward(message("a")) is None
+        assert len(owner.requests) == 1 and not other.requests
+
+    run(work)
+
+
+def test_half_a_reply_on_a_kept_connection_is_no_crossing() -> None:
+    async def work() -> None:
+        async def half(number: int, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"+OK\r\n" if number == 1 else b"+O")
+            if number == 2:
+                writer.close()
+
+        owner = await Owner(half).start()
+        one = forwarder(owner)
+        assert await one.forward(message("a")) == b"+OK\r\n"
+        assert await one.forward(message("b")) is None and len(owner.requests) == 2
+
+    run(work)
+
+
+def test_connections_are_bounded_and_kept() -> None:
+    async def work() -> None:
+        owners = [await Owner(accept).start() for _ in range(6)]
+        one = forwarder(owners[0])
+        for _ in range(5):
+            assert await one.forward(message("a")) == b"+OK\r\n"
+        assert owners[0].connections == 1
+        for number, owner in enumerate(owners):
+            one.owners = lambda destination, port=owner.port: [f"127.0.0.1:{port}"]  # type: ignore[misc]
+            assert await one.forward(message(f"m{number}")) == b"+OK\r\n"
+            assert one.connections.open <= one.connections.most == 4
+        one.connections.close()
+        assert one.connections.open == 0
+
+    run(work)
