--- a/tests/test_partitioning_program.py
+++ b/tests/test_partitioning_program.py
@@ -102,8 +102,8 @@
         while not (await self.hand_in(name, f"ready-{name}-{time.monotonic_ns()}", number)).startswith(b"+"):
             await asyncio.sleep(0.02)
 
-    def owned_by(self, name: str, but: str | None = None) -> int:
-        """A destination that an instance is home to, and of which another one is the second in its zone."""
+    def owned_by(self, name: str) -> int:
+        """A destination that an instance is home to."""
         fleet = Fleet(FleetSettings(name, INSTANCES[name], "127.0.0.1:1", REGIONS, partitions=64))
         members = [self.entry(one) for one in INSTANCES]
         fleet.take({"revision": 1, "complete": True, "members": members}, 0)
