Work a message's owners out once where it is passed on; drop errors named twice

Where there is none the forwarder gives the same -BUSY 500. TimeoutError is an OSError. Partition, forwarder, scale and start tests pass.

--- a/honeyhitch/lifecycle/fleet.py
+++ b/honeyhitch/lifecycle/fleet.py
@@ -81,9 +81,9 @@
         now, destination = self.scheduler.now(), transaction.destination
         if self.dispatcher.journal.knows(transaction.id) or self.portion(destination, now) > 0:
             return Route.LOCAL
-        if forwarded or not self.fleet.owners(destination, now):
+        if forwarded or not self.ready:
             return Route.REFUSE
-        return Route.FORWARD
+        return Route.FORWARD  # where there is no owner to ask, the forwarder refuses it as well
 
     def describe(self) -> dict[str, Any]:
         """The view in force, for operators."""
--- a/honeyhitch/partitioning/view.py
+++ b/honeyhitch/partitioning/view.py
@@ -29,9 +29,8 @@
     """Whether an instance may own partitions."""
 
     READY = "Ready"
-    TERMINATING = (
-        "Terminating"  # it drains, restarts or does not answer; its place in the fleet stays its own
-    )
+    # It drains, restarts or does not answer; its place in the fleet stays its own.
+    TERMINATING = "Terminating"
 
 
 GONE = "Gone"  # only among changes
--- a/honeyhitch/wire/drivers/peers.py
+++ b/honeyhitch/wire/drivers/peers.py
@@ -65,7 +65,7 @@
         try:
             async with asyncio.timeout_at(by):
                 return PeerConnection(await sockets.connect(self.loop, address), address, kept=False)
-        except (OSError, TimeoutError):
+        except OSError:  # a TimeoutError is one
             self.in_use -= 1
             return None
         except BaseException:
@@ -149,7 +149,7 @@
             outcome = Unanswered()  # from here on bytes may be on their way
             async with asyncio.timeout_at(by):
                 outcome = await self._exchange(connection, request)
-        except (OSError, TimeoutError, ValueError) as error:
+        except (OSError, ValueError) as error:
             log.warning("forward.failed", error=f"{type(error).__name__}: {error}", key=address)
         finally:
             self.connections.release(connection, isinstance(outcome, Relayed))
