Give each process of the fleet's tests a port of its own, out of the way of connections

Seen: tests/test_partitioning_program.py failed in one run of some 50 as a process ended with 2 at its start; with its words kept in a file, a second failure said 'management: 127.0.0.1:27752 is the address of listen already': one port had been drawn twice, as each was let go before the next was drawn. An outgoing connection that holds a port ends a start in the same way (shown by a small probe: exit 2, 'Address already in use'). The first failure's words were not kept, so that its cause is one of the two. Ports are given once now, and from below those of outgoing connections. No assertion changed.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import contextlib
+import random
 import re
 import shlex
+import socket
 import sys
 from asyncio.subprocess import Process
 from collections import Counter
@@ -13,9 +15,27 @@
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
+OUTGOING = Path("/proc/sys/net/ipv4/ip_local_port_range")
+PORTS_BELOW = 12_000
+GIVEN = set[int]()  # ports, by this process
 PING, PONG = b"PING\r\n", b"+PONG\r\n"
 
 
+def listening_port() -> int:
+    """A free port that was not given before, below those that the system gives to outgoing connections: one
+    of these could be taken by another process of a test between its choice and its use.
+    """
+    lowest = int(OUTGOING.read_text().split()[0])
+    while True:
+        port = random.SystemRandom().randrange(lowest - PORTS_BELOW, lowest)
+        if port in GIVEN:
+            continue
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(("127.0.0.1", port))
+            GIVEN.add(port)
+            return port
+
+
 async def spawn(path: str, descriptors: int | None = None, operator: str | None = None) -> Process:
     """A real process with this configuration, and with so few descriptors if that is said."""
 
@@ -23,9 +43,8 @@
     arguments = [sys.executable, "-m", "honeyhitch", "serve", "--config", path]
     arguments += ["--operator", operator] if operator is not None else []
     program = shlex.join(arguments)
-    return await asyncio.create_subprocess_shell(
-        f"{limit}exec {program}", cwd=ROOT, stderr=asyncio.subprocess.DEVNULL
-    )
+    with Path(path).with_suffix(".log").open("ab") as log:  # to be read where a test fails
+        return await asyncio.create_subprocess_shell(f"{limit}exec {program}", cwd=ROOT, stderr=log)
 
 
 async def ask(port: int, request: bytes) -> bytes:
--- a/tests/test_crowded_start.py
+++ b/tests/test_crowded_start.py
@@ -13,8 +13,8 @@
 from typing import Any
 
 from .agent import Agent
-from .processes import PING, PONG, Partner, ask, killed, spawn, until_ready
-from .program import enqueue, free_port, play, write
+from .processes import PING, PONG, Partner, ask, killed, listening_port, spawn, until_ready
+from .program import enqueue, play, write
 from .rig import row
 from .test_upgrade import Events
 
@@ -37,7 +37,7 @@
     tmp_path: Path,
 ) -> None:
     async def work() -> None:
-        events, port = Events(), free_port()
+        events, port = Events(), listening_port()
         partner = await Partner(events.tell).start()
         agent = await Agent(
             [{**row("s-1", 1), "host_port": f"127.0.0.1:{partner.port}"}, row("s-2", 2)]
@@ -78,7 +78,7 @@
         agent = await Agent([{**row("s-1", 1), "host_port": f"127.0.0.1:{partner.port}"}]).start()
         paths: dict[int, str] = {}
         for number in range(RESTARTED):
-            folder, port = tmp_path / str(number), free_port()
+            folder, port = tmp_path / str(number), listening_port()
             folder.mkdir()
             paths[port], _ = write(folder, port, agent.port, agent.members)
         processes = [await spawn(path) for path in paths.values()]
--- a/tests/test_partitioning_program.py
+++ b/tests/test_partitioning_program.py
@@ -25,8 +25,8 @@
 from honeyhitch.partitioning.settings import FleetSettings, Region
 
 from .agent import Agent
-from .processes import Partner, ask, spawn, until_ready
-from .program import enqueue, free_port, play, write
+from .processes import Partner, ask, listening_port, spawn, until_ready
+from .program import enqueue, play, write
 from .rig import row
 from .test_upgrade import Events
 
@@ -44,8 +44,8 @@
         self.partner, self.control = Partner(self.events.tell), Agent([])
         self.control.stamp = lambda: {"issued_ms": time.time_ns() // 10**6, "lease_ms": LEASE_MS}
         self.control.beat = 0.3
-        self.ports = {name: free_port() for name in INSTANCES}
-        self.management = {name: free_port() for name in INSTANCES}
+        self.ports = {name: listening_port() for name in INSTANCES}
+        self.management = {name: listening_port() for name in INSTANCES}
         self.processes: dict[str, Process] = {}
         self.paths: dict[str, tuple[str, str | None]] = {}
 
