Log failed attempts, endings, rejections, closes and the phases of the service

New events with message ids and reasons: attempt.failed, message.ended, message.rejected, connection.closed, client.closed, service.started, service.draining, service.stopped; each is rate-limited by its key. A message that is delivered at its first attempt still causes no event.

--- a/honeyhitch/dispatcher/admission.py
+++ b/honeyhitch/dispatcher/admission.py
@@ -34,13 +34,13 @@
         if context.peer_process is not None and context.peer_process.has_accepted(message.id):
             return Admission(True)
         if not context.accepting or self._is_full():
-            return self._reject(message)
+            return self._reject(message, "full" if context.accepting else "not-accepting")
         message.accepted_at = context.scheduler.now()
         try:
             context.journal.record_accepted(message)
         except JournalFullError as error:
             log.warning("journal.full", record="message", error=str(error))
-            return self._reject(message)
+            return self._reject(message, "journal")
         if self._repeats_delivered_key(message):
             # The message's endpoint would also report a repeat as delivered.
             self.endings.conclude_as_delivered(message)
@@ -51,7 +51,8 @@
     def _is_full(self) -> bool:
         return len(self.context.messages) >= self.context.settings.max_messages
 
-    def _reject(self, message: Transaction) -> Admission:
+    def _reject(self, message: Transaction, reason: str) -> Admission:
+        log.info("message.rejected", message=message.id, reason=reason, key=reason)
         self.context.metrics.message_rejected(message)
         return Admission(False, BUSY_RETRY_AFTER)
 
--- a/honeyhitch/dispatcher/endings.py
+++ b/honeyhitch/dispatcher/endings.py
@@ -6,6 +6,7 @@
 from honeyhitch.dispatcher.context import DispatcherContext
 from honeyhitch.journal.transactions import RESEND_FRONTEND, RESP_FRONTEND, Ending, Transaction
 from honeyhitch.policy.events import MessageWithdrawn
+from honeyhitch.time_units import MILLISECOND
 
 log = logs.get_logger()
 
@@ -57,6 +58,15 @@
             ending is Ending.DELIVERED and message.frontend == RESP_FRONTEND
         )
         context.metrics.message_concluded(message, ending)
+        if ending is not Ending.DELIVERED:
+            log.info(
+                "message.ended",
+                message=message.id,
+                ending=ending.value,
+                attempts=message.attempt_count,
+                retry_after_ms=retry_after // MILLISECOND,
+                key=message.id,
+            )
         if is_dead_letter or not unanswered:
             context.journal.record_decision(message, ending, retry_after, is_dead_letter)
         if unanswered:
--- a/honeyhitch/dispatcher/outcomes.py
+++ b/honeyhitch/dispatcher/outcomes.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+from honeyhitch import logs
 from honeyhitch.dispatcher.context import DispatcherContext
 from honeyhitch.dispatcher.delivery import Call, CallResult
 from honeyhitch.dispatcher.endings import Endings
 from honeyhitch.endpoints.endpoint import PoolEndpoint
 from honeyhitch.journal.transactions import RESEND_FRONTEND, Attempt, Ending, Transaction
 from honeyhitch.policy.events import AttemptEnded, Outcome, RetryAfterReceived
+from honeyhitch.time_units import MILLISECOND
 
+log = logs.get_logger()
 LIMIT_REMAINING_FIELD = "x0"  # report field: the remaining fraction of the limit
 RATE_LIMIT_FIELD = "x1"  # report field: the limit in calls per second
 
@@ -117,6 +120,17 @@
         number = call.attempt_numbers[index]
         if outcome.proves_not_executed:
             journal.record_not_executed(message, number)
+        if outcome is not Outcome.DELIVERED:
+            log.info(
+                "attempt.failed",
+                message=message.id,
+                attempt=number,
+                member=call.endpoint.id,
+                outcome=outcome.value,
+                elapsed_ms=(self.context.scheduler.now() - call.sent_at) // MILLISECOND,
+                retry_after_ms=result.retry_after // MILLISECOND,
+                key=message.id,
+            )
         if self.context.dead_letter_sink is not None and outcome is not Outcome.DELIVERED:
             attempt = Attempt(
                 number=number,
--- a/honeyhitch/service/run.py
+++ b/honeyhitch/service/run.py
@@ -7,6 +7,7 @@
 
 import uvloop
 
+from honeyhitch import logs
 from honeyhitch.config import Config
 from honeyhitch.service.assembly import assemble
 from honeyhitch.service.reload import ConfigReader, reload
@@ -14,6 +15,8 @@
 from honeyhitch.service.signals import StopSignal, on_reload
 from honeyhitch.service.start import start
 
+log = logs.get_logger()
+
 
 async def run(config: Config, read_config: ConfigReader) -> None:
     """Serve until SIGTERM or SIGINT, then drain and stop.
@@ -28,8 +31,11 @@
     service = assemble(config)
     try:
         start(service)
+        log.info("service.started", held=len(service.dispatcher.messages))
         await stop.received.wait()
+        log.info("service.draining", held=len(service.dispatcher.messages))
         await drain_and_stop(service)
+        log.info("service.stopped", held=len(service.dispatcher.messages))
     finally:
         await close(service)
 
--- a/honeyhitch/transports/client_server.py
+++ b/honeyhitch/transports/client_server.py
@@ -167,7 +167,7 @@
         idle_before = self.loop.time() - IDLE_CLIENT_SECONDS
         for client in self.clients:
             if client.between_requests or (client.state_since < idle_before and self._counts_as_idle(client)):
-                self._close_client(client)
+                self._close_client(client, "slot-needed")
                 return True
         return False
 
@@ -194,7 +194,7 @@
         if not client.sending:
             with contextlib.suppress(OSError):
                 client.sock.send(REQUEST_TIMEOUT_REPLY)
-        self._close_client(client)
+        self._close_client(client, "reply-not-read" if client.sending else "request-incomplete")
 
     def _record_state_change(self, client: Client) -> None:
         """Set the client's `state_since` to the current time, and move the client to the end of the order."""
@@ -203,11 +203,12 @@
             del self.clients[client]
             self.clients[client] = None
 
-    def _close_client(self, client: Client) -> None:
-        """Shut a connection down.
+    def _close_client(self, client: Client, reason: str) -> None:
+        """Shut a connection down, and log the reason.
 
         Bytes that arrive from now on are not read, because the client submits them again on a new connection.
         """
+        log.info("client.closed", reason=reason, answered=client.answered, key=reason)
         self.clients.pop(client, None)
         client.closed = True
         with contextlib.suppress(OSError):
@@ -290,7 +291,7 @@
         self.draining = True
         for client in list(self.clients):
             if client.between_requests:
-                self._close_client(client)
+                self._close_client(client, "draining")
 
     def close(self) -> None:
         """Stop listening."""
--- a/honeyhitch/transports/http_transport.py
+++ b/honeyhitch/transports/http_transport.py
@@ -121,8 +121,12 @@
 
     def _close_unless_usable(self, connection: Connection, endpoint: PoolEndpoint | None) -> bool:
         """Return whether an idle connection may carry another call; close it if not."""
-        if self._may_reuse(connection, endpoint) and connection.channel.is_reusable():
-            return True
+        reason = "idle-too-long-or-moved"
+        if self._may_reuse(connection, endpoint):
+            if connection.channel.is_reusable():
+                return True
+            reason = "ended-or-unexpected-data"
+        log.info("connection.closed", address=connection.address, reason=reason, key=connection.address)
         connection.channel.close()
         return False
 
