Give each call a connection that carries no other call, so a copy has no target

Cause: HttpTransport._finish pooled a connection after each response, and _receive_response matched a response to a call by its position alone. A response carries nothing that names its request. A copy that came 1 to 10 ms after the next request concluded that request; a copied batch response, which omits the next call's messages, made them fail while the call was still in flight.

A check before reuse cannot help: the copy comes after the request was written. Ruled out: unread bytes on an idle connection (MSG_PEEK sees them), notices, restarts.

Change: a plain connection is closed before its call's slot becomes free; only a connection on which no byte was sent goes back to the pool. TLS keeps its pool, since it detects repeated records.

--- a/honeyhitch/transports/http_transport.py
+++ b/honeyhitch/transports/http_transport.py
@@ -1,4 +1,8 @@
-"""Sends calls to endpoints over HTTP. Connections are pooled, limited and reused for one call at a time."""
+"""Sends calls to endpoints over HTTP, each on a connection that carries no other call.
+
+A response does not name its request. If the network delivers a response twice on a connection that already
+carries the next call, the copy cannot be told from the response to that call.
+"""
 
 from __future__ import annotations
 
@@ -65,6 +69,8 @@
     `max_idle` is the maximum number of idle connections to all endpoints together.
     """
 
+    reuses_connections = False  # whether a connection may carry another call after a call was written to it
+
     def __init__(self, dispatcher: Dispatcher, scheduler: LoopScheduler, tasks: Tasks, max_idle: int) -> None:
         self.dispatcher = dispatcher
         self.scheduler = scheduler
@@ -154,12 +160,15 @@
 
     def _finish(self, call: Call, progress: CallProgress, result: CallResult | None) -> None:
         connection = progress.connection
-        if result is not None and connection and (progress.not_started or connection.parser.reusable):
+        if result is not None and connection and self._may_carry_another_call(progress, connection):
             self._release(call.endpoint, connection)
         else:
             self._close(call.endpoint, progress)
         self.running.pop(call, None)
 
+    def _may_carry_another_call(self, progress: CallProgress, connection: Connection) -> bool:
+        return progress.not_started or (self.reuses_connections and connection.parser.reusable)
+
     def _interrupted_result(self, call: Call, progress: CallProgress, outcome: Outcome) -> CallResult:
         return late_result(call, progress) or failed_result(call, progress, outcome)
 
--- a/honeyhitch/transports/tls_transport.py
+++ b/honeyhitch/transports/tls_transport.py
@@ -89,6 +89,9 @@
     `max_idle` is the maximum number of connections to all endpoints that are idle or in a handshake.
     """
 
+    # TLS detects records that the network delivers twice (RFC 8446, section 5.3).
+    reuses_connections = True
+
     def __init__(
         self,
         dispatcher: Dispatcher,
