Send each request with notices on its own connection, so a copied 204 confirms none

Callers would see an accepted message that ends with no notice: the agent answers a first notice with 204, a copy of that 204 arrives under the next request, and the agent loses that request.

Discovery._send_notices kept one connection and counted the next response on it as the confirmation.

Change: one connection and one deadline for each request; the agent is on the same machine.

--- a/honeyhitch/transports/discovery.py
+++ b/honeyhitch/transports/discovery.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from http import HTTPStatus
 from random import Random
 from typing import Any
@@ -13,10 +12,10 @@
 from honeyhitch.journal.transactions import Transaction
 from honeyhitch.protocols import http1, notices
 from honeyhitch.protocols.buffer import Buffer
-from honeyhitch.protocols.discovery_backoff import ResponseTimeout, WatchBackoff
+from honeyhitch.protocols.discovery_backoff import WatchBackoff
 from honeyhitch.time_units import SECOND
 from honeyhitch.transports import sockets
-from honeyhitch.transports.list_watch import ListWatch, connect_before, send_request
+from honeyhitch.transports.list_watch import ListWatch, send_request
 from honeyhitch.transports.tasks import Tasks
 
 log = logs.get_logger()
@@ -99,55 +98,42 @@
     async def notify(self) -> None:
         """Send notices until cancelled.
 
-        Unconfirmed notices are sent again on another connection. The agent responds immediately, so a
-        connection without a response is considered dead, and a second notice of the same final answer is
-        harmless.
+        Unconfirmed notices are sent again. The agent responds immediately, so a connection without a response
+        is considered dead, and a second notice of the same final answer is harmless.
         """
         response_timeout = notices.response_timeout()
         while True:
             if not self.pending_notices:
+                self.notice_added.clear()
                 await self.notice_added.wait()
+            batch = self.pending_notices[: notices.MAX_NOTICES_PER_REQUEST]
             try:
-                await self._send_notices(response_timeout)
+                async with asyncio.timeout(response_timeout.current):
+                    await self._post_notices(batch)
             except (OSError, http1.HttpError) as error:
                 response_timeout.record_failure()
                 log.warning("notices.unconfirmed", error=f"{type(error).__name__}: {error}", key=self.address)
                 await asyncio.sleep(response_timeout.retry_pause)
-
-    async def _send_notices(self, response_timeout: ResponseTimeout) -> None:
-        """Send notices on one connection; return once it is found closed.
-
-        Raise OSError if the connection breaks, a response is late or the agent rejects a request, and
-        HttpError if a response is malformed.
+                continue
+            response_timeout.record_response()
+            del self.pending_notices[: len(batch)]
+            for transaction in batch:
+                self.dispatcher.answer_sent(transaction)
+
+    async def _post_notices(self, batch: list[Transaction]) -> None:
+        """Send notices in one request, on a connection that carries no other request.
+
+        On a shared connection, a response that is delivered twice would confirm notices that the agent did
+        not receive. Raise OSError if the connection breaks or the agent rejects the request, and HttpError if
+        the response is malformed.
         """
-        sock = await connect_before(self.loop, self.address, self.loop.time() + response_timeout.current)
-        buffer = Buffer()
+        sock = await sockets.connect(self.loop, self.address)
         try:
-            while True:
-                self.notice_added.clear()
-                while batch := self.pending_notices[: notices.MAX_NOTICES_PER_REQUEST]:
-                    await self._post_notices(sock, buffer, batch, response_timeout)
-                    del self.pending_notices[: len(batch)]
-                    for transaction in batch:
-                        self.dispatcher.answer_sent(transaction)
-                await self.notice_added.wait()
-                if not sockets.is_reusable(sock):
-                    return
+            request = notices.encode_request(batch, self.address)
+            response = await send_request(self.loop, sock, Buffer(), request)
         finally:
             sock.close()
-
-    async def _post_notices(
-        self,
-        sock: socket.socket,
-        buffer: Buffer,
-        batch: list[Transaction],
-        response_timeout: ResponseTimeout,
-    ) -> None:
-        request = notices.encode_request(batch, self.address)
-        async with asyncio.timeout(response_timeout.current):
-            response = await send_request(self.loop, sock, buffer, request)
         if response.status != HTTPStatus.NO_CONTENT:
             raise ConnectionError(
                 f"notices: expected HTTP status {HTTPStatus.NO_CONTENT}, got {response.status}"
             )
-        response_timeout.record_response()
