Count a call as written in the same step that writes its last byte

Callers could see a message that may not be repeated executed twice, or returned with a promise of no effect after it had been executed.

Cause: PlainChannel.send and TlsChannel._flush used the loop's sock_sendall. It writes the last bytes in one iteration and resumes its task in the next; a time-out or cancellation in between leaves CallProgress.written false, and failed_result reports CONNECT_FAILED, which proves that nothing was executed. A short write or a full send buffer is enough to come there.

Change: sockets.send_all waits until the socket is writable and writes in the task itself, so nothing lies between the last byte and its caller.

--- a/honeyhitch/transports/channel.py
+++ b/honeyhitch/transports/channel.py
@@ -16,7 +16,10 @@
     sock: socket.socket
 
     async def send(self, data: bytes) -> None:
-        """Write all of `data`. Raise OSError if the connection breaks."""
+        """Write all of `data`. Raise OSError if the connection breaks.
+
+        If the caller is cancelled during this call, the last byte was not written.
+        """
 
     async def read(self, buffer: Buffer) -> int:
         """Read once into the buffer and return the number of bytes, 0 at the end of the connection.
@@ -51,7 +54,7 @@
 
     async def send(self, data: bytes) -> None:
         """Write all of `data`. Raise OSError if the connection breaks."""
-        await self.loop.sock_sendall(self.sock, data)
+        await sockets.send_all(self.loop, self.sock, data)
 
     async def read(self, buffer: Buffer) -> int:
         """Read once into the buffer and return the number of bytes, 0 at the end of the connection."""
--- a/honeyhitch/transports/sockets.py
+++ b/honeyhitch/transports/sockets.py
@@ -90,6 +90,35 @@
         loop.remove_reader(sock)
 
 
+async def wait_writable(loop: asyncio.AbstractEventLoop, sock: socket.socket) -> None:
+    """Wait until a socket accepts more bytes."""
+    writable = loop.create_future()
+
+    def on_writable() -> None:
+        if not writable.done():
+            writable.set_result(None)
+
+    loop.add_writer(sock, on_writable)
+    try:
+        await writable
+    finally:
+        loop.remove_writer(sock)
+
+
+async def send_all(loop: asyncio.AbstractEventLoop, sock: socket.socket, data: bytes) -> None:
+    """Write all of `data`. Raise OSError if the connection breaks.
+
+    If the caller is cancelled during this call, the last byte was not written. The loop's sock_sendall does
+    not ensure this: it writes the last bytes in one iteration and resumes its task in the next.
+    """
+    unsent = memoryview(data)
+    while unsent:
+        try:
+            unsent = unsent[sock.send(unsent) :]
+        except (BlockingIOError, InterruptedError):
+            await wait_writable(loop, sock)
+
+
 async def read(loop: asyncio.AbstractEventLoop, sock: socket.socket, buffer: Buffer) -> int:
     """Read once into the buffer, after other tasks have had the chance to run.
 
--- a/honeyhitch/transports/tls_channel.py
+++ b/honeyhitch/transports/tls_channel.py
@@ -143,7 +143,7 @@
         self.sending = True
         try:
             while data := self.machine.take_output():
-                await self.loop.sock_sendall(self.sock, data)
+                await sockets.send_all(self.loop, self.sock, data)
         finally:
             self.sending = False
 
