Report a connection that broke with ETIMEDOUT as reset, not as timed out

Callers saw a broken connection to an endpoint counted as a time-out of the call, and a broken watch counted as a silent agent, whose time-outs then grow.

Cause: Python maps ETIMEDOUT to TimeoutError, which HttpTransport._run and ListWatch catch for the end of their own waits.

--- a/honeyhitch/transports/sockets.py
+++ b/honeyhitch/transports/sockets.py
@@ -117,6 +117,13 @@
             unsent = unsent[sock.send(unsent) :]
         except (BlockingIOError, InterruptedError):
             await wait_writable(loop, sock)
+        except TimeoutError as error:
+            raise _connection_reset(error) from error
+
+
+def _connection_reset(error: TimeoutError) -> ConnectionResetError:
+    """Return the error for a connection that broke with ETIMEDOUT, which is not the end of a wait."""
+    return ConnectionResetError(error.errno, error.strerror)
 
 
 async def read(loop: asyncio.AbstractEventLoop, sock: socket.socket, buffer: Buffer) -> int:
@@ -142,6 +149,8 @@
             count = sock.recv_into(space)
         except (BlockingIOError, InterruptedError):
             return NOTHING_AVAILABLE
+        except TimeoutError as error:
+            raise _connection_reset(error) from error
     buffer.advance(count)
     return count
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -4,9 +4,14 @@
 
 import asyncio
 import contextlib
+import errno
 import socket
 from collections.abc import Iterator
 
+import pytest
+
+from honeyhitch.protocols.buffer import Buffer
+from honeyhitch.transports import sockets
 from honeyhitch.transports.channel import PlainChannel
 
 from .program import run_async_test
@@ -47,3 +52,31 @@
         assert not sending.cancelled()
 
     run_async_test(work())
+
+
+class FailingSocket(socket.socket):
+    """A socket whose reads and writes fail with `error`."""
+
+    error = errno.ETIMEDOUT
+
+    def recv_into(self, *_: object) -> int:
+        raise OSError(self.error, "failed by the test")
+
+    def send(self, *_: object) -> int:
+        raise OSError(self.error, "failed by the test")
+
+
+# Guards against a broken connection that is taken for the end of the wait for a response.
+@pytest.mark.parametrize("error", [errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ECONNRESET])
+def test_a_broken_connection_is_no_timeout(error: int) -> None:
+    async def work() -> None:
+        with FailingSocket() as sock:
+            sock.error = error
+            with pytest.raises(OSError, match="failed by the test") as failed_read:
+                sockets.read_available(sock, Buffer())
+            with pytest.raises(OSError, match="failed by the test") as failed_send:
+                await sockets.send_all(asyncio.get_running_loop(), sock, b"data")
+        assert not isinstance(failed_read.value, TimeoutError)
+        assert not isinstance(failed_send.value, TimeoutError)
+
+    run_async_test(work())
