Connect again while this machine lacks ports, buffers, descriptors or a route

Callers saw attempts fail and healthy destinations ejected for a moment's lack of a resource of the dispatcher's own machine.

Cause: sockets.connect passed ENOBUFS, ENFILE, EADDRNOTAVAIL, ENETUNREACH and their like on as a failure of the peer; HttpTransport reports CONNECT_FAILED, from which the policy learns. It matters more since each call has a connection. Change: connect tries again every 20 ms until its caller's timeout, and logs connect.delayed; a refusal is reported at once, as before.

--- a/honeyhitch/transports/sockets.py
+++ b/honeyhitch/transports/sockets.py
@@ -5,18 +5,35 @@
 import asyncio
 import contextlib
 import ctypes
+import errno
 import select
 import socket
 import struct
 
+from honeyhitch import logs
 from honeyhitch.protocols.buffer import Buffer
 
+log = logs.get_logger()
 SO_ATTACH_REUSEPORT_CBPF = 51  # asm-generic/socket.h
 BPF_RETURN_CONSTANT = 0x06  # BPF_RET | BPF_K, linux/filter.h
 BPF_INSTRUCTION = "HBBI"  # struct sock_filter: code, jump offsets, constant
 BPF_PROGRAM = "HP"  # struct sock_fprog: number of instructions, address of the first one
 SECOND_LISTENER = 1  # listeners on a shared address are numbered from 0
 NOTHING_AVAILABLE = -1  # returned by `read_available`
+# Lack of a resource of this machine, or of a route, that may pass. It says nothing about the peer.
+TRANSIENT_CONNECT_ERRORS = frozenset(
+    {
+        errno.EADDRNOTAVAIL,
+        errno.EAGAIN,
+        errno.EINTR,
+        errno.EMFILE,
+        errno.ENETUNREACH,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+    }
+)
+CONNECT_RETRY_SECONDS = 0.02
 
 
 def new_tcp_socket() -> socket.socket:
@@ -56,10 +73,22 @@
 
 
 async def connect(loop: asyncio.AbstractEventLoop, address: str) -> socket.socket:
-    """Connect to HOST:PORT and return the socket. Raise OSError if that fails.
+    """Connect to HOST:PORT and return the socket. Raise OSError if the peer cannot be reached.
 
-    The socket is closed if connecting fails or is cancelled.
+    Connecting is tried again while this machine lacks the means for it, until the caller's timeout.
     """
+    while True:
+        try:
+            return await _connect_once(loop, address)
+        except OSError as error:
+            if error.errno not in TRANSIENT_CONNECT_ERRORS:
+                raise
+            log.warning("connect.delayed", address=address, error=str(error), key=address)
+        await asyncio.sleep(CONNECT_RETRY_SECONDS)
+
+
+async def _connect_once(loop: asyncio.AbstractEventLoop, address: str) -> socket.socket:
+    """Connect once; the socket is closed if connecting fails or is cancelled."""
     host, _, port = address.rpartition(":")
     sock = new_tcp_socket()
     try:
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -7,6 +7,7 @@
 import errno
 import socket
 from collections.abc import Iterator
+from typing import ClassVar
 
 import pytest
 
@@ -80,3 +81,51 @@
         assert not isinstance(failed_send.value, TimeoutError)
 
     run_async_test(work())
+
+
+class UnconnectableSocket(socket.socket):
+    """A socket whose first connects, counted over all sockets, fail with the errors in `failures`."""
+
+    failures: ClassVar[list[int]] = []
+
+    def connect(self, address: object) -> None:
+        if self.failures:
+            raise OSError(self.failures.pop(), "failed by the test")
+        super().connect(address)  # type: ignore[arg-type]
+
+
+# Guards against a momentary lack of ports, buffers or routes here that counts as a failure of the peer.
+@pytest.mark.parametrize("error", [errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENOBUFS, errno.ENFILE])
+@pytest.mark.parametrize("operation", ["socket", "connect"])
+def test_connecting_is_tried_again_while_this_machine_lacks_the_means(
+    monkeypatch: pytest.MonkeyPatch, error: int, operation: str
+) -> None:
+    failures = [error, error]
+
+    def new_tcp_socket() -> socket.socket:
+        if operation == "socket" and failures:
+            raise OSError(failures.pop(), "failed by the test")
+        sock = UnconnectableSocket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        return sock
+
+    async def work() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            UnconnectableSocket.failures = failures if operation == "connect" else []
+            address = f"127.0.0.1:{listener.getsockname()[1]}"
+            (await sockets.connect(asyncio.get_running_loop(), address)).close()
+        assert not failures
+
+    monkeypatch.setattr(sockets, "new_tcp_socket", new_tcp_socket)
+    run_async_test(work())
+
+
+def test_a_refused_connection_is_reported_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def work() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            address = f"127.0.0.1:{listener.getsockname()[1]}"
+        with pytest.raises(ConnectionRefusedError):
+            await sockets.connect(asyncio.get_running_loop(), address)
+
+    monkeypatch.setattr(sockets, "CONNECT_RETRY_SECONDS", 60.0)
+    run_async_test(work())
