--- a/tests/faults/endpoint.py
+++ b/tests/faults/endpoint.py
@@ -6,7 +6,7 @@
 import contextlib
 import re
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from dataclasses import dataclass
 from itertools import pairwise
 from math import inf
@@ -27,6 +27,7 @@
     ended_at: float = inf  # the response was written, or the connection ended
     executed: bool = False
     confirmed: bool = False  # a response that reports the message as delivered was written
+    retry_after: float = 0.0  # seconds that the response asked the dispatcher to wait
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,7 +39,7 @@
 
     status: int = 200
     delay: float = 0.0
-    headers: str = ""
+    retry_after: float = 0.0
     batch_statuses: dict[str, str] | None = None
 
 
@@ -63,7 +64,6 @@
         return sum(attempt.executed for attempt in self.attempts.get(message, []))
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        open_attempts: list[Attempt] = []
         requests: asyncio.Queue[tuple[str, bytes] | None] = asyncio.Queue()
         reading = asyncio.create_task(self._read_requests(reader, requests))
         try:
@@ -72,19 +72,18 @@
                 answer = asyncio.create_task(self._answer(writer, request, open_attempts))
                 await asyncio.wait({answer, reading}, return_when=asyncio.FIRST_COMPLETED)
                 if not answer.done():
-                    await self._end_unanswered(answer, open_attempts)
+                    self._end_unanswered(answer, open_attempts)
                     return
-                open_attempts = []
         finally:
             reading.cancel()
             writer.close()
 
-    async def _end_unanswered(self, answer: Awaitable[None], attempts: list[Attempt]) -> None:
+    def _end_unanswered(self, answer: asyncio.Task[None], attempts: list[Attempt]) -> None:
         """Record the end of a call whose connection ended; its messages are executed all the same."""
+        answer.cancel()
         for attempt in attempts:
             attempt.ended_at = time.monotonic()
-        with contextlib.suppress(OSError):
-            await answer
+            attempt.executed = True
 
     async def _read_requests(
         self, reader: asyncio.StreamReader, requests: asyncio.Queue[tuple[str, bytes] | None]
@@ -131,11 +130,13 @@
             await asyncio.Event().wait()
         body = "".join(f"{message} {word}\r\n" for message, word in words.items()) if is_batch else ""
         body = body if reply.status == 200 else ""
+        retry_after = f"Retry-After: {reply.retry_after}\r\n" if reply.retry_after else ""
         writer.write(
-            f"HTTP/1.1 {reply.status} X\r\n{reply.headers}Content-Length: {len(body)}\r\n\r\n{body}".encode()
+            f"HTTP/1.1 {reply.status} X\r\n{retry_after}Content-Length: {len(body)}\r\n\r\n{body}".encode()
         )
         for attempt in attempts:
             attempt.ended_at = min(attempt.ended_at, time.monotonic())
+            attempt.retry_after = reply.retry_after
             attempt.confirmed = reply.status == 200 and words[attempt.message] == "accepted"
         self.on_change()
 
--- a/tests/faults/proxy.py
+++ b/tests/faults/proxy.py
@@ -46,12 +46,15 @@
             self._forward_requests(reader, upstream_writer, writer, last_response)
         )
         to_client = asyncio.create_task(self._forward_responses(upstream_reader, writer, last_response))
-        _, pending = await asyncio.wait({to_target, to_client}, return_when=asyncio.FIRST_COMPLETED)
-        for task in pending:
-            task.cancel()
-        await asyncio.gather(*pending, return_exceptions=True)
-        upstream_writer.close()
-        writer.close()
+        try:
+            await asyncio.wait({to_target, to_client}, return_when=asyncio.FIRST_COMPLETED)
+        except asyncio.CancelledError:
+            pass  # the event loop ends
+        finally:
+            to_target.cancel()
+            to_client.cancel()
+            upstream_writer.close()
+            writer.close()
 
     async def _forward_requests(
         self,
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -39,14 +39,21 @@
             return port
 
 
-async def spawn(path: str, descriptors: int | None = None, operator: str | None = None) -> Process:
+async def spawn(
+    path: str,
+    descriptors: int | None = None,
+    operator: str | None = None,
+    environment: dict[str, str] | None = None,
+) -> Process:
     """Start `serve` with the configuration at `path`, and with a limit on descriptors if one is given."""
     limit = f"ulimit -n {descriptors}; " if descriptors is not None else ""
     arguments = [sys.executable, "-m", "honeyhitch", "serve", "--config", path]
     arguments += ["--operator", operator] if operator is not None else []
     program = shlex.join(arguments)
     with Path(path).with_suffix(".log").open("ab") as log:  # read to analyse a failed test
-        return await asyncio.create_subprocess_shell(f"{limit}exec {program}", cwd=ROOT, stderr=log)
+        return await asyncio.create_subprocess_shell(
+            f"{limit}exec {program}", cwd=ROOT, stderr=log, env=environment
+        )
 
 
 async def request_line(port: int, request: bytes) -> bytes:
