Keep one clock for a state directory, so a stepped wall clock moves no deadline

Callers saw accepted messages given up at once after a restart (wall clock stepped forward), or held with no ending long past their deadline and resent after their deduplication window (stepped back).

Change: the state directory keeps the offset between Unix time and the monotonic clock, with the boot id of the machine; the next process counts on with it. A file that is incomplete or of another boot is not used; one that cannot be written is tried again.

--- a/honeyhitch/journal/state.py
+++ b/honeyhitch/journal/state.py
@@ -60,6 +60,13 @@
         self.name = ""  # the dispatcher's name
         self.version = 0  # version of the journal's format; 0 if no record states it
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no message is held and no id or key is remembered."""
+        messages = self.messages
+        remembered = messages.concluded or messages.delivered_keys
+        return not (messages.by_id or messages.pending_dead_letters or remembered)
+
     def has_accepted(self, message_id: str) -> bool:
         """Return whether this message is held, or was held and is still remembered."""
         return message_id in self.messages.by_id or message_id in self.messages.concluded
--- a/honeyhitch/service/service.py
+++ b/honeyhitch/service/service.py
@@ -11,13 +11,14 @@
 from honeyhitch.config import Config, ConfigError
 from honeyhitch.dispatcher.dispatcher import Dispatcher
 from honeyhitch.endpoints.pool import EndpointPool
+from honeyhitch.journal.clock_anchor import AnchorFile, ClockAnchor, stored_anchor
 from honeyhitch.journal.directory import FIRST_SLOT, StateDirectory, StateDirectoryInUseError
 from honeyhitch.journal.journal import Journal, JournalVersionError
 from honeyhitch.journal.transactions import Transaction
 from honeyhitch.protocols.control import CommandRegistry
 from honeyhitch.service.descriptors import descriptor_budget, idle_limits
 from honeyhitch.service.handover import ProcessHandover
-from honeyhitch.time_units import MINUTE
+from honeyhitch.time_units import MILLISECOND, MINUTE
 from honeyhitch.transports import sockets
 from honeyhitch.transports.client_server import ClientServer
 from honeyhitch.transports.discovery import Discovery
@@ -29,7 +30,9 @@
     from honeyhitch.service.fleet import FleetService
     from honeyhitch.transports.control import ControlServer
 
+log = logs.get_logger()
 BROKER_REDELIVERY = 10 * MINUTE  # how long a broker may redeliver a message; its id is kept as long
+STATE_RETRY_SECONDS = 0.05  # between attempts to write to a state directory that failed
 DISCOVERY_SEED = 0xD15C  # mixed into the dispatcher's seed to make a separate random stream
 
 
@@ -41,9 +44,11 @@
         self.config = config
         self.loop = asyncio.get_running_loop()
         self.tasks = Tasks(self.loop)
-        self.scheduler = LoopScheduler(self.loop)
         self.state_directory = _open_state_directory(config, listen)
+        self.clock_anchor = _open_clock(config, self.state_directory)
+        self.scheduler = LoopScheduler(self.loop, self.clock_anchor.anchor.offset)
         self.journal = _open_journal(config, self.state_directory, self.scheduler.now)
+        self._follow_wall_clock_if_unused()
         self.journal.record_owner(config.name)
         pool = EndpointPool(config.settings)
         self.dispatcher = Dispatcher(config.settings, config.seed, pool, self.journal, self.scheduler)
@@ -63,6 +68,7 @@
             http.sweep,
             report_suppressed_events,
             self.handover.watch,
+            self.maintain_state,
         ]
         self.servers: list[ClientServer] = []
         self.clients: ClientServer | None = None  # the server to which clients submit messages
@@ -90,6 +96,22 @@
         if self.clients is not None:
             self.clients.set_max_clients(self.max_clients)
 
+    def _follow_wall_clock_if_unused(self) -> None:
+        """Use the time of the wall clock if no process has left a time in the state directory."""
+        other_journal = self.state_directory.journal_path(self.state_directory.other_slot)
+        alone = self.state_directory.slot == FIRST_SLOT and not other_journal.exists()
+        if not alone or not self.journal.is_empty:
+            return
+        self.clock_anchor = AnchorFile(self.config.state, ClockAnchor.now())
+        self.clock_anchor.write()
+        self.scheduler.offset = self.clock_anchor.anchor.offset
+
+    async def maintain_state(self) -> None:
+        """Until cancelled, write what could not be written to the state directory before."""
+        while True:
+            self.clock_anchor.write()
+            await asyncio.sleep(STATE_RETRY_SECONDS)
+
     def client_requests_finished(self) -> bool:
         """Return whether no client of this process has a request in progress."""
         return self.clients is None or self.clients.quiescent
@@ -115,6 +137,24 @@
     return directory
 
 
+def _open_clock(config: Config, directory: StateDirectory) -> AnchorFile:
+    """Return the clock that the state directory's processes share.
+
+    In a fleet the wall clock gives the time, because the instances compare their times.
+    """
+    current = ClockAnchor.now()
+    if config.operator.fleet is not None:
+        return AnchorFile(config.state, current)
+    with directory.exclusive():
+        stored = stored_anchor(config.state)
+        step_ms = (current.offset - stored.offset) // MILLISECOND if stored is not None else 0
+        if step_ms:
+            log.info("clock.resumed", wall_clock_step_ms=step_ms)
+        anchor_file = AnchorFile(config.state, stored or current)
+        anchor_file.write()
+    return anchor_file
+
+
 def _open_journal(config: Config, directory: StateDirectory, clock: Callable[[], int]) -> Journal:
     longest_deadline = max(message_class.deadline for message_class in config.settings.classes)
 
--- a/honeyhitch/transports/tasks.py
+++ b/honeyhitch/transports/tasks.py
@@ -16,11 +16,15 @@
 
 
 class LoopScheduler:
-    """A clock that never goes back, and timers of the event loop."""
+    """A clock that never goes back, and timers of the event loop.
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    `offset` is the Unix time in nanoseconds at which the monotonic clock was 0; the wall clock gives it if
+    it is None.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, offset: int | None = None) -> None:
         self.loop = loop
-        self.offset = time.time_ns() - time.monotonic_ns()
+        self.offset = time.time_ns() - time.monotonic_ns() if offset is None else offset
 
     def now(self) -> int:
         """Return the Unix time in nanoseconds; steps of the system clock after the start are ignored."""
