--- a/tests/test_middleware.py
+++ b/tests/test_middleware.py
@@ -96,6 +96,8 @@
             assert status == 503
             assert int(headers[b"retry-after"]) >= 1
             cancelled_request = asyncio.ensure_future(post(app, ""))
+            endpoint.connection = None  # each call has a connection of its own
+            reader, _ = await endpoint.accept_connection()
             await reader.readuntil(b"\r\n\r\nhi")
             cancelled_request.cancel()
             assert await reader.read(1) == b"", "cancelling a request aborts its call"
