--- a/honeyhitch/journal/journal.py
+++ b/honeyhitch/journal/journal.py
@@ -6,12 +6,13 @@
 
 from __future__ import annotations
 
-import os
+import contextlib
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from pathlib import Path
 
 from honeyhitch import logs
+from honeyhitch.journal.append_file import AppendFile
 from honeyhitch.journal.record_codec import MAX_RECORD_BYTES, decode_records, encode_record
 from honeyhitch.journal.records import (
     AttemptNotExecuted,
@@ -43,7 +44,6 @@
 COMPACT_FRACTION = 0.3  # fraction of `max_bytes` beyond which the file may be compacted
 # Fraction of the file size; a smaller gain does not justify the milliseconds of a compaction.
 MIN_COMPACTION_GAIN = 0.125
-OWNER_ONLY = 0o600  # file mode
 
 
 class JournalVersionError(Exception):
@@ -87,16 +87,15 @@
         file_name: str = "journal",
     ) -> None:
         super().__init__(max_bytes // DISK_BYTES_PER_REMEMBERED_ID, retention)
-        self.path = directory / file_name
         self.new_path = directory / f"{file_name}.new"
         self.max_bytes = max_bytes
         self.peer_bytes = 0  # bytes of `max_bytes` that another process uses
         self.compaction_overhead = 0  # bytes by which the last compacted file exceeded `live_bytes`
         self.clock = clock
         self.detailed = detailed
-        self.new_path.unlink(missing_ok=True)  # left by an interrupted compaction; the old file is complete
-        self.fd = os.open(self.path, os.O_RDWR | os.O_CREAT | os.O_APPEND, OWNER_ONLY)
-        self.size = 0
+        with contextlib.suppress(OSError):  # left by an interrupted compaction; the old file is complete
+            self.new_path.unlink(missing_ok=True)
+        self.file = AppendFile(directory / file_name)
         self._replay()
         if self.version > JOURNAL_VERSION:
             self.close()
@@ -104,9 +103,19 @@
                 f"{self.path}: format version is {self.version}, highest supported is {JOURNAL_VERSION}"
             )
 
+    @property
+    def path(self) -> Path:
+        """The path of the file."""
+        return self.file.path
+
+    @property
+    def size(self) -> int:
+        """The number of bytes in the file."""
+        return self.file.size
+
     def close(self) -> None:
         """Close the file."""
-        os.close(self.fd)
+        self.file.close()
 
     # Records, each written before the action that it covers.
 
@@ -250,9 +259,9 @@
         if not self.replace_file(self.snapshot(), path, new_path):
             self._restore(saved)
             raise JournalFullError(f"cannot write the merged journal to {path} within {self.max_bytes} bytes")
-        self.path = path
         self.new_path = new_path
-        obsolete_path.unlink(missing_ok=True)
+        with contextlib.suppress(OSError):  # its messages are in this journal, which is read first
+            obsolete_path.unlink(missing_ok=True)
         return new_messages + returned_messages, new_dead_letters
 
     def _settle_handed_over(self, peer_state: JournalState) -> list[Transaction]:
@@ -296,9 +305,9 @@
         data = self.path.read_bytes()
         for record, end in decode_records(data):
             self.apply(record)
-            self.size = end
+            self.file.size = end
         if self.size < len(data):  # an incomplete record of a process that was killed during a write
-            os.ftruncate(self.fd, self.size)
+            self.file.discard_incomplete_end()
         self.retry_after_until.clear()  # a restart ends each Retry-After (protocol page)
         self.messages.drop_expired(self.clock())
 
@@ -321,13 +330,9 @@
             raise JournalFullError(f"record has {len(data)} bytes, limit is {MAX_RECORD_BYTES}")
         self._make_room(len(data), disk_fraction)
         try:
-            written = os.write(self.fd, data)
+            self.file.append(data)
         except OSError as error:
             raise JournalFullError(str(error)) from error
-        if written < len(data):  # the disk became full; later records must not follow an incomplete one
-            os.ftruncate(self.fd, self.size)
-            raise JournalFullError(f"only {written} of {len(data)} bytes were written to {self.path}")
-        self.size += written
 
     def _make_room(self, record_bytes: int, disk_fraction: float) -> None:
         if self.size > max(COMPACT_FRACTION * self.max_bytes, 2 * self.live_bytes):
@@ -393,19 +398,8 @@
         if self.size + self.peer_bytes + len(data) + SPARE_BLOCKS * DISK_BLOCK_BYTES > self.max_bytes:
             return False
         try:
-            fd = os.open(new_path, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND, OWNER_ONLY)
-            try:
-                written = os.write(fd, data)
-            except OSError:
-                written = -1
-            if written < len(data):
-                os.close(fd)
-                new_path.unlink(missing_ok=True)
-                return False
-            os.rename(new_path, path)
-        except OSError:
+            self.file.replace(data, path, new_path)
+        except OSError as error:
+            log.warning("journal.not-replaced", error=str(error), key=str(path))
             return False
-        os.close(self.fd)
-        self.fd = fd
-        self.size = len(data)
         return True
--- a/tests/dead_letters_rig.py
+++ b/tests/dead_letters_rig.py
@@ -54,7 +54,7 @@
         self.kill_points.pass_point()
         if self.kill_points.reaches_kill():
             data = encode_record(record)
-            os.write(self.fd, data[: len(data) // 2])
+            os.write(self.file.fd, data[: len(data) // 2])
             raise Killed
         super().append(record, disk_fraction)
         self.kill_points.pass_point()
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -485,9 +485,9 @@
     follower.read()
     assert set(follower.messages.by_id) == {"m1", "m2", "m3"}
     assert "m0" in follower.messages.concluded
-    os.write(journal.fd, b"\x10\x00\x00")  # part of a record's header
+    os.write(journal.file.fd, b"\x10\x00\x00")  # part of a record's header
     follower.read()
-    os.ftruncate(journal.fd, journal.size)
+    os.ftruncate(journal.file.fd, journal.size)
     journal.record_accepted(transaction("m4"))
     follower.read()
     assert set(follower.messages.by_id) == {"m1", "m2", "m3", "m4"}
--- /dev/null
+++ b/tests/test_journal_faults.py
@@ -0,0 +1,100 @@
+"""The journal while writes to its disk fail, and after the disk has recovered."""
+
+from __future__ import annotations
+
+import errno
+import os
+from pathlib import Path
+
+import pytest
+
+from honeyhitch.journal.journal import Journal, JournalFullError
+from honeyhitch.journal.transactions import Transaction
+
+from .rig import START, retention
+from .world import SECOND
+
+
+def open_journal(directory: Path) -> Journal:
+    return Journal(directory, 3_000_000, lambda: START, retention)
+
+
+def message(name: str) -> Transaction:
+    return Transaction(name, 0, 1, START + 20 * SECOND, b"body", key=f"k-{name}")
+
+
+class FailingDisk:
+    """Replaces the system calls that change files: while `failing`, they fail, and writes leave a half."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, error: int) -> None:
+        self.failing = False
+        self.error = error
+        self.write = os.write
+        monkeypatch.setattr(os, "write", self._write)
+        for name in ("ftruncate", "rename"):
+            monkeypatch.setattr(os, name, self._unless_failing(getattr(os, name)))
+
+    def _write(self, fd: int, data: bytes) -> int:
+        if not self.failing:
+            return self.write(fd, data)
+        written = self.write(fd, data[: len(data) // 2])
+        if self.error:
+            raise OSError(self.error, os.strerror(self.error))
+        return written
+
+    def _unless_failing(self, function):  # type: ignore[no-untyped-def]
+        def call(*arguments):  # type: ignore[no-untyped-def]
+            if self.failing:
+                raise OSError(errno.EIO, os.strerror(errno.EIO))
+            return function(*arguments)
+
+        return call
+
+
+@pytest.fixture(params=[0, errno.EIO, errno.ENOSPC], ids=["short write", "EIO", "ENOSPC"])
+def disk(request: pytest.FixtureRequest, monkeypatch: pytest.MonkeyPatch) -> FailingDisk:
+    return FailingDisk(monkeypatch, request.param)
+
+
+# Guards against records that follow an incomplete one: a replay ends there, so later messages were lost.
+def test_records_after_a_failed_write_are_replayed(tmp_path: Path, disk: FailingDisk) -> None:
+    journal = open_journal(tmp_path)
+    journal.record_accepted(message("before"))
+    disk.failing = True
+    for name in ("rejected", "rejected too"):
+        with pytest.raises(JournalFullError):
+            journal.record_accepted(message(name))
+    disk.failing = False
+    journal.record_accepted(message("after"))
+    journal.close()
+    assert set(open_journal(tmp_path).messages.by_id) == {"before", "after"}
+
+
+# Guards against a replacement that fails halfway and leaves the journal without its file.
+def test_a_journal_whose_replacement_fails_goes_on_with_its_file(tmp_path: Path, disk: FailingDisk) -> None:
+    journal = open_journal(tmp_path)
+    journal.record_accepted(message("before"))
+    descriptors = len(os.listdir("/proc/self/fd"))
+    disk.failing = True
+    assert not journal.replace_file(journal.snapshot(), journal.path, journal.new_path)
+    disk.failing = False
+    assert len(os.listdir("/proc/self/fd")) == descriptors
+    journal.record_accepted(message("after"))
+    journal.close()
+    assert set(open_journal(tmp_path).messages.by_id) == {"before", "after"}
+
+
+# Guards against a start that fails because an incomplete record cannot be removed yet.
+def test_a_journal_opens_while_its_incomplete_end_cannot_be_removed(
+    tmp_path: Path, disk: FailingDisk
+) -> None:
+    journal = open_journal(tmp_path)
+    journal.record_accepted(message("before"))
+    os.write(journal.file.fd, b"\x10\x00\x00")  # part of a record's header
+    journal.close()
+    disk.failing = True
+    journal = open_journal(tmp_path)
+    disk.failing = False
+    journal.record_accepted(message("after"))
+    journal.close()
+    assert set(open_journal(tmp_path).messages.by_id) == {"before", "after"}
