Write records that a failing disk refused before any later record

Callers saw messages sent again after a restart although they had ended, or had been returned for the client to submit again.

--- a/honeyhitch/journal/journal.py
+++ b/honeyhitch/journal/journal.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import contextlib
+from collections import deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from pathlib import Path
@@ -91,6 +92,7 @@
         self.max_bytes = max_bytes
         self.peer_bytes = 0  # bytes of `max_bytes` that another process uses
         self.compaction_overhead = 0  # bytes by which the last compacted file exceeded `live_bytes`
+        self.postponed: deque[Record] = deque()  # records that could not be written yet, oldest first
         self.clock = clock
         self.detailed = detailed
         with contextlib.suppress(OSError):  # left by an interrupted compaction; the old file is complete
@@ -143,7 +145,7 @@
         """Record the outcome of an attempt for the dead letter; no decision depends on it."""
         if not self.detailed:
             return
-        self._append_if_possible(AttemptOutcome(transaction.id, attempt))
+        self._append_or_postpone(AttemptOutcome(transaction.id, attempt))
         other_attempts = [entry for entry in transaction.attempt_history if entry.number != attempt.number]
         transaction.attempt_history = [*other_attempts, attempt]
 
@@ -152,7 +154,7 @@
 
         An outcome without that proof needs no record here.
         """
-        self._append_if_possible(AttemptNotExecuted(transaction.id, number))
+        self._append_or_postpone(AttemptNotExecuted(transaction.id, number))
         transaction.mark_not_executed(number)
 
     def record_decision(
@@ -165,7 +167,7 @@
         if is_dead_letter:
             transaction.ended_at = self.clock()
             transaction.is_dead_letter = True
-        self._append_if_possible(
+        self._append_or_postpone(
             EndingDecided(transaction.id, ending, retry_after, transaction.ended_at, is_dead_letter)
         )
         transaction.ending = ending
@@ -173,12 +175,12 @@
 
     def record_dead_letter_stored(self, transaction: Transaction) -> None:
         """Record that the store has stored or discarded a dead letter, so this journal may drop it."""
-        self._append_if_possible(DeadLetterStored(transaction.id, transaction.ended_at))
+        self._append_or_postpone(DeadLetterStored(transaction.id, transaction.ended_at))
         self._remove_dead_letter(transaction.id, transaction.ended_at)
 
     def record_end(self, transaction: Transaction, ending: Ending) -> None:
         """Record after the final answer was sent that the message is concluded."""
-        self._append_if_possible(MessageEnded(transaction.id, ending, self.clock()))
+        self._append_or_postpone(MessageEnded(transaction.id, ending, self.clock()))
         self._end(transaction, ending, self.clock())
 
     def record_owner(self, name: str) -> None:
@@ -186,12 +188,12 @@
         if (self.name, self.version) != (name, JOURNAL_VERSION):
             self.name = name
             self.version = JOURNAL_VERSION
-            self._append_if_possible(JournalOwner(self.version, self.name))
+            self._append_or_postpone(JournalOwner(self.version, self.name))
 
     def record_retry_after(self, destination: int, endpoint: str, until: int) -> None:
         """Record a Retry-After from an endpoint; the other process of a hand-over observes it as well."""
         self.retry_after_until[destination, endpoint] = until
-        self._append_if_possible(RetryAfterNoted(destination, endpoint, until))
+        self._append_or_postpone(RetryAfterNoted(destination, endpoint, until))
 
     def hand_over(self, transactions: list[Transaction], calls_in_flight: int) -> None:
         """Record that the other process resumes these messages, and how many calls are in flight here.
@@ -213,14 +215,14 @@
         """Record the number of calls in flight in a process that hands over; None if it does not."""
         if count != self.calls_in_flight:
             self.calls_in_flight = count
-            self._append_if_possible(CallsInFlight(count))
+            self._append_or_postpone(CallsInFlight(count))
 
     def reclaim(self) -> None:
         """Record that this process owns all handed-over messages again, as the other process has ended."""
         if self.handed_over or self.calls_in_flight is not None:
             self.handed_over = {}
             self.calls_in_flight = None
-            self._append_if_possible(HandoverReclaimed())
+            self._append_or_postpone(HandoverReclaimed())
 
     # Take-over of another process's journal, once the lock of its slot is free.
 
@@ -313,19 +315,39 @@
 
     # The file.
 
-    def _append_if_possible(self, record: Record) -> None:
-        """Write a record if there is space.
+    def _append_or_postpone(self, record: Record) -> None:
+        """Write a record now or, if that fails, before any later record.
 
-        Used only for records that reduce the pending work: a replay without such a record is harmless.
+        Used for records of what has happened already.
         """
         try:
             self.append(record)
         except JournalFullError as error:
-            log.error("journal.failed", error=str(error))
+            log.error("journal.failed", postponed=len(self.postponed) + 1, error=str(error))
+            self.postponed.append(record)
+
+    def write_postponed(self) -> bool:
+        """Write the records that could not be written before; return whether none is left."""
+        while self.postponed:
+            try:
+                self.append_encoded(encode_record(self.postponed[0]), WRITE_FRACTION)
+            except JournalFullError:
+                return False
+            if self.postponed:  # a compaction has written the state, which includes all of them
+                self.postponed.popleft()
+        return True
 
     def append(self, record: Record, disk_fraction: float = WRITE_FRACTION) -> None:
-        """Write a record; raise JournalFullError if that needs more than this fraction of `max_bytes`."""
-        data = encode_record(record)
+        """Write a record; raise JournalFullError if that needs more than this fraction of `max_bytes`.
+
+        The error is also raised while an earlier record cannot be written.
+        """
+        if not self.write_postponed():
+            raise JournalFullError("an earlier record could not be written")
+        self.append_encoded(encode_record(record), disk_fraction)
+
+    def append_encoded(self, data: bytes, disk_fraction: float) -> None:
+        """Write an encoded record; raise JournalFullError as `append` does."""
         if len(data) > MAX_RECORD_BYTES:
             raise JournalFullError(f"record has {len(data)} bytes, limit is {MAX_RECORD_BYTES}")
         self._make_room(len(data), disk_fraction)
@@ -402,4 +424,5 @@
         except OSError as error:
             log.warning("journal.not-replaced", error=str(error), key=str(path))
             return False
+        self.postponed.clear()
         return True
--- a/tests/test_journal_faults.py
+++ b/tests/test_journal_faults.py
@@ -9,7 +9,7 @@
 import pytest
 
 from honeyhitch.journal.journal import Journal, JournalFullError
-from honeyhitch.journal.transactions import Transaction
+from honeyhitch.journal.transactions import Ending, Transaction
 
 from .rig import START, retention
 from .world import SECOND
@@ -98,3 +98,45 @@
     journal.record_accepted(message("after"))
     journal.close()
     assert set(open_journal(tmp_path).messages.by_id) == {"before", "after"}
+
+
+# Guards against endings that are missing in the journal after the disk has recovered: the next process sent
+# the messages again.
+def test_what_happened_while_the_disk_failed_is_recorded_once_it_has_recovered(
+    tmp_path: Path, disk: FailingDisk
+) -> None:
+    journal = open_journal(tmp_path)
+    delivered, rejected, attempted = (message(name) for name in ("delivered", "rejected", "attempted"))
+    for transaction in (delivered, rejected, attempted):
+        journal.record_accepted(transaction)
+    journal.record_attempt(attempted, START, 0)
+    disk.failing = True
+    journal.record_end(delivered, Ending.DELIVERED)
+    journal.record_decision(rejected, Ending.REJECTED, 250)
+    journal.record_not_executed(attempted, 0)
+    assert not journal.write_postponed()
+    with pytest.raises(JournalFullError):
+        journal.record_attempt(attempted, START, 0)
+    disk.failing = False
+    assert journal.write_postponed()
+    journal.close()
+    replayed = open_journal(tmp_path).messages
+    assert set(replayed.by_id) == {"rejected", "attempted"}
+    assert replayed.by_id["rejected"].ending is Ending.REJECTED
+    assert replayed.by_id["attempted"].first_possible_execution() is None
+    assert "delivered" in replayed.concluded
+
+
+def test_a_compaction_keeps_what_was_postponed(tmp_path: Path, disk: FailingDisk) -> None:
+    journal = open_journal(tmp_path)
+    transactions = [message(f"m{number}") for number in range(20)]
+    for transaction in transactions:
+        journal.record_accepted(transaction)
+    disk.failing = True
+    for transaction in transactions[1:]:
+        journal.record_end(transaction, Ending.DELIVERED)
+    disk.failing = False
+    journal.compact()
+    journal.record_not_executed(transactions[0], 0)
+    journal.close()
+    assert set(open_journal(tmp_path).messages.by_id) == {"m0"}
