--- a/honeyhitch/dispatcher/endings.py
+++ b/honeyhitch/dispatcher/endings.py
@@ -16,6 +16,8 @@
 
     def __init__(self, context: DispatcherContext) -> None:
         self.context = context
+        # Messages whose ending is decided but not in the journal yet, in the order of the decisions.
+        self.unrecorded: list[Transaction] = []
 
     def conclude(self, message: Transaction, ending: Ending, retry_after: int) -> None:
         """Conclude an undecided message with this ending; the policy drops its further plans for it."""
@@ -72,12 +74,33 @@
         if unanswered:
             context.journal.record_end(message, ending)
         else:
-            self.answer(message)
+            self._answer_once_recorded(message)
         if is_dead_letter and context.dead_letter_sink is not None:
             context.dead_letter_sink.store(message)
         if context.resend_coordinator is not None:
             context.resend_coordinator.message_concluded(message)
 
+    def _answer_once_recorded(self, message: Transaction) -> None:
+        """Have the answer sent, after a failing disk has taken the decision or at the message's deadline.
+
+        If the process were killed in between, the next process would send a message again whose client was
+        told that it had ended. After the deadline no process sends it.
+        """
+        if not self.context.journal.postponed:
+            self.answer(message)
+            return
+        self.unrecorded.append(message)
+        self.context.scheduler.call_at(message.deadline, self.answer_recorded)
+
+    def answer_recorded(self) -> None:
+        """Have the answers sent whose decisions are in the journal now or whose deadline has passed."""
+        now = self.context.scheduler.now()
+        recorded = not self.context.journal.postponed
+        due = [message for message in self.unrecorded if recorded or message.deadline <= now]
+        self.unrecorded = [message for message in self.unrecorded if message not in due]
+        for message in due:
+            self.answer(message)
+
     def _becomes_dead_letter(self, message: Transaction, ending: Ending) -> bool:
         """Return whether the dead-letter store must be notified of the ending.
 
--- a/honeyhitch/service/service.py
+++ b/honeyhitch/service/service.py
@@ -110,7 +110,7 @@
         """Until cancelled, write what could not be written to the state directory before."""
         while True:
             self.clock_anchor.write()
-            self.journal.write_postponed()
+            self.dispatcher.write_postponed_records()
             await asyncio.sleep(STATE_RETRY_SECONDS)
 
     def client_requests_finished(self) -> bool:
--- a/tests/test_journal_faults.py
+++ b/tests/test_journal_faults.py
@@ -11,7 +11,7 @@
 from honeyhitch.journal.journal import Journal, JournalFullError
 from honeyhitch.journal.transactions import Ending, Transaction
 
-from .rig import START, retention
+from .rig import START, DispatcherRig, retention
 from .world import SECOND
 
 
@@ -140,3 +140,31 @@
     journal.record_not_executed(transactions[0], 0)
     journal.close()
     assert set(open_journal(tmp_path).messages.by_id) == {"m0"}
+
+
+# Guards against an answer that is sent although its decision is not in the journal: after a kill, the next
+# process sent a message again whose client had been told to submit it again.
+def test_an_early_answer_waits_until_its_decision_is_recorded(tmp_path: Path, disk: FailingDisk) -> None:
+    rig = DispatcherRig(tmp_path)
+    rig.submit("m")
+    disk.failing = True
+    rig.dispatcher.conclude(rig.journal.messages.by_id["m"], Ending.REJECTED)
+    rig.dispatcher.write_postponed_records()
+    assert not rig.answers
+    disk.failing = False
+    rig.dispatcher.write_postponed_records()
+    rig.dispatcher.write_postponed_records()
+    assert [answered.id for answered in rig.answers] == ["m"]
+
+
+def test_an_answer_is_sent_at_the_deadline_even_if_the_disk_still_fails(
+    tmp_path: Path, disk: FailingDisk
+) -> None:
+    rig = DispatcherRig(tmp_path)
+    rig.submit("m", left=2 * SECOND)
+    disk.failing = True
+    rig.dispatcher.conclude(rig.journal.messages.by_id["m"], Ending.REJECTED)
+    rig.advance(1.9)
+    assert not rig.answers
+    rig.advance(0.2)
+    assert [answered.id for answered in rig.answers] == ["m"]
