Pause an endpoint's calls while a failing disk cannot record an attempt

Callers had messages given up without a single call: each try to record an attempt on a failing disk counted as an attempt, up to the limit of 12.

Cause: CallStarter._record_attempt ended the attempt with NOT_SENT. Evidence: test_a_failing_disk_uses_up_no_attempt fails on the parent with 4 attempts counted for 1. Change: the message counts as not started, and the endpoint gets no call for 100 ms, as it does without a quota.

--- a/honeyhitch/dispatcher/calls.py
+++ b/honeyhitch/dispatcher/calls.py
@@ -6,16 +6,17 @@
 
 from honeyhitch import logs
 from honeyhitch.dispatcher.context import DispatcherContext
-from honeyhitch.dispatcher.delivery import Call, CallResult
+from honeyhitch.dispatcher.delivery import Call
 from honeyhitch.dispatcher.outcomes import CallOutcomes
 from honeyhitch.endpoints.endpoint import PoolEndpoint
 from honeyhitch.journal.journal import JournalFullError
 from honeyhitch.policy.actions import Send
-from honeyhitch.policy.events import Outcome, RetryAfterReceived
+from honeyhitch.policy.events import RetryAfterReceived
 from honeyhitch.time_units import MILLISECOND
 
 log = logs.get_logger()
 QUOTA_CHECK_INTERVAL = 250 * MILLISECOND  # between checks whether this instance holds a quota
+JOURNAL_RETRY_INTERVAL = 100 * MILLISECOND  # between attempts to record an attempt on a failing disk
 
 
 class CallStarter:
@@ -90,7 +91,8 @@
             )
         except JournalFullError as error:  # an attempt that cannot be recorded must not be sent
             log.warning("journal.full", record="attempt", error=str(error))
-            self.outcomes.attempt_ended(call, index, Outcome.NOT_SENT, False, CallResult([]))
+            self._pause(call.endpoint, now + JOURNAL_RETRY_INTERVAL)
+            self.outcomes.message_not_started(call, index)
 
     def _is_reachable(self, endpoint: PoolEndpoint) -> bool:
         """Return whether the endpoint is still listed with the same address and destination."""
@@ -109,6 +111,9 @@
         quota_source = self.context.quota_source
         if quota_source is None or quota_source.quota_fraction(endpoint.destination, now) > 0:
             return True
-        until = now + QUOTA_CHECK_INTERVAL
-        self.context.event_queue.enqueue(RetryAfterReceived(endpoint.destination, endpoint.id, until))
+        self._pause(endpoint, now + QUOTA_CHECK_INTERVAL)
         return False
+
+    def _pause(self, endpoint: PoolEndpoint, until: int) -> None:
+        """Make the policy start no call to the endpoint before this time."""
+        self.context.event_queue.enqueue(RetryAfterReceived(endpoint.destination, endpoint.id, until))
--- a/tests/test_journal_faults.py
+++ b/tests/test_journal_faults.py
@@ -168,3 +168,17 @@
     assert not rig.answers
     rig.advance(0.2)
     assert [answered.id for answered in rig.answers] == ["m"]
+
+
+# Guards against attempts that a failing disk uses up: the message was given up without a call.
+def test_a_failing_disk_uses_up_no_attempt(tmp_path: Path, disk: FailingDisk) -> None:
+    rig = DispatcherRig(tmp_path)
+    disk.failing = False
+    rig.submit("m")
+    disk.failing = True
+    assert not rig.advance(5)
+    disk.failing = False
+    calls = rig.advance(0.5)
+    assert [transaction.id for call in calls for transaction in call.messages] == ["m"]
+    assert not rig.answers
+    assert rig.journal.messages.by_id["m"].attempt_count == 1
