--- a/honeyhitch/journal/journal.py
+++ b/honeyhitch/journal/journal.py
@@ -98,7 +98,11 @@
         with contextlib.suppress(OSError):  # left by an interrupted compaction; the old file is complete
             self.new_path.unlink(missing_ok=True)
         self.file = AppendFile(directory / file_name)
-        self._replay()
+        try:
+            self._replay()
+        except OSError:
+            self.close()
+            raise
         if self.version > JOURNAL_VERSION:
             self.close()
             raise JournalVersionError(
--- a/honeyhitch/service/listeners.py
+++ b/honeyhitch/service/listeners.py
@@ -14,6 +14,7 @@
 from honeyhitch.protocols.transaction_parser import TransactionParser
 from honeyhitch.service.descriptors import MONITORING_CONNECTIONS
 from honeyhitch.service.service import Service
+from honeyhitch.service.start_retry import retry_transient
 from honeyhitch.service.status import service_state
 from honeyhitch.transports import sockets
 from honeyhitch.transports.client_server import ClientServer, ServerSession
@@ -97,8 +98,9 @@
     `setting` is the key of the address in the configuration. Raise ConfigError with this key if the address
     cannot be bound.
     """
-    try:
-        server = ClientServer(
+
+    def create_server() -> ClientServer:
+        return ClientServer(
             (address.host, address.port),
             create_session,
             max_connections,
@@ -107,6 +109,9 @@
             reuse_port,
             forward,
         )
+
+    try:
+        server = retry_transient(create_server, setting)
     except OSError as error:
         raise ConfigError(f"{setting}: cannot listen on {address}: {error.strerror}") from error
     service.servers.append(server)
--- a/honeyhitch/service/service.py
+++ b/honeyhitch/service/service.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Coroutine
+from pathlib import Path
 from random import Random
 from typing import TYPE_CHECKING, Any
 
@@ -18,6 +19,7 @@
 from honeyhitch.protocols.control import CommandRegistry
 from honeyhitch.service.descriptors import descriptor_budget, idle_limits
 from honeyhitch.service.handover import ProcessHandover
+from honeyhitch.service.start_retry import retry_transient
 from honeyhitch.time_units import MILLISECOND, MINUTE
 from honeyhitch.transports import sockets
 from honeyhitch.transports.client_server import ClientServer
@@ -126,12 +128,13 @@
     the directory or the address cannot be used.
     """
     try:
-        directory = StateDirectory(config.state)
+        directory = retry_transient(lambda: StateDirectory(config.state), "state")
     except (StateDirectoryInUseError, OSError) as error:
         raise ConfigError(f"state: {error}") from error
     if listen and directory.slot == FIRST_SLOT:
         try:
-            sockets.check_address_unused((config.listen.host, config.listen.port))
+            address = config.listen.host, config.listen.port
+            retry_transient(lambda: sockets.check_address_unused(address), "listen")
         except OSError as error:
             directory.close()
             raise ConfigError(f"listen: cannot listen on {config.listen}: {error.strerror}") from error
@@ -146,12 +149,19 @@
     current = ClockAnchor.now()
     if config.operator.fleet is not None:
         return AnchorFile(config.state, current)
+    try:
+        return retry_transient(lambda: _share_clock(config.state, directory, current), "state")
+    except OSError as error:
+        raise ConfigError(f"state: {error}") from error
+
+
+def _share_clock(path: Path, directory: StateDirectory, current: ClockAnchor) -> AnchorFile:
     with directory.exclusive():
-        stored = stored_anchor(config.state)
+        stored = stored_anchor(path)
         step_ms = (current.offset - stored.offset) // MILLISECOND if stored is not None else 0
         if step_ms:
             log.info("clock.resumed", wall_clock_step_ms=step_ms)
-        anchor_file = AnchorFile(config.state, stored or current)
+        anchor_file = AnchorFile(path, stored or current)
         anchor_file.write()
     return anchor_file
 
@@ -168,7 +178,7 @@
             return max(longest_deadline, BROKER_REDELIVERY)
         return longest_deadline
 
-    try:
+    def open_journal() -> Journal:
         return Journal(
             config.state,
             config.limits.disk_bytes,
@@ -177,6 +187,9 @@
             detailed=config.operator.dead_letters is not None,
             file_name=directory.journal_path(directory.slot).name,
         )
+
+    try:
+        return retry_transient(open_journal, "state")
     except (JournalVersionError, OSError) as error:
         raise ConfigError(f"state: {error}") from error
 
