Draw each port of a test once, so that two listeners never get the same one

test_upgrade failed once with 'management: ... is the address of listen already': free_port asked the system for a port twice and was given the same one, as the first was not bound any more. It now uses listening_port, which remembers what it returned and draws from below the ports of outgoing connections.

--- a/tests/program.py
+++ b/tests/program.py
@@ -6,7 +6,6 @@
 import contextlib
 import json
 import os
-import socket
 from collections.abc import AsyncIterator, Coroutine
 from pathlib import Path
 from typing import Any
@@ -17,6 +16,7 @@
 from honeyhitch.service.run import run
 
 from .polling import poll_until
+from .processes import listening_port
 
 SETTINGS: dict[str, Any] = {
     "classes": [
@@ -85,10 +85,8 @@
 
 
 def free_port() -> int:
-    """Return a port that was free when it was checked."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+    """Return a port that was free when it was checked and was not returned before."""
+    return listening_port()
 
 
 async def is_ready(port: int, task: asyncio.Future[None]) -> bool:
