Let only messages of one class share a call, as their timeouts differ otherwise

Cause: CallStarter.send_all put all sends of a round to one endpoint in one call. The policy shares a call within a class only; a non-idempotent message waits twice as long. A message that timed out first was sent again while its call was still open for the others.

Change: sends are grouped by endpoint and class. Within a class only a deadline shortens a timeout, and after its deadline no message is sent.

--- a/honeyhitch/dispatcher/calls.py
+++ b/honeyhitch/dispatcher/calls.py
@@ -29,12 +29,15 @@
     def send_all(self, sends: list[Send]) -> None:
         """Start calls for the sends of one round.
 
-        Messages for the same endpoint share calls, up to the number of messages per call of its kind.
+        Messages of one class for the same endpoint share calls, up to the number of messages per call of its
+        kind. Messages of other classes have other timeouts: one that timed out would be sent again while its
+        call is still in flight for the others.
         """
-        by_endpoint: dict[str, list[Send]] = {}
+        groups: dict[tuple[str, int], list[Send]] = {}
         for send in sends:
-            by_endpoint.setdefault(send.endpoint, []).append(send)
-        for endpoint_id, group in by_endpoint.items():
+            class_index = self.context.messages.by_id[send.message].class_index
+            groups.setdefault((send.endpoint, class_index), []).append(send)
+        for (endpoint_id, _), group in groups.items():
             endpoint = self.context.pool.endpoints[endpoint_id]
             max_messages = self.context.settings.kind(endpoint.kind).max_messages_per_call
             for start in range(0, len(group), max_messages):
