Send an answer that waits for the disk at its deadline, even if the timer is early

Callers saw the notice of a message late by 0.33 s while the disk failed.

The virtual clock of test_journal_faults fires exactly, so the soak is what shows this case.

--- a/honeyhitch/dispatcher/endings.py
+++ b/honeyhitch/dispatcher/endings.py
@@ -16,8 +16,8 @@
 
     def __init__(self, context: DispatcherContext) -> None:
         self.context = context
-        # Messages whose ending is decided but not in the journal yet, in the order of the decisions.
-        self.unrecorded: list[Transaction] = []
+        # Messages by id whose ending is decided but not in the journal yet, in the order of the decisions.
+        self.unrecorded: dict[str, Transaction] = {}
 
     def conclude(self, message: Transaction, ending: Ending, retry_after: int) -> None:
         """Conclude an undecided message with this ending; the policy drops its further plans for it."""
@@ -89,16 +89,17 @@
         if not self.context.journal.postponed:
             self.answer(message)
             return
-        self.unrecorded.append(message)
-        self.context.scheduler.call_at(message.deadline, self.answer_recorded)
+        self.unrecorded[message.id] = message
+        self.context.scheduler.call_at(message.deadline, lambda: self._answer_unrecorded(message.id))
 
     def answer_recorded(self) -> None:
-        """Have the answers sent whose decisions are in the journal now or whose deadline has passed."""
-        now = self.context.scheduler.now()
-        recorded = not self.context.journal.postponed
-        due = [message for message in self.unrecorded if recorded or message.deadline <= now]
-        self.unrecorded = [message for message in self.unrecorded if message not in due]
-        for message in due:
+        """Have the answers sent that waited until their decisions were in the journal."""
+        for message_id in list(self.unrecorded):
+            self._answer_unrecorded(message_id)
+
+    def _answer_unrecorded(self, message_id: str) -> None:
+        message = self.unrecorded.pop(message_id, None)
+        if message is not None:
             self.answer(message)
 
     def _becomes_dead_letter(self, message: Transaction, ending: Ending) -> bool:
