Take signals from the first instruction to the end of the process

Operators saw a process end with SIGHUP at its start, or with -1, -2 or -15 instead of 0 after SIGTERM.

Cause: the default actions hold until run() installs handlers, some 0.2 s after exec, and again once the loop is closed.

Blocking at the end was tried first and does not do: threads of libuv take the signal.

--- a/honeyhitch/service/run.py
+++ b/honeyhitch/service/run.py
@@ -12,7 +12,7 @@
 from honeyhitch.service.assembly import assemble
 from honeyhitch.service.reload import ConfigReader, reload
 from honeyhitch.service.shutdown import close, drain_and_stop
-from honeyhitch.service.signals import StopSignal, on_reload
+from honeyhitch.service.signals import StopSignal, ignore_signals, on_reload, unblock_signals
 from honeyhitch.service.start import start
 
 log = logs.get_logger()
@@ -28,6 +28,7 @@
     # Installed first, so that signals that arrive during assembly are handled after it.
     on_reload(loop, lambda: reload(service, read_config))
     stop = StopSignal(loop, (signal.SIGTERM, signal.SIGINT))
+    unblock_signals()
     service = assemble(config)
     try:
         start(service)
@@ -42,5 +43,12 @@
 
 def serve(config: Config, read_config: ConfigReader) -> None:
     """Call `run` on a uvloop event loop. Raise ConfigError if the service cannot start."""
+
+    async def run_and_ignore_signals() -> None:
+        try:
+            await run(config, read_config)
+        finally:
+            ignore_signals(asyncio.get_running_loop())
+
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(run(config, read_config))
+        runner.run(run_and_ignore_signals())
--- a/honeyhitch/service/signals.py
+++ b/honeyhitch/service/signals.py
@@ -1,4 +1,8 @@
-"""Handlers of the signals that stop the process or reload its configuration."""
+"""Handlers of the signals that stop the process or reload its configuration.
+
+The signals are blocked until the handlers are installed, and ignored after the service has been closed. Their
+default action would end a process that has just started, or change the exit code of one that ends.
+"""
 
 from __future__ import annotations
 
@@ -6,6 +10,20 @@
 import signal
 from collections.abc import Callable, Iterable
 
+HANDLED_SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
+
+
+def unblock_signals() -> None:
+    """Deliver the signals from now on, those that are pending first."""
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
+
+
+def ignore_signals(loop: asyncio.AbstractEventLoop) -> None:
+    """Ignore the signals until the end of the process."""
+    for number in HANDLED_SIGNALS:
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
+
 
 class StopSignal:
     """The request to stop: the first of the signals sets `received`, and later ones change nothing."""
