Have an owner confirm which message its reply belongs to on a reused connection

Callers of a fleet would see +OK for a message that its owner has rejected.

A reply without that confirmation is not relayed: the request is sent once more to the same owner on a new connection, where no earlier reply can arrive; the owner knows the id. The stand-in owner answers the PING now.

--- a/honeyhitch/protocols/forwarding.py
+++ b/honeyhitch/protocols/forwarding.py
@@ -2,6 +2,10 @@
 
 The request is the `ENQUEUE` command that clients send, with the remaining time of the message and the field
 `via`, which tells the owner not to forward the message again. The owner's reply is relayed unchanged.
+
+On a connection that carried an earlier request, a `PING` with the message's id follows, whose reply repeats
+the id. It shows that the reply before it belongs to this message, and is not the reply to an earlier one that
+the network delivered twice.
 """
 
 from __future__ import annotations
@@ -39,7 +43,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ConnectionEnded:
-    """The request was written to a reused connection, which ended before any byte of a reply.
+    """The request was written to a reused connection, which gave no reply that belongs to the request.
 
     A dispatcher may close a connection between two requests. If it does so while a request is in transit, the
     request is sent once more on a new connection (protocol page). The owner recognizes the id of a message
@@ -71,31 +75,49 @@
         fields["again"] = "1"
     fields[FORWARDED_BY_FIELD] = instance
     text = ",".join(f"{name}={value}" for name, value in fields.items())
-    arguments = (b"ENQUEUE", UNUSED_KEY, transaction.id.encode(), text.encode(), transaction.body)
-    encoded = [b"$%d\r\n%s\r\n" % (len(argument), argument) for argument in arguments]
-    return b"*%d\r\n" % len(arguments) + b"".join(encoded)
+    return _encode_command(b"ENQUEUE", UNUSED_KEY, transaction.id.encode(), text.encode(), transaction.body)
+
+
+def encode_confirmation_request(message_id: str) -> bytes:
+    """Return the request that follows on a reused connection; its reply repeats the message's id."""
+    return _encode_command(b"PING", message_id.encode())
+
+
+def _encode_command(*arguments: bytes) -> bytes:
+    return b"*%d\r\n" % len(arguments) + b"".join(map(_encode_bulk_string, arguments))
+
+
+def _encode_bulk_string(value: bytes) -> bytes:
+    return b"$%d\r\n%s\r\n" % (len(value), value)
 
 
 class ReplyReader:
-    """Parses the reply of an owner: one line with a RESP simple string or error."""
+    """Parses the reply of an owner: one line with a RESP simple string or error.
+
+    With `confirmed_id`, the reply to the confirmation request, which is this id, must follow.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, confirmed_id: str | None = None) -> None:
+        self.awaits_confirmation = False  # the reply was received, and not yet its confirmation
         self._data = b""
+        self._confirmation = b"" if confirmed_id is None else _encode_bulk_string(confirmed_id.encode())
 
     def feed(self, data: bytes) -> bytes | None:
-        """Add received bytes; return the reply, or None while it is incomplete.
+        """Add received bytes; return the reply, or None while it or its confirmation is incomplete.
 
-        Raise ValueError for a malformed reply.
+        Raise ValueError for a malformed reply, and for one that is not confirmed.
         """
         self._data += data
         quoted = self._data[:MAX_QUOTED_LENGTH]
         if self._data[:1] not in (b"+", b"-"):
             raise ValueError(f"reply: expected a line with + or -, got {quoted!r}")
-        end = self._data.find(b"\r\n")
-        if end < 0:
+        end = self._data.find(b"\r\n") + 2
+        if end < 2:
             if len(self._data) > MAX_LINE_BYTES:
                 raise ValueError(f"reply: longer than {MAX_LINE_BYTES} bytes")
             return None
-        if end < len(self._data) - 2:
-            raise ValueError(f"reply: more than one line: {quoted!r}")
-        return self._data
+        confirmation = self._data[end:]
+        if not self._confirmation.startswith(confirmation):
+            raise ValueError(f"reply: more than one line, or one to another message: {quoted!r}")
+        self.awaits_confirmation = confirmation != self._confirmation
+        return None if self.awaits_confirmation else self._data[:end]
--- a/honeyhitch/transports/peers.py
+++ b/honeyhitch/transports/peers.py
@@ -176,23 +176,28 @@
                 return outcome
             outcome = Unanswered()  # holds for any failure from here on, because bytes may have been sent
             async with asyncio.timeout_at(deadline):
-                outcome = await self._exchange(connection, request)
+                outcome = await self._exchange(connection, request, transaction.id)
         except (OSError, ValueError) as error:
             log.warning("forward.failed", error=f"{type(error).__name__}: {error}", key=address)
+            if connection.reused and isinstance(error, ValueError):
+                outcome = ConnectionEnded()
         finally:
             self.connections.release(connection, isinstance(outcome, Relayed))
         return outcome
 
-    async def _exchange(self, connection: PeerConnection, request: bytes) -> ForwardOutcome:
-        reader = forwarding.ReplyReader()
+    async def _exchange(self, connection: PeerConnection, request: bytes, message_id: str) -> ForwardOutcome:
+        reader = forwarding.ReplyReader(message_id if connection.reused else None)
+        if connection.reused:
+            request += forwarding.encode_confirmation_request(message_id)
         buffer = Buffer()
         reply_began = False
         try:
-            await self.loop.sock_sendall(connection.sock, request)
+            await sockets.send_all(self.loop, connection.sock, request)
             while await sockets.read(self.loop, connection.sock, buffer):
                 reply_began = True
                 if (reply := reader.feed(buffer.consume_all())) is not None:
                     return Relayed(reply)
         except ConnectionError as error:
             log.warning("forward.failed", error=str(error), key=connection.address)
-        return ConnectionEnded() if connection.reused and not reply_began else Unanswered()
+        without_reply = connection.reused and (not reply_began or reader.awaits_confirmation)
+        return ConnectionEnded() if without_reply else Unanswered()
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -34,10 +34,20 @@
 
     async def _client(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
+        reused = False
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
             while True:
                 self.requests.append(await reader.readuntil(b"\r\nbody\r\n"))
+                confirmation = await self._read_confirmation_request(reader) if reused else b""
                 await self.on_request(len(self.requests), writer)
+                if not writer.is_closing():
+                    writer.write(confirmation)
+                reused = True
+
+    async def _read_confirmation_request(self, reader: asyncio.StreamReader) -> bytes:
+        """Read a PING with an argument and return its reply, which is the argument."""
+        assert await reader.readuntil(b"PING\r\n") == b"*2\r\n$4\r\nPING\r\n"
+        return await reader.readline() + await reader.readline()
 
 
 def create_forwarder(*owners: Owner) -> Forwarder:
@@ -142,3 +152,25 @@
         assert forwarder.connections.open == 0
 
     run_test(work)
+
+
+# Guards against a copied reply that is relayed for the next message, which the owner has rejected.
+def test_a_reply_that_arrives_twice_is_not_relayed_for_the_next_message() -> None:
+    async def work() -> None:
+        async def reply_twice_then_reject(number: int, writer: asyncio.StreamWriter) -> None:
+            if number == 1:
+                writer.write(b"+OK\r\n")
+            elif number == 2:  # the copy arrives under the second request, before its own reply
+                writer.write(b"+OK\r\n")
+                await asyncio.sleep(0.02)
+                writer.write(b"-BUSY 70\r\n")
+            else:  # the same request, on a new connection
+                writer.write(b"-BUSY 70\r\n")
+
+        owner = await Owner(reply_twice_then_reject).start()
+        forwarder = create_forwarder(owner)
+        assert await forwarder.forward(create_message("a")) == b"+OK\r\n"
+        assert await forwarder.forward(create_message("b")) == b"-BUSY 70\r\n"
+        assert owner.connections == 2
+
+    run_test(work)
