Answer a forwarded message with an error where its owner gave no reply

Cause: Forwarder.forward returned None and ClientServer closed the connection. Evidence: test_forwarder and test_partitioning_program asserted just that. Change: the client is answered `-ERR owner: did not reply, and may have accepted the message`, and keeps its connection.

--- a/honeyhitch/protocols/forwarding.py
+++ b/honeyhitch/protocols/forwarding.py
@@ -18,6 +18,8 @@
 from honeyhitch.time_units import MILLISECOND
 
 UNUSED_KEY = b"0" * 16  # the key argument of ENQUEUE, which has no meaning
+# For a request that an owner may have accepted without a reply: neither +OK nor -BUSY would be true.
+UNANSWERED_REPLY = b"-ERR owner: did not reply, and may have accepted the message\r\n"
 MAX_QUOTED_LENGTH = 40  # bytes of a malformed reply that are quoted in an error
 
 
--- a/honeyhitch/service/listeners.py
+++ b/honeyhitch/service/listeners.py
@@ -91,7 +91,7 @@
     *,
     single_request: bool = False,
     reuse_port: bool = False,
-    forward: Callable[[Transaction], Awaitable[bytes | None]] | None = None,
+    forward: Callable[[Transaction], Awaitable[bytes]] | None = None,
 ) -> ClientServer:
     """Listen at an address and serve its connections.
 
--- a/honeyhitch/transports/client_server.py
+++ b/honeyhitch/transports/client_server.py
@@ -94,14 +94,12 @@
         tasks: Tasks,
         single_request: bool = False,
         reuse_port: bool = False,
-        forward: Callable[[Transaction], Awaitable[bytes | None]] | None = None,
+        forward: Callable[[Transaction], Awaitable[bytes]] | None = None,
     ) -> None:
         """Bind and listen. Raise OSError if the address cannot be used.
 
         `single_request`: a connection carries one request only. `reuse_port`: another process may listen on
-        the same address. `forward` obtains the reply of the instance that owns a transaction's destination;
-        if it returns None, the connection is closed without a reply, which the client handles as a dispatcher
-        that did not answer.
+        the same address. `forward` obtains the reply of the instance that owns a transaction's destination.
         """
         self.create_session = create_session
         self.max_clients = max_clients
@@ -237,8 +235,7 @@
             if replies:
                 await self._send(client, replies)
             if session.forward is not None:
-                if not await self._forward(client, session.forward):
-                    return
+                await self._forward(client, session.forward)
             elif not replies and session.has_partial_request:
                 self._on_partial_request(client)
             client.has_partial_request = session.has_partial_request or session.has_more_requests
@@ -253,15 +250,12 @@
         if client.answered and not client.has_partial_request:
             self._record_state_change(client)
 
-    async def _forward(self, client: Client, transaction: Transaction) -> bool:
-        """Send the reply of another instance to the client; return false if there is no reply."""
+    async def _forward(self, client: Client, transaction: Transaction) -> None:
+        """Send the reply of another instance to the client."""
         client.has_partial_request = True  # keeps a drain or a new client from closing the connection
         self._record_state_change(client)
-        reply = await self.forward(transaction) if self.forward is not None else None
-        if reply is None:
-            return False
-        await self._send(client, reply)
-        return True
+        assert self.forward is not None  # a session asks for it only if the service forwards messages
+        await self._send(client, await self.forward(transaction))
 
     async def _send(self, client: Client, replies: bytes) -> None:
         client.sending = True
--- a/honeyhitch/transports/peers.py
+++ b/honeyhitch/transports/peers.py
@@ -133,10 +133,10 @@
         self.rejection = rejection
         self.loop = connections.loop
 
-    async def forward(self, transaction: Transaction) -> bytes | None:
+    async def forward(self, transaction: Transaction) -> bytes:
         """Try the owners in turn until one is reached, and return the reply for the client.
 
-        Return None if an owner may have received part of the request and sent no reply.
+        The reply is an error if an owner may have received part of the request and sent no reply.
         """
         deadline = self.loop.time() + FORWARD_TIMEOUT_SECONDS
         for address in self.owners(transaction.destination):
@@ -147,7 +147,7 @@
                     return reply
                 case Unanswered() | ConnectionEnded():
                     log.warning("forward.unanswered", message=transaction.id, key=address)
-                    return None
+                    return forwarding.UNANSWERED_REPLY
         log.warning("forward.unreachable", message=transaction.id, key=str(transaction.destination))
         return self.rejection
 
