Accept the next connection at once after one that ended before accept()

Clients that connect beside a failed one waited 50 ms for each ECONNABORTED, and a socket option that fails would have dropped an accepted connection unanswered.

Cause: ClientServer.accept paused after every OSError and took setsockopt for safe. Evidence: by reading accept(2), which passes on the pending errors of a connection; test_each_new_connection_is_answered_while_accept_fails passed before as well, with the pauses. Change: errors that belong to the connection lead to the next accept at once; lack of descriptors or buffers pauses 20 ms and is logged by its number.

--- a/honeyhitch/transports/client_server.py
+++ b/honeyhitch/transports/client_server.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+import errno
 import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -22,7 +23,11 @@
 
 log = logs.get_logger()
 LISTEN_BACKLOG = 1024  # maximum number of connections that wait to be accepted
-ACCEPT_RETRY_SECONDS = 0.05  # pause after accept() failed because no file descriptor was left
+ACCEPT_RETRY_SECONDS = 0.02  # pause after accept() failed for lack of descriptors or buffers
+# The connection ended before it was accepted; the next one can be accepted at once (accept(2)).
+ENDED_BEFORE_ACCEPT = frozenset(
+    {errno.ECONNABORTED, errno.EPROTO, errno.ENETDOWN, errno.ENETUNREACH, errno.EHOSTDOWN, errno.EHOSTUNREACH}
+)
 # Time limit for the first request, for the rest of a partial request, and for the client to read replies.
 REQUEST_TIMEOUT_SECONDS = 2.0
 # A new client that has sent no byte for this long may lose its slot: a request in transit would have arrived.
@@ -128,15 +133,17 @@
             await sockets.wait_readable(self.loop, self.listener)
             try:
                 sock, _ = self.listener.accept()
-            except (BlockingIOError, InterruptedError):  # the client closed its connection before accept()
+            except (BlockingIOError, InterruptedError):
                 continue
-            except OSError as error:  # no file descriptor is left; some will be closed later
-                log.warning("accept.failed", error=str(error))
-                await asyncio.sleep(ACCEPT_RETRY_SECONDS)
+            except OSError as error:
+                if error.errno not in ENDED_BEFORE_ACCEPT:  # descriptors or buffers will be released later
+                    log.warning("accept.failed", error=str(error), key=str(error.errno))
+                    await asyncio.sleep(ACCEPT_RETRY_SECONDS)
                 continue
             await self._wait_for_slot()
             sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             client = Client(sock, self.loop.time())
             self.clients[client] = None
             self.tasks.start(self._serve(client))
