--- a/tests/faults/soak.py
+++ b/tests/faults/soak.py
@@ -168,7 +168,7 @@
                 {**endpoint_row(name, destination, kind), "host_port": address, "size": 40.0}
             )
         await self.agent.start()
-        agent_proxy = await CopyingProxy(self.agent.port).start()
+        agent_proxy = await CopyingProxy(self.agent.port, copy_delay).start()
         self.agent_port = agent_proxy.port
         return proxies
 
