--- a/honeyhitch/dispatcher/dispatcher.py
+++ b/honeyhitch/dispatcher/dispatcher.py
@@ -80,10 +80,15 @@
         """
         self.admission.return_unattempted(destination, retry_after)
 
-    def write_postponed_records(self) -> None:
-        """Write what a failing disk could not take before, and send the answers that waited for it."""
-        if self.journal.write_postponed() and self.endings.unrecorded:
-            self.endings.answer_recorded()
+    def write_postponed_records(self) -> bool:
+        """Write what a failing disk could not take before, and send the answers that waited for it.
+
+        Return whether nothing is left to write.
+        """
+        if not self.journal.write_postponed():
+            return False
+        self.endings.answer_recorded()
+        return True
 
     def answer_sent(self, transaction: Transaction) -> None:
         """Record that a frontend sent the final answer."""
--- a/honeyhitch/journal/journal.py
+++ b/honeyhitch/journal/journal.py
@@ -93,6 +93,7 @@
         self.peer_bytes = 0  # bytes of `max_bytes` that another process uses
         self.compaction_overhead = 0  # bytes by which the last compacted file exceeded `live_bytes`
         self.postponed: deque[Record] = deque()  # records that could not be written yet, oldest first
+        self.on_postponed: Callable[[], None] = lambda: None  # called when a record could not be written
         self.clock = clock
         self.detailed = detailed
         with contextlib.suppress(OSError):  # left by an interrupted compaction; the old file is complete
@@ -329,6 +330,7 @@
         except JournalFullError as error:
             log.error("journal.failed", postponed=len(self.postponed) + 1, error=str(error))
             self.postponed.append(record)
+            self.on_postponed()
 
     def write_postponed(self) -> bool:
         """Write the records that could not be written before; return whether none is left."""
--- a/honeyhitch/service/service.py
+++ b/honeyhitch/service/service.py
@@ -20,6 +20,7 @@
 from honeyhitch.service.descriptors import descriptor_budget, idle_limits
 from honeyhitch.service.handover import ProcessHandover
 from honeyhitch.service.start_retry import retry_transient
+from honeyhitch.service.state_writer import StateWriter
 from honeyhitch.time_units import MILLISECOND, MINUTE
 from honeyhitch.transports import sockets
 from honeyhitch.transports.client_server import ClientServer
@@ -34,7 +35,6 @@
 
 log = logs.get_logger()
 BROKER_REDELIVERY = 10 * MINUTE  # how long a broker may redeliver a message; its id is kept as long
-STATE_RETRY_SECONDS = 0.05  # between attempts to write to a state directory that failed
 DISCOVERY_SEED = 0xD15C  # mixed into the dispatcher's seed to make a separate random stream
 
 
@@ -54,6 +54,10 @@
         self.journal.record_owner(config.name)
         pool = EndpointPool(config.settings)
         self.dispatcher = Dispatcher(config.settings, config.seed, pool, self.journal, self.scheduler)
+        self.state_writer = StateWriter(self.loop, self._write_state)
+        self.journal.on_postponed = self.state_writer.retry_later
+        if self.journal.postponed or not self.clock_anchor.written:
+            self.state_writer.retry_later()
         self.handover = ProcessHandover(
             self.state_directory, self.journal, self.dispatcher, self.divide_limits
         )
@@ -70,7 +74,6 @@
             http.sweep,
             report_suppressed_events,
             self.handover.watch,
-            self.maintain_state,
         ]
         self.servers: list[ClientServer] = []
         self.clients: ClientServer | None = None  # the server to which clients submit messages
@@ -108,12 +111,10 @@
         self.clock_anchor.write()
         self.scheduler.offset = self.clock_anchor.anchor.offset
 
-    async def maintain_state(self) -> None:
-        """Until cancelled, write what could not be written to the state directory before."""
-        while True:
-            self.clock_anchor.write()
-            self.dispatcher.write_postponed_records()
-            await asyncio.sleep(STATE_RETRY_SECONDS)
+    def _write_state(self) -> bool:
+        """Write what could not be written to the state directory; return whether nothing is left."""
+        anchor_written = self.clock_anchor.write()
+        return self.dispatcher.write_postponed_records() and anchor_written
 
     def client_requests_finished(self) -> bool:
         """Return whether no client of this process has a request in progress."""
--- a/honeyhitch/service/shutdown.py
+++ b/honeyhitch/service/shutdown.py
@@ -74,6 +74,7 @@
     if service.fleet is not None:
         service.fleet.close()
     service.handover.close()
+    service.state_writer.stop()
     service.journal.close()
     service.state_directory.close()
     logs.flush(include_unfinished=True)
