Cut connections and drain endpoints in the soak as well

The proxy resets a connection after a request or in the middle of a response, the agent lists endpoints as draining and as ready again, and the check wants no attempt later than the grace after a drain or a start.

--- a/tests/faults/proxy.py
+++ b/tests/faults/proxy.py
@@ -1,4 +1,4 @@
-"""A TCP proxy on loopback that copies responses, as a fault between a dispatcher and its peers."""
+"""A TCP proxy on loopback that copies responses and cuts connections between a dispatcher and its peers."""
 
 from __future__ import annotations
 
@@ -14,7 +14,8 @@
 
     Each chunk that the target writes is one response. The copy follows after the number of seconds that
     `copy_delay` returns, or never if it returns None. With `copy_on_request`, the copy follows right after
-    the next request of the connection was forwarded instead.
+    the next request of the connection was forwarded instead. A connection is reset after a request, or in the
+    middle of a response, whenever `cuts` returns true.
     """
 
     def __init__(
@@ -22,10 +23,12 @@
         target: int,
         copy_delay: Callable[[], float | None] = lambda: None,
         copy_on_request: bool = False,
+        cuts: Callable[[], bool] = lambda: False,
     ) -> None:
         self.target = target
         self.copy_delay = copy_delay
         self.copy_on_request = copy_on_request
+        self.cuts = cuts
         self.port = 0
         self.copies = 0
         self.tasks: set[asyncio.Task[None]] = set()
@@ -66,6 +69,9 @@
         with contextlib.suppress(OSError):
             while data := await reader.read(READ_BYTES):
                 upstream.write(data)
+                if self.cuts():
+                    client.transport.abort()
+                    return
                 if self.copy_on_request and last_response[0]:
                     self._write_copy(client, last_response[0])
                     last_response[0] = b""
@@ -75,6 +81,10 @@
     ) -> None:
         with contextlib.suppress(OSError):
             while data := await reader.read(READ_BYTES):
+                if self.cuts():
+                    client.write(data[: len(data) // 2])
+                    client.transport.abort()
+                    return
                 client.write(data)
                 last_response[0] = data
                 if (delay := self.copy_delay()) is not None:
--- a/tests/faults/soak.py
+++ b/tests/faults/soak.py
@@ -44,6 +44,7 @@
 RETRY_AFTER_TRANSIT_SECONDS = 0.1  # calls that arrive this soon after a Retry-After are let through
 FAILING_START_SECONDS = 2.0
 READY_SECONDS = 10.0
+DRAIN_GRACE_SECONDS = 2.0
 CLOCK_STEPS = (-3600 * SECOND, -3 * SECOND, 3 * SECOND, 3600 * SECOND)
 MEMBERS = (("batch", 1, "large"), ("batch-2", 1, "large"), ("single", 2, "small"), ("single-2", 3, "small"))
 
@@ -88,6 +89,15 @@
     ended: float = 0.0
 
 
+@dataclass(slots=True)
+class Drain:
+    """A time in which the agent listed an endpoint as draining; `ended` is 0 if it still does."""
+
+    endpoint: str
+    began: float
+    ended: float = 0.0
+
+
 @dataclass(slots=True)
 class Soak:
     """One play of a seed."""
@@ -99,6 +109,7 @@
     endpoints: dict[str, RecordingEndpoint] = field(default_factory=dict)
     clients: list[Client] = field(default_factory=list)
     outages: list[Outage] = field(default_factory=list)
+    drains: list[Drain] = field(default_factory=list)
     shim_broke_connections: bool = False
     problems: list[str] = field(default_factory=list)
     message_count: int = 0
@@ -153,15 +164,19 @@
 
     async def _start_peers(self) -> list[CopyingProxy]:
         copies_responses = self.rng.random() < 0.7
+        cut_probability = self.rng.choice((0.0, 0.02, 0.1))
 
         def copy_delay() -> float | None:
             return self.rng.uniform(0, 0.02) if copies_responses and self.rng.random() < 0.5 else None
 
+        def cuts() -> bool:
+            return self.rng.random() < cut_probability
+
         proxies = []
         for name, destination, kind in MEMBERS:
             endpoint = await RecordingEndpoint(self._respond, lambda: None).start()
             self.endpoints[name] = endpoint
-            proxy = await CopyingProxy(endpoint.port, copy_delay).start()
+            proxy = await CopyingProxy(endpoint.port, copy_delay, cuts=cuts).start()
             proxies.append(proxy)
             address = f"127.0.0.1:{proxy.port}"
             self.agent.members.append(
@@ -226,12 +241,27 @@
                 shim.step_wall_clock(self.rng.choice(CLOCK_STEPS))
             elif draw < 0.6:
                 await self._pause_process(process)
-            elif draw < 0.7:
+            elif draw < 0.65:
                 process.send_signal(signal.SIGHUP)
+            elif draw < 0.75:
+                self._toggle_drain()
             else:
                 process = await self._restart(process, shim, path)
         return process
 
+    def _toggle_drain(self) -> None:
+        """Have the agent list an endpoint as draining, or as ready again."""
+        member = self.rng.choice(self.agent.members)
+        drains = member["phase"] == "Ready"
+        member["phase"] = "Terminating" if drains else "Ready"
+        self.agent.change(dict(member))
+        if drains:
+            self.drains.append(Drain(member["id"], time.monotonic()))
+        else:
+            for drain in self.drains:
+                if drain.endpoint == member["id"] and not drain.ended:
+                    drain.ended = time.monotonic()
+
     async def _fail_system_calls(self, shim: Shim) -> None:
         group = self.rng.choice(
             (
@@ -303,6 +333,7 @@
                 self._check_ending(submission, attempts)
             self._check_repeats(submission, attempts)
         self._check_retry_after()
+        self._check_drains()
         for message, attempts in overlapping_attempts(list(self.endpoints.values())).items():
             self.problems.append(f"two attempts in flight: {message} {attempts}")
         for endpoint in self.endpoints.values():
@@ -366,6 +397,16 @@
                         if any(begin < moment < end for moment in started):
                             self.problems.append(f"Retry-After not kept at {name}: {attempt}")
 
+    def _check_drains(self) -> None:
+        for drain in self.drains:
+            for group in self.endpoints[drain.endpoint].attempts.values():
+                for attempt in group:
+                    starts = [outage.ended for outage in self.outages if outage.ended <= attempt.started_at]
+                    notified_at = max([drain.began, *starts])
+                    latest = notified_at + DRAIN_GRACE_SECONDS + TIME_SLACK_SECONDS
+                    if latest < attempt.started_at < (drain.ended or 1e9):
+                        self.problems.append(f"sent to a draining endpoint: {drain} {attempt}")
+
     def _outage_follows(self, attempt: Attempt) -> bool:
         return any(
             attempt.ended_at - 1.0 < outage.began < attempt.ended_at + attempt.retry_after
