--- a/tests/faults/proxy.py
+++ b/tests/faults/proxy.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import time
 from collections.abc import Callable
 
 READ_BYTES = 1 << 16
@@ -29,6 +30,7 @@
         self.copy_delay = copy_delay
         self.copy_on_request = copy_on_request
         self.cuts = cuts
+        self.cut_times: list[float] = []  # seconds of the monotonic clock
         self.port = 0
         self.copies = 0
         self.tasks: set[asyncio.Task[None]] = set()
@@ -70,7 +72,7 @@
             while data := await reader.read(READ_BYTES):
                 upstream.write(data)
                 if self.cuts():
-                    client.transport.abort()
+                    self._cut(client)
                     return
                 if self.copy_on_request and last_response[0]:
                     self._write_copy(client, last_response[0])
@@ -83,7 +85,7 @@
             while data := await reader.read(READ_BYTES):
                 if self.cuts():
                     client.write(data[: len(data) // 2])
-                    client.transport.abort()
+                    self._cut(client)
                     return
                 client.write(data)
                 last_response[0] = data
@@ -92,6 +94,10 @@
                     self.tasks.add(task)
                     task.add_done_callback(self.tasks.discard)
 
+    def _cut(self, client: asyncio.StreamWriter) -> None:
+        self.cut_times.append(time.monotonic())
+        client.transport.abort()
+
     async def _write_later(self, client: asyncio.StreamWriter, data: bytes, delay: float) -> None:
         await asyncio.sleep(delay)
         self._write_copy(client, data)
