--- /dev/null
+++ b/honeyhitch/service/open_state.py
@@ -0,0 +1,97 @@
+"""Opens the state directory of a service: its slot, its clock and its journal.
+
+Each step is repeated while it fails for a reason that may pass.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+
+from honeyhitch import logs
+from honeyhitch.config import Config, ConfigError
+from honeyhitch.journal.clock_anchor import AnchorFile, ClockAnchor, stored_anchor
+from honeyhitch.journal.directory import FIRST_SLOT, StateDirectory, StateDirectoryInUseError
+from honeyhitch.journal.journal import Journal, JournalVersionError
+from honeyhitch.journal.transactions import Transaction
+from honeyhitch.service.start_retry import retry_transient
+from honeyhitch.time_units import MILLISECOND, MINUTE
+from honeyhitch.transports import sockets
+
+log = logs.get_logger()
+BROKER_REDELIVERY = 10 * MINUTE  # how long a broker may redeliver a message; its id is kept as long
+
+
+def open_state_directory(config: Config, listen: bool) -> StateDirectory:
+    """Lock a slot of the state directory and return the directory.
+
+    The process in the first slot must find its address unused. A process that listens there without a slot is
+    another dispatcher, or a version that shares neither the directory nor the address. Raise ConfigError if
+    the directory or the address cannot be used.
+    """
+    try:
+        directory = retry_transient(lambda: StateDirectory(config.state), "state")
+    except (StateDirectoryInUseError, OSError) as error:
+        raise ConfigError(f"state: {error}") from error
+    if listen and directory.slot == FIRST_SLOT:
+        try:
+            address = config.listen.host, config.listen.port
+            retry_transient(lambda: sockets.check_address_unused(address), "listen")
+        except OSError as error:
+            directory.close()
+            raise ConfigError(f"listen: cannot listen on {config.listen}: {error.strerror}") from error
+    return directory
+
+
+def open_clock(config: Config, directory: StateDirectory) -> AnchorFile:
+    """Return the clock that the state directory's processes share.
+
+    In a fleet the wall clock gives the time, because the instances compare their times.
+    """
+    current = ClockAnchor.now()
+    if config.operator.fleet is not None:
+        return AnchorFile(config.state, current)
+    try:
+        return retry_transient(lambda: _share_clock(config.state, directory, current), "state")
+    except OSError as error:
+        raise ConfigError(f"state: {error}") from error
+
+
+def _share_clock(path: Path, directory: StateDirectory, current: ClockAnchor) -> AnchorFile:
+    with directory.exclusive():
+        stored = stored_anchor(path)
+        step_ms = (current.offset - stored.offset) // MILLISECOND if stored is not None else 0
+        if step_ms:
+            log.info("clock.resumed", wall_clock_step_ms=step_ms)
+        anchor_file = AnchorFile(path, stored or current)
+        anchor_file.write()
+    return anchor_file
+
+
+def open_journal(config: Config, directory: StateDirectory, clock: Callable[[], int]) -> Journal:
+    """Open the journal of the directory's slot. Raise ConfigError if it cannot be used."""
+    longest_deadline = max(message_class.deadline for message_class in config.settings.classes)
+
+    def retention(message: Transaction) -> int:
+        """Return for how many nanoseconds the id of an ended message is remembered.
+
+        Clients send a message again at once or never; a broker may redeliver one for longer.
+        """
+        if message.frontend == "mqtt":
+            return max(longest_deadline, BROKER_REDELIVERY)
+        return longest_deadline
+
+    def open_file() -> Journal:
+        return Journal(
+            config.state,
+            config.limits.disk_bytes,
+            clock,
+            retention,
+            detailed=config.operator.dead_letters is not None,
+            file_name=directory.journal_path(directory.slot).name,
+        )
+
+    try:
+        return retry_transient(open_file, "state")
+    except (JournalVersionError, OSError) as error:
+        raise ConfigError(f"state: {error}") from error
--- a/honeyhitch/service/service.py
+++ b/honeyhitch/service/service.py
@@ -4,25 +4,20 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Coroutine
-from pathlib import Path
 from random import Random
 from typing import TYPE_CHECKING, Any
 
 from honeyhitch import logs
-from honeyhitch.config import Config, ConfigError
+from honeyhitch.config import Config
 from honeyhitch.dispatcher.dispatcher import Dispatcher
 from honeyhitch.endpoints.pool import EndpointPool
-from honeyhitch.journal.clock_anchor import AnchorFile, ClockAnchor, stored_anchor
-from honeyhitch.journal.directory import FIRST_SLOT, StateDirectory, StateDirectoryInUseError
-from honeyhitch.journal.journal import Journal, JournalVersionError
-from honeyhitch.journal.transactions import Transaction
+from honeyhitch.journal.clock_anchor import AnchorFile, ClockAnchor
+from honeyhitch.journal.directory import FIRST_SLOT
 from honeyhitch.protocols.control import CommandRegistry
 from honeyhitch.service.descriptors import descriptor_budget, idle_limits
 from honeyhitch.service.handover import ProcessHandover
-from honeyhitch.service.start_retry import retry_transient
+from honeyhitch.service.open_state import open_clock, open_journal, open_state_directory
 from honeyhitch.service.state_writer import StateWriter
-from honeyhitch.time_units import MILLISECOND, MINUTE
-from honeyhitch.transports import sockets
 from honeyhitch.transports.client_server import ClientServer
 from honeyhitch.transports.discovery import Discovery
 from honeyhitch.transports.http_transport import HttpTransport
@@ -33,8 +28,6 @@
     from honeyhitch.service.fleet import FleetService
     from honeyhitch.transports.control import ControlServer
 
-log = logs.get_logger()
-BROKER_REDELIVERY = 10 * MINUTE  # how long a broker may redeliver a message; its id is kept as long
 DISCOVERY_SEED = 0xD15C  # mixed into the dispatcher's seed to make a separate random stream
 
 
@@ -46,18 +39,17 @@
         self.config = config
         self.loop = asyncio.get_running_loop()
         self.tasks = Tasks(self.loop)
-        self.state_directory = _open_state_directory(config, listen)
-        self.clock_anchor = _open_clock(config, self.state_directory)
+        self.state_directory = open_state_directory(config, listen)
+        self.clock_anchor = open_clock(config, self.state_directory)
         self.scheduler = LoopScheduler(self.loop, self.clock_anchor.anchor.offset)
-        self.journal = _open_journal(config, self.state_directory, self.scheduler.now)
+        self.journal = open_journal(config, self.state_directory, self.scheduler.now)
         self._follow_wall_clock_if_unused()
         self.journal.record_owner(config.name)
         pool = EndpointPool(config.settings)
         self.dispatcher = Dispatcher(config.settings, config.seed, pool, self.journal, self.scheduler)
         self.state_writer = StateWriter(self.loop, self._write_state)
         self.journal.on_postponed = self.state_writer.retry_later
-        if self.journal.postponed or not self.clock_anchor.written:
-            self.state_writer.retry_later()
+        self.state_writer.retry_later()
         self.handover = ProcessHandover(
             self.state_directory, self.journal, self.dispatcher, self.divide_limits
         )
@@ -121,80 +113,6 @@
         return self.clients is None or self.clients.quiescent
 
 
-def _open_state_directory(config: Config, listen: bool) -> StateDirectory:
-    """Lock a slot of the state directory and return the directory.
-
-    The process in the first slot must find its address unused. A process that listens there without a slot is
-    another dispatcher, or a version that shares neither the directory nor the address. Raise ConfigError if
-    the directory or the address cannot be used.
-    """
-    try:
-        directory = retry_transient(lambda: StateDirectory(config.state), "state")
-    except (StateDirectoryInUseError, OSError) as error:
-        raise ConfigError(f"state: {error}") from error
-    if listen and directory.slot == FIRST_SLOT:
-        try:
-            address = config.listen.host, config.listen.port
-            retry_transient(lambda: sockets.check_address_unused(address), "listen")
-        except OSError as error:
-            directory.close()
-            raise ConfigError(f"listen: cannot listen on {config.listen}: {error.strerror}") from error
-    return directory
-
-
-def _open_clock(config: Config, directory: StateDirectory) -> AnchorFile:
-    """Return the clock that the state directory's processes share.
-
-    In a fleet the wall clock gives the time, because the instances compare their times.
-    """
-    current = ClockAnchor.now()
-    if config.operator.fleet is not None:
-        return AnchorFile(config.state, current)
-    try:
-        return retry_transient(lambda: _share_clock(config.state, directory, current), "state")
-    except OSError as error:
-        raise ConfigError(f"state: {error}") from error
-
-
-def _share_clock(path: Path, directory: StateDirectory, current: ClockAnchor) -> AnchorFile:
-    with directory.exclusive():
-        stored = stored_anchor(path)
-        step_ms = (current.offset - stored.offset) // MILLISECOND if stored is not None else 0
-        if step_ms:
-            log.info("clock.resumed", wall_clock_step_ms=step_ms)
-        anchor_file = AnchorFile(path, stored or current)
-        anchor_file.write()
-    return anchor_file
-
-
-def _open_journal(config: Config, directory: StateDirectory, clock: Callable[[], int]) -> Journal:
-    longest_deadline = max(message_class.deadline for message_class in config.settings.classes)
-
-    def retention(message: Transaction) -> int:
-        """Return for how many nanoseconds the id of an ended message is remembered.
-
-        Clients send a message again at once or never; a broker may redeliver one for longer.
-        """
-        if message.frontend == "mqtt":
-            return max(longest_deadline, BROKER_REDELIVERY)
-        return longest_deadline
-
-    def open_journal() -> Journal:
-        return Journal(
-            config.state,
-            config.limits.disk_bytes,
-            clock,
-            retention,
-            detailed=config.operator.dead_letters is not None,
-            file_name=directory.journal_path(directory.slot).name,
-        )
-
-    try:
-        return retry_transient(open_journal, "state")
-    except (JournalVersionError, OSError) as error:
-        raise ConfigError(f"state: {error}") from error
-
-
 async def report_suppressed_events() -> None:
     """Log periodically how many repeated events were suppressed."""
     while True:
