Open a watch anew within the grace of a drain after a malformed response

Endpoints that drain got calls later than the grace: what the agent holds counts as notified, and the watch was closed for up to 5 s.

Cause: ListWatch.run took every answer that was no OSError for a rejection by the agent, and paused for up to 5 s, growing. A response of which the network delivers a part twice is malformed, time after time.

Change: a malformed response, and one that ends early, counts as a broken connection (pause of at most half of the grace); a rejection by status and a list that cannot be used pause as before.

--- a/honeyhitch/transports/list_watch.py
+++ b/honeyhitch/transports/list_watch.py
@@ -61,16 +61,16 @@
             try:
                 await self._watch()
             except Exception as error:  # noqa: BLE001  # no input of an agent may end this loop
-                answered = not isinstance(error, OSError)
-                self._record_failure(error, answered)
+                answered = _is_rejection(error)
+                self._record_failure(error)
                 log.warning("watch.broken", error=f"{type(error).__name__}: {error}", key=self.address)
             await asyncio.sleep(self.backoff.next_pause(self.loop.time() - started_at, answered))
 
-    def _record_failure(self, error: Exception, answered: bool) -> None:
+    def _record_failure(self, error: Exception) -> None:
         if isinstance(error, TimeoutError):
             self.backoff.timed_out()
         status = error.status if isinstance(error, WatchError) else 0
-        if answered and status not in HARMLESS_STATUSES:
+        if not isinstance(error, OSError) and status not in HARMLESS_STATUSES:
             self.backoff.request_full_list()
 
     async def _watch(self) -> None:
@@ -142,6 +142,16 @@
         return lists[0]
 
 
+def _is_rejection(error: Exception) -> bool:
+    """Return whether the agent rejected the request, or sent a complete list that cannot be used.
+
+    A response that is malformed or ends early is as good as a broken connection: the agent may hold a change.
+    """
+    if isinstance(error, WatchError):
+        return error.status not in (0, HTTPStatus.OK)
+    return not isinstance(error, (OSError, http1.HttpError))
+
+
 async def connect_before(loop: asyncio.AbstractEventLoop, address: str, deadline: float) -> socket.socket:
     """Connect to HOST:PORT. Raise TimeoutError at `deadline` on the loop's clock, or OSError."""
     async with asyncio.timeout_at(deadline):
--- a/tests/test_silent_agent.py
+++ b/tests/test_silent_agent.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import copy
 import json
 import re
 from pathlib import Path
@@ -11,10 +12,13 @@
 
 from honeyhitch.protocols import discovery_backoff, notices
 
-from .program import Peer, enqueue, run_async_test, running_program
+from .program import SETTINGS, Peer, enqueue, run_async_test, running_program
 from .rig import endpoint_row
 from .test_program import serve_list_and_watch, serve_watch
+from .world import SECOND
 
+DRAIN_GRACE_SECONDS = 1.0
+MALFORMED_WATCHES = 8
 UNREACHED_TIMEOUT_SECONDS = 3600.0  # seconds, a timeout that does not elapse within a test
 Stream = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
@@ -87,3 +91,32 @@
             await serve_list_and_watch(agent, agent.port, [endpoint_row("s-1", 1)])
 
     run_async_test(scenario())
+
+
+# Guards against a drain that is missed while the pause after malformed watches grows to seconds: the agent
+# holds the change, and what the agent holds counts as notified.
+@pytest.mark.parametrize(
+    "response",
+    [
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nHTTP/1.1 200 OK\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+        b"no HTTP\r\n\r\n",
+    ],
+    ids=["copied", "ended", "malformed"],
+)
+def test_malformed_watches_are_opened_anew_within_the_grace_of_a_drain(
+    tmp_path: Path, response: bytes
+) -> None:
+    settings = copy.deepcopy(SETTINGS)
+    settings["invariants"]["drain-grace"] = int(DRAIN_GRACE_SECONDS * SECOND)
+
+    async def scenario() -> None:
+        agent = await Peer().start()
+        async with running_program(tmp_path, agent.port, [endpoint_row("s-1", 1)], settings=settings):
+            for _ in range(MALFORMED_WATCHES):
+                async with asyncio.timeout(DRAIN_GRACE_SECONDS):
+                    reader, writer = await agent.connections.get()
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(response)
+
+    run_async_test(scenario())
