Tell the soak's own time-out on a second connection from a close without an answer

Cause: Client._use took the None of _request_again, a reply that is late after 0.4 s, for the end of the connection.

--- a/tests/faults/clients.py
+++ b/tests/faults/clients.py
@@ -67,10 +67,10 @@
             time_left_ms = int((submission.deadline - time.monotonic()) * 1000)
             request = encode_submission(submission, time_left_ms)
             reply = await self._request(reader, writer, request)
+            if reply == b"" and answered:  # the request crossed the end of an idle connection
+                reply = await self._request_again(request)
             if reply is None:
                 return  # no reply in time: whatever the dispatcher does under this id counts for nothing
-            if not reply and answered:  # the request crossed the end of an idle connection
-                reply = await self._request_again(request)
             if not reply:
                 submission.closed_unanswered = time.monotonic()
                 return
