Connect again after 5 ms, so that notices are in time while connecting fails

Cause: a notice has 75 ms for its first connection and response, and connecting was tried only every 20 ms. Change: CONNECT_RETRY_SECONDS is 5 ms.

--- a/honeyhitch/transports/sockets.py
+++ b/honeyhitch/transports/sockets.py
@@ -33,7 +33,7 @@
         errno.ENOMEM,
     }
 )
-CONNECT_RETRY_SECONDS = 0.02
+CONNECT_RETRY_SECONDS = 0.005
 
 
 def new_tcp_socket() -> socket.socket:
