--- a/honeyhitch/dispatcher/delivery.py
+++ b/honeyhitch/dispatcher/delivery.py
@@ -44,9 +44,16 @@
     retry_after: int = 0  # nanoseconds, 0 if none
     reported: dict[str, float] = field(default_factory=dict)
     failure_reason: str = ""  # the name of a failure that the outcomes do not distinguish
+    error: str = ""  # the text of the error that ended the call, for the log
+    local_port: int = 0  # of the call's connection, for the log; 0 if none was open
     connection_stale: bool = False  # a pooled connection broke before any reply arrived
     connection_limited: bool = False  # a new connection was rejected because the endpoint's limit is reached
 
+    @property
+    def all_delivered(self) -> bool:
+        """Whether every message of the call was delivered."""
+        return all(outcome is Outcome.DELIVERED for outcome, _ in self.outcomes)
+
     @classmethod
     def uniform(cls, outcome: Outcome, count: int, concluded: bool = False) -> CallResult:
         """Return a result with the same outcome for all messages of the call."""
--- a/honeyhitch/dispatcher/endings.py
+++ b/honeyhitch/dispatcher/endings.py
@@ -65,7 +65,9 @@
                 "message.ended",
                 message=message.id,
                 ending=ending.value,
+                destination=message.destination,
                 attempts=message.attempt_count,
+                left_ms=(message.deadline - context.scheduler.now()) // MILLISECOND,
                 retry_after_ms=retry_after // MILLISECOND,
                 key=message.id,
             )
--- a/honeyhitch/dispatcher/outcomes.py
+++ b/honeyhitch/dispatcher/outcomes.py
@@ -129,6 +129,8 @@
                 outcome=outcome.value,
                 elapsed_ms=(self.context.scheduler.now() - call.sent_at) // MILLISECOND,
                 retry_after_ms=result.retry_after // MILLISECOND,
+                local_port=result.local_port,
+                error=result.error,
                 key=message.id,
             )
         if self.context.dead_letter_sink is not None and outcome is not Outcome.DELIVERED:
--- a/honeyhitch/transports/client_server.py
+++ b/honeyhitch/transports/client_server.py
@@ -64,6 +64,7 @@
     """One client's connection; `state_since` is the time on the loop's clock when its state last changed."""
 
     sock: socket.socket
+    port: int  # of the client's end
     state_since: float  # seconds
     answered: bool = False  # at least one reply was sent
     has_partial_request: bool = False
@@ -132,7 +133,7 @@
         while True:
             await sockets.wait_readable(self.loop, self.listener)
             try:
-                sock, _ = self.listener.accept()
+                sock, address = self.listener.accept()
             except (BlockingIOError, InterruptedError):
                 continue
             except OSError as error:
@@ -144,7 +145,7 @@
             sock.setblocking(False)
             with contextlib.suppress(OSError):
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            client = Client(sock, self.loop.time())
+            client = Client(sock, address[1], self.loop.time())
             self.clients[client] = None
             self.tasks.start(self._serve(client))
 
@@ -213,7 +214,9 @@
 
         Bytes that arrive from now on are not read, because the client submits them again on a new connection.
         """
-        log.info("client.closed", reason=reason, answered=client.answered, key=reason)
+        log.info(
+            "client.closed", client_port=client.port, reason=reason, answered=client.answered, key=reason
+        )
         self.clients.pop(client, None)
         client.closed = True
         with contextlib.suppress(OSError):
@@ -225,8 +228,17 @@
             if session.greeting:
                 await self.loop.sock_sendall(client.sock, session.greeting)
             await self._answer_requests(client, session)
-        except (OSError, BufferOverflowError):
-            pass  # the client closed the connection, or a request exceeded the size of the buffer
+        except (OSError, BufferOverflowError) as error:
+            # The client closed the connection, or a request exceeded the size of the buffer.
+            name = type(error).__name__
+            log.info(
+                "client.failed",
+                client_port=client.port,
+                answered=client.answered,
+                has_partial_request=client.has_partial_request,
+                error=f"{name}: {error}",
+                key=name,
+            )
         finally:
             self.clients.pop(client, None)
             client.sock.close()
--- a/honeyhitch/transports/http_transport.py
+++ b/honeyhitch/transports/http_transport.py
@@ -154,6 +154,8 @@
             log.exception("call.failed", member=call.endpoint.id, key=call.endpoint.id)
             result = failed_result(call, progress, Outcome.RESET)
         finally:
+            if result is not None and progress.connection is not None and not result.all_delivered:
+                result.local_port = sockets.local_port(progress.connection.channel.sock)
             # In every case the connection is closed or pooled before the slot becomes free.
             self._finish(call, progress, result)
         self.dispatcher.call_ended(call, result)
@@ -300,4 +302,6 @@
     result.connection_stale = closed_while_idle or rejected or isinstance(error, NoConnectionError)
     if isinstance(error, TlsError):
         result.failure_reason = error.failure.label
+    if error is not None:
+        result.error = f"{type(error).__name__}: {error}"
     return result
--- a/honeyhitch/transports/sockets.py
+++ b/honeyhitch/transports/sockets.py
@@ -184,6 +184,14 @@
     return count
 
 
+def local_port(sock: socket.socket) -> int:
+    """Return the port of this end of a connection, or 0 if the socket is closed."""
+    try:
+        return int(sock.getsockname()[1])
+    except OSError:
+        return 0
+
+
 def has_pending_connection(listener: socket.socket) -> bool:
     """Return whether a connection waits to be accepted, which closing the listener would reset."""
     poll = select.poll()  # unlike select(2), poll(2) has no limit on the descriptor's number
--- a/tests/test_copied_responses.py
+++ b/tests/test_copied_responses.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import json
+import re
 from pathlib import Path
 from typing import Any
 
@@ -78,6 +79,9 @@
             async with asyncio.timeout(5):
                 await changes.wait_until(lambda: len(endpoint.attempts.get("second", [])) > 1)
         assert rejected
+        (failed,) = re.findall(r"attempt\.failed .*message=second .*", (tmp_path / "config.log").read_text())
+        assert "outcome=refused" in failed, "the log says why the message was sent again"
+        assert re.search(r"local_port=[1-9]\d+", failed), "and on which connection"
 
     run_async_test(work())
 
