Give all steps of a start one limit of 20 s together

Operators would wait up to 20 s for each of four steps, longer than the 30 s in which a process has to be ready, although the comment said "all steps together".

Cause: retry_transient took its limit anew at each call. Change: StartRetry, made once for a start, holds the end of the time.

--- a/honeyhitch/service/listeners.py
+++ b/honeyhitch/service/listeners.py
@@ -14,7 +14,6 @@
 from honeyhitch.protocols.transaction_parser import TransactionParser
 from honeyhitch.service.descriptors import MONITORING_CONNECTIONS
 from honeyhitch.service.service import Service
-from honeyhitch.service.start_retry import retry_transient
 from honeyhitch.service.status import service_state
 from honeyhitch.transports import sockets
 from honeyhitch.transports.client_server import ClientServer, ServerSession
@@ -111,7 +110,7 @@
         )
 
     try:
-        server = retry_transient(create_server, setting)
+        server = service.start_retry.run(create_server, setting)
     except OSError as error:
         raise ConfigError(f"{setting}: cannot listen on {address}: {error.strerror}") from error
     service.servers.append(server)
--- a/honeyhitch/service/open_state.py
+++ b/honeyhitch/service/open_state.py
@@ -1,6 +1,6 @@
 """Opens the state directory of a service: its slot, its clock and its journal.
 
-Each step is repeated while it fails for a reason that may pass.
+`retry` repeats each step while it fails for a reason that may pass.
 """
 
 from __future__ import annotations
@@ -14,7 +14,7 @@
 from honeyhitch.journal.directory import FIRST_SLOT, StateDirectory, StateDirectoryInUseError
 from honeyhitch.journal.journal import Journal, JournalVersionError
 from honeyhitch.journal.transactions import Transaction
-from honeyhitch.service.start_retry import retry_transient
+from honeyhitch.service.start_retry import StartRetry
 from honeyhitch.time_units import MILLISECOND, MINUTE
 from honeyhitch.transports import sockets
 
@@ -22,7 +22,7 @@
 BROKER_REDELIVERY = 10 * MINUTE  # how long a broker may redeliver a message; its id is kept as long
 
 
-def open_state_directory(config: Config, listen: bool) -> StateDirectory:
+def open_state_directory(config: Config, listen: bool, retry: StartRetry) -> StateDirectory:
     """Lock a slot of the state directory and return the directory.
 
     The process in the first slot must find its address unused. A process that listens there without a slot is
@@ -30,20 +30,20 @@
     the directory or the address cannot be used.
     """
     try:
-        directory = retry_transient(lambda: StateDirectory(config.state), "state")
+        directory = retry.run(lambda: StateDirectory(config.state), "state")
     except (StateDirectoryInUseError, OSError) as error:
         raise ConfigError(f"state: {error}") from error
     if listen and directory.slot == FIRST_SLOT:
         try:
             address = config.listen.host, config.listen.port
-            retry_transient(lambda: sockets.check_address_unused(address), "listen")
+            retry.run(lambda: sockets.check_address_unused(address), "listen")
         except OSError as error:
             directory.close()
             raise ConfigError(f"listen: cannot listen on {config.listen}: {error.strerror}") from error
     return directory
 
 
-def open_clock(config: Config, directory: StateDirectory) -> AnchorFile:
+def open_clock(config: Config, directory: StateDirectory, retry: StartRetry) -> AnchorFile:
     """Return the clock that the state directory's processes share.
 
     In a fleet the wall clock gives the time, because the instances compare their times.
@@ -52,7 +52,7 @@
     if config.operator.fleet is not None:
         return AnchorFile(config.state, current)
     try:
-        return retry_transient(lambda: _share_clock(config.state, directory, current), "state")
+        return retry.run(lambda: _share_clock(config.state, directory, current), "state")
     except OSError as error:
         raise ConfigError(f"state: {error}") from error
 
@@ -68,7 +68,9 @@
     return anchor_file
 
 
-def open_journal(config: Config, directory: StateDirectory, clock: Callable[[], int]) -> Journal:
+def open_journal(
+    config: Config, directory: StateDirectory, clock: Callable[[], int], retry: StartRetry
+) -> Journal:
     """Open the journal of the directory's slot. Raise ConfigError if it cannot be used."""
     longest_deadline = max(message_class.deadline for message_class in config.settings.classes)
 
@@ -92,6 +94,6 @@
         )
 
     try:
-        return retry_transient(open_file, "state")
+        return retry.run(open_file, "state")
     except (JournalVersionError, OSError) as error:
         raise ConfigError(f"state: {error}") from error
--- a/honeyhitch/service/service.py
+++ b/honeyhitch/service/service.py
@@ -17,6 +17,7 @@
 from honeyhitch.service.descriptors import descriptor_budget, idle_limits
 from honeyhitch.service.handover import ProcessHandover
 from honeyhitch.service.open_state import open_clock, open_journal, open_state_directory
+from honeyhitch.service.start_retry import StartRetry
 from honeyhitch.service.state_writer import StateWriter
 from honeyhitch.transports.client_server import ClientServer
 from honeyhitch.transports.discovery import Discovery
@@ -39,10 +40,11 @@
         self.config = config
         self.loop = asyncio.get_running_loop()
         self.tasks = Tasks(self.loop)
-        self.state_directory = open_state_directory(config, listen)
-        self.clock_anchor = open_clock(config, self.state_directory)
+        self.start_retry = StartRetry()
+        self.state_directory = open_state_directory(config, listen, self.start_retry)
+        self.clock_anchor = open_clock(config, self.state_directory, self.start_retry)
         self.scheduler = LoopScheduler(self.loop, self.clock_anchor.anchor.offset)
-        self.journal = open_journal(config, self.state_directory, self.scheduler.now)
+        self.journal = open_journal(config, self.state_directory, self.scheduler.now, self.start_retry)
         self._follow_wall_clock_if_unused()
         self.journal.record_owner(config.name)
         pool = EndpointPool(config.settings)
@@ -53,9 +55,8 @@
         self.handover = ProcessHandover(
             self.state_directory, self.journal, self.dispatcher, self.divide_limits
         )
-        budget = descriptor_budget(config)
-        self.max_clients = budget.clients
-        self.idle_limits = idle_limits(config, budget.idle)
+        self.max_clients, max_idle = descriptor_budget(config)
+        self.idle_limits = idle_limits(config, max_idle)
         http = HttpTransport(self.dispatcher, self.scheduler, self.tasks, self.idle_limits.http)
         self.idle_pools = [http]  # transports that pool idle connections to endpoints, with equal limits
         discovery_rng = Random(config.seed ^ DISCOVERY_SEED)
