--- a/tests/test_client_server.py
+++ b/tests/test_client_server.py
@@ -4,12 +4,13 @@
 
 import asyncio
 import contextlib
+import errno
 import json
 import socket
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
-from typing import Any
+from typing import Any, ClassVar
 
 import pytest
 
@@ -321,3 +322,31 @@
             assert await reader.read() == PONG, "the complete reply precedes the end of the connection"
 
     run_async_test(work())
+
+
+class AbortingListener(socket.socket):
+    """A listener whose first calls of accept() fail, as they do for connections that have ended."""
+
+    failures: ClassVar[list[int]] = []
+
+    def accept(self) -> tuple[socket.socket, Any]:
+        if self.failures:
+            raise OSError(self.failures.pop(), "failed by the test")
+        return super().accept()
+
+
+# Guards against a pause before the next connection after one that ended before it was accepted.
+@pytest.mark.parametrize("error", [errno.ECONNABORTED, errno.EPROTO, errno.ENETUNREACH])
+def test_a_connection_that_ended_before_it_was_accepted_delays_no_other(
+    monkeypatch: pytest.MonkeyPatch, error: int
+) -> None:
+    monkeypatch.setattr(client_server, "ACCEPT_RETRY_SECONDS", 3600.0)
+
+    async def work() -> None:
+        async with running_server(2) as server:
+            AbortingListener.failures = [error] * 3
+            server.listener = AbortingListener(fileno=server.listener.detach())
+            await ping(await connect(server))
+        assert not AbortingListener.failures
+
+    run_async_test(work())
--- a/tests/test_journal_faults.py
+++ b/tests/test_journal_faults.py
@@ -2,17 +2,21 @@
 
 from __future__ import annotations
 
+import contextlib
 import errno
+import itertools
 import os
+from collections.abc import Callable
 from pathlib import Path
 
 import pytest
 
-from honeyhitch.journal.journal import Journal, JournalFullError
+from honeyhitch.journal.clock_anchor import AnchorFile, ClockAnchor
+from honeyhitch.journal.journal import DISK_BLOCK_BYTES, Journal, JournalFullError
 from honeyhitch.journal.transactions import Ending, Transaction
 
-from .rig import START, DispatcherRig, retention
-from .world import SECOND
+from .rig import START, DispatcherRig, VirtualTime, retention
+from .world import MS, SECOND
 
 
 def open_journal(directory: Path) -> Journal:
@@ -182,3 +186,44 @@
     assert [transaction.id for call in calls for transaction in call.messages] == ["m"]
     assert not rig.answers
     assert rig.journal.messages.by_id["m"].attempt_count == 1
+
+
+def fill(record: Callable[[int], None]) -> None:
+    """Write records until the journal has no space for another one."""
+    with contextlib.suppress(JournalFullError):
+        for number in itertools.count():
+            record(number)
+
+
+class EarlyTime(VirtualTime):
+    """Virtual time whose timers are a little early, as those of an event loop may be."""
+
+    def call_at(self, when: int, callback: Callable[[], None]) -> None:
+        super().call_at(when - MS // 2, callback)
+
+
+# Guards against an answer whose timer is a fraction of a millisecond early and that is never sent.
+def test_an_answer_is_sent_at_the_deadline_even_if_its_timer_is_early(
+    tmp_path: Path, disk: FailingDisk
+) -> None:
+    rig = DispatcherRig(tmp_path, EarlyTime())
+    rig.submit("m", left=2 * SECOND)
+    disk.failing = True
+    rig.dispatcher.conclude(rig.journal.messages.by_id["m"], Ending.REJECTED)
+    rig.advance(2.1)
+    assert [answered.id for answered in rig.answers] == ["m"]
+
+
+# Guards against a state directory that exceeds the disk limit with the clock and a full journal.
+def test_a_full_state_directory_stays_within_its_limit(tmp_path: Path) -> None:
+    max_bytes = 40_000
+    journal = Journal(tmp_path, max_bytes, lambda: START, retention)
+    assert AnchorFile(tmp_path, ClockAnchor.now()).write()
+    (tmp_path / "clock.new").write_text("x")
+    fill(lambda number: journal.record_accepted(message(f"m{number}")))
+    held = list(journal.messages.by_id.values())
+    fill(lambda number: journal.record_attempt(held[number % len(held)], START, 0))
+    journal.new_path.write_bytes(journal.snapshot())  # a compaction that was killed before its end
+    sizes = [path.stat().st_size for path in tmp_path.iterdir()]
+    blocks = sum(-(-size // DISK_BLOCK_BYTES) for size in sizes) + 1  # and the directory
+    assert blocks * DISK_BLOCK_BYTES <= max_bytes
--- a/tests/test_mqtt.py
+++ b/tests/test_mqtt.py
@@ -126,3 +126,31 @@
     assert (decoded.ResponseTopic, decoded.CorrelationData, decoded.ContentType) == ("re", b"\xff", "x")
     assert decoded.UserProperty == [("a", "b"), ("a", "ü")]
     assert data[2 + 3 + length :] == b"!"
+
+
+# Guards against an acknowledgement that the broker sends twice and that is taken for the next publish's.
+def test_a_copied_acknowledgement_ends_no_other_publish() -> None:
+    session = Session("c", session_expiry=60)
+    buffer = Buffer()
+    reasons: dict[str, int] = {}
+
+    def receive(packet: Packet) -> None:
+        buffer.feed(encode(packet))
+        session.receive(buffer)
+
+    def publish(name: str) -> int:
+        published = session.publish(
+            Packet(Kind.PUBLISH, topic="t", payload=name.encode(), qos=1),
+            lambda packet, _: reasons.update({name: packet.reason if packet else -1}),
+        )
+        return published.packet.id
+
+    session.open()
+    receive(Packet(Kind.CONNACK))
+    first = publish("first")
+    receive(Packet(Kind.PUBACK, id=first))
+    second = publish("second")
+    receive(Packet(Kind.PUBACK, id=first))
+    assert reasons == {"first": 0}
+    receive(Packet(Kind.PUBACK, id=second, reason=0x97))
+    assert reasons == {"first": 0, "second": 0x97}
--- a/tests/test_tls_program.py
+++ b/tests/test_tls_program.py
@@ -297,6 +297,35 @@
     run_async_test(work())
 
 
+# Guards against a response that a partner writes twice and that is taken for the next call's response.
+def test_a_response_that_a_partner_writes_twice_does_not_conclude_the_next_message(
+    tmp_path: Path, authority: Authority
+) -> None:
+    async def work() -> None:
+        partner = await TlsPartner(server_context(authority.issue())).start()
+        second_calls: list[float] = []
+
+        async def answer(session: Session, request: bytes) -> bytes:
+            if b"k-two" not in request or second_calls:
+                second_calls.extend([0.0] * (b"k-two" in request))
+                return OK
+            second_calls.append(0.0)
+            session.tls.write(OK)  # once more the response to the first call
+            await partner.flush(session)
+            await asyncio.sleep(0.1)
+            return b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+
+        partner.answer = answer
+        async with running(tmp_path, [partner], PARTNER.format(ca=authority.file)) as (_, client):
+            await submit(client, "one")
+            await wait_until(lambda: partner.applied["k-one"])
+            await submit(client, "two")
+            async with asyncio.timeout(5):
+                await wait_until(lambda: len(second_calls) > 1)
+
+    run_async_test(work())
+
+
 def returned(log: Log) -> set[str]:
     """Return the messages that ended undelivered after an attempt.
 
