--- a/tests/program.py
+++ b/tests/program.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import os
+from asyncio.subprocess import Process
 from collections.abc import AsyncIterator, Coroutine
 from pathlib import Path
 from typing import Any
@@ -16,7 +17,7 @@
 from honeyhitch.service.run import run
 
 from .polling import poll_until
-from .processes import listening_port
+from .processes import killed_at_end, listening_port, spawn, wait_until_serving
 
 SETTINGS: dict[str, Any] = {
     "classes": [
@@ -131,6 +132,22 @@
         await asyncio.gather(task, return_exceptions=True)
 
 
+@contextlib.asynccontextmanager
+async def running_process(
+    folder: Path,
+    discovery: int,
+    members: list[dict[str, Any]],
+    environment: dict[str, str] | None = None,
+) -> AsyncIterator[tuple[Process, int]]:
+    """Run the program in a process of its own, and yield the process and its port once it serves."""
+    port = listening_port()
+    path, _ = write_config_files(folder, port, discovery, members)
+    process = await spawn(path, environment=environment)
+    async with killed_at_end([process]):
+        await wait_until_serving(process, port)
+        yield process, port
+
+
 def write_config_files(
     folder: Path,
     port: int,
--- a/tests/test_copied_responses.py
+++ b/tests/test_copied_responses.py
@@ -17,8 +17,7 @@
 from .faults.endpoint import RecordingEndpoint, Reply, overlapping_attempts
 from .faults.proxy import CopyingProxy
 from .polling import Changes
-from .processes import killed_at_end, listening_port, spawn, wait_until_serving
-from .program import run_async_test, write_config_files
+from .program import run_async_test, running_process
 from .rig import endpoint_row
 
 SINGLE, BATCH = 1, 2  # destinations whose kind takes one message per call, or several
@@ -66,11 +65,7 @@
         endpoint = await RecordingEndpoint(respond, changes.notify).start()
         proxy = await CopyingProxy(endpoint.port, copy_on_request=True).start()
         agent = await Agent([row("s", destination, proxy.port)]).start()
-        port = listening_port()
-        path, _ = write_config_files(tmp_path, port, agent.port, agent.members)
-        process = await spawn(path)
-        async with killed_at_end([process]):
-            await wait_until_serving(process, port)
+        async with running_process(tmp_path, agent.port, agent.members) as (_, port):
             client = Client(port)
             await client.submit(destination, "first")
             await changes.wait_until(lambda: endpoint.executions("first") > 0)
@@ -99,15 +94,11 @@
         proxies = [await CopyingProxy(endpoint.port, copy_on_request=True).start() for endpoint in endpoints]
         rows = [row(f"s{index}", BATCH, proxy.port) for index, proxy in enumerate(proxies)]
         agent = await Agent(rows).start()
-        port = listening_port()
-        path, _ = write_config_files(tmp_path, port, agent.port, agent.members)
-        process = await spawn(path)
 
         def attempts(message: str) -> int:
             return sum(len(endpoint.attempts.get(message, [])) for endpoint in endpoints)
 
-        async with killed_at_end([process]):
-            await wait_until_serving(process, port)
+        async with running_process(tmp_path, agent.port, agent.members) as (_, port):
             client = Client(port)
             await client.submit(BATCH, "a", "b")
             await changes.wait_until(lambda: attempts("a") > 0 and attempts("b") > 0)
@@ -144,11 +135,7 @@
         changes = Changes()
         agent.on_notice = changes.notify
         proxy = await CopyingProxy(agent.port, copy_on_request=True).start()
-        port = listening_port()
-        path, _ = write_config_files(tmp_path, port, proxy.port, agent.members)
-        process = await spawn(path)
-        async with killed_at_end([process]):
-            await wait_until_serving(process, port)
+        async with running_process(tmp_path, proxy.port, agent.members) as (_, port):
             client = Client(port)
             await client.submit(SINGLE, "first", left=300)
             await changes.wait_until(lambda: "first" in agent.notices)
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -10,7 +10,7 @@
 
 from .agent import Agent
 from .processes import killed_at_end, listening_port, spawn, wait_until_serving
-from .program import run_async_test, write_config_files
+from .program import run_async_test, running_process, write_config_files
 
 
 # Guards against a SIGHUP that ends a process which has not installed its handlers yet.
@@ -34,11 +34,7 @@
 def test_signals_until_the_end_leave_the_exit_code(tmp_path: Path, number: signal.Signals) -> None:
     async def work() -> None:
         agent = await Agent([]).start()
-        port = listening_port()
-        path, _ = write_config_files(tmp_path, port, agent.port, [])
-        process = await spawn(path)
-        async with killed_at_end([process]):
-            await wait_until_serving(process, port)
+        async with running_process(tmp_path, agent.port, []) as (process, _):
             process.send_signal(signal.SIGTERM)
             while process.returncode is None:
                 process.send_signal(number)
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -12,7 +12,7 @@
 from .faults.shim import Fault, Shim
 from .polling import poll_condition
 from .processes import killed_at_end, listening_port, request_line, spawn, wait_until_serving
-from .program import enqueue, run_async_test, write_config_files
+from .program import enqueue, run_async_test, running_process, write_config_files
 from .rig import endpoint_row
 
 FAILURE_SECONDS = 1.0
@@ -46,12 +46,8 @@
 def test_each_new_connection_is_answered_while_accept_fails(tmp_path: Path) -> None:
     async def work() -> None:
         agent = await Agent([endpoint_row("refuses", 1)]).start()
-        port = listening_port()
         shim = Shim(tmp_path / "faults")
-        path, _ = write_config_files(tmp_path, port, agent.port, agent.members)
-        process = await spawn(path, environment=shim.environment)
-        async with killed_at_end([process]):
-            await wait_until_serving(process, port)
+        async with running_process(tmp_path, agent.port, agent.members, shim.environment) as (_, port):
             for fault in (Fault.ACCEPT, Fault.WAIT, Fault.SHORT_READ, Fault.SHORT_WRITE):
                 shim.set_probability(fault, 0.5)
             async with asyncio.timeout(15):
@@ -67,17 +63,13 @@
 def test_notices_are_in_time_while_connecting_fails_at_random(tmp_path: Path) -> None:
     async def work() -> None:
         agent = await Agent([endpoint_row("refuses", 1)]).start()
-        port = listening_port()
         shim = Shim(tmp_path / "faults")
-        path, _ = write_config_files(tmp_path, port, agent.port, agent.members)
-        process = await spawn(path, environment=shim.environment)
         arrived: dict[str, float] = {}
         agent.on_notice = lambda: arrived.update(
             {name: time.monotonic() for name in agent.notices if name not in arrived}
         )
         deadlines: dict[str, float] = {}
-        async with killed_at_end([process]):
-            await wait_until_serving(process, port)
+        async with running_process(tmp_path, agent.port, agent.members, shim.environment) as (_, port):
             shim.set_probability(Fault.SOCKET, CONNECT_FAILURE_PROBABILITY)
             shim.set_probability(Fault.CONNECT, CONNECT_FAILURE_PROBABILITY)
             for number in range(NOTICE_COUNT):
