Reject a copy of a rejected message as long as its client was told to wait

Callers that were answered -BUSY submit the message again elsewhere; if the network delivers their first request twice and a place has become free, the copy was accepted as well, and the message executed twice.

Over MQTT rejected ids were remembered already. Evidence: the new test in test_dispatcher fails without the change ("there is room now").

--- a/honeyhitch/dispatcher/admission.py
+++ b/honeyhitch/dispatcher/admission.py
@@ -21,14 +21,19 @@
     def __init__(self, context: DispatcherContext, endings: Endings) -> None:
         self.context = context
         self.endings = endings
+        self.rejected_until: dict[str, int] = {}  # by message id, in the order of the rejections
 
     def submit(self, message: Transaction) -> Admission:
         """Accept or reject a message immediately and return the decision.
 
         A message that is already held, or concluded and still remembered, is reported as accepted but not
-        accepted a second time.
+        accepted a second time. A message that was rejected is rejected again until its retry-after has
+        passed: its client was told that the message has no effect, and the network may deliver a request
+        twice.
         """
         context = self.context
+        if (time_left := self._rejected_for(message)) > 0:
+            return Admission(False, time_left)
         if context.journal.has_accepted(message.id):
             return Admission(True)
         if context.peer_process is not None and context.peer_process.has_accepted(message.id):
@@ -54,8 +59,20 @@
     def _reject(self, message: Transaction, reason: str) -> Admission:
         log.info("message.rejected", message=message.id, reason=reason, key=reason)
         self.context.metrics.message_rejected(message)
+        if message.frontend == RESP_FRONTEND:
+            self.rejected_until[message.id] = self.context.scheduler.now() + BUSY_RETRY_AFTER
         return Admission(False, BUSY_RETRY_AFTER)
 
+    def _rejected_for(self, message: Transaction) -> int:
+        """Return for how many nanoseconds the message is still rejected, 0 or less if it is not."""
+        now = self.context.scheduler.now()
+        while self.rejected_until:
+            oldest_id, until = next(iter(self.rejected_until.items()))
+            if until > now:
+                break
+            del self.rejected_until[oldest_id]
+        return self.rejected_until.get(message.id, now) - now
+
     def _repeats_delivered_key(self, message: Transaction) -> bool:
         if message.frontend == RESP_FRONTEND or not self.context.has_idempotency_key(message):
             return False
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -333,3 +333,20 @@
     )
     later_sends = [(message.id, call.endpoint.id) for call in rig.advance(5) for message in call.messages]
     assert set(later_sends) == {("first", "s-3"), *([("before", "s-3")] if backing_off else [])}
+
+
+# Guards against a copy of a request that is accepted after the original was rejected: its client has been
+# told that the message has no effect, and submits it elsewhere.
+def test_a_copy_of_a_rejected_message_is_rejected_until_its_retry_after_has_passed(tmp_path: Path) -> None:
+    rig = DispatcherRig(tmp_path, max_messages=1)
+    assert rig.submit("held")
+    (call,) = rig.advance(0.1)
+    assert not rig.submit("rejected")
+    rig.end(call, Outcome.DELIVERED)
+    rig.advance(0.1)
+    assert not rig.submit("rejected"), "there is room now, but the client was told otherwise"
+    assert rig.submit("other")
+    rig.end(rig.advance(0.1)[0], Outcome.DELIVERED)
+    rig.advance(0.4)
+    assert rig.submit("rejected")
+    assert not rig.dispatcher.admission.rejected_until
