--- a/review/standins/process.py
+++ b/review/standins/process.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import copy
 import json
 import os
 import signal
@@ -128,8 +129,15 @@
         self.run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
         self.process: asyncio.subprocess.Process | None = None
 
-    async def start(self) -> None:
-        """Start the process and wait until it answers PING with +PONG."""
+    def beside(self, management: int) -> Dispatcher:
+        """Return the second process of an upgrade, not started yet, with another second address."""
+        second = copy.copy(self)
+        second.environment = {**self.environment, "ROUTER_MANAGEMENT": f"127.0.0.1:{management}"}
+        second.process = None
+        return second
+
+    async def launch(self) -> None:
+        """Start the process."""
         with (self.folder / "dispatcher.log").open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 "/bin/sh",
@@ -141,6 +149,11 @@
                 stderr=log,
                 stdin=asyncio.subprocess.DEVNULL,
             )
+
+    async def start(self) -> None:
+        """Start the process and wait until it answers PING with +PONG."""
+        await self.launch()
+        assert self.process is not None
         async with asyncio.timeout(30):
             while not await self._answers_ping():
                 if self.process.returncode is not None:
