--- a/review/standins/process.py
+++ b/review/standins/process.py
@@ -7,6 +7,7 @@
 import copy
 import json
 import os
+import random
 import signal
 import socket
 import tomllib
@@ -15,16 +16,17 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 SECOND = 10**9
+LOWEST_PORT = 10_000
 
 
 def free_port() -> int:
-    """Return a free port below the ephemeral range, so that no outgoing connection takes it meanwhile."""
+    """Return a free port, below the ephemeral range if there is room: no connection takes it meanwhile."""
     lowest = int(Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
-    start = 10_000 + int.from_bytes(os.urandom(2)) % max(1, lowest - 11_000)
-    for port in range(start, lowest):
+    below = range(LOWEST_PORT, lowest)
+    for port in [random.SystemRandom().choice(below) for _ in range(100) if below] + [0]:
         with socket.socket() as sock, contextlib.suppress(OSError):
             sock.bind(("127.0.0.1", port))
-            return port
+            return int(sock.getsockname()[1])
     raise OSError("no free port")
 
 
