Keep the new process of an upgrade where the running one answers a balancer

Cause: the listeners for agent-checks and health checks were bound without SO_REUSEPORT (service/listeners.py), and a start took EADDRINUSE for an error.

Change: both listeners share their address as 'listen' does, and the process in the first slot checks that nobody listens there. Each process describes the addresses that it shares in process-N, whose lock tells whether its writer runs. As shared addresses no longer collide by themselves, two listeners of one configuration on one address are rejected.

--- a/honeyhitch/config/deployment.py
+++ b/honeyhitch/config/deployment.py
@@ -13,6 +13,8 @@
 from honeyhitch.partitioning.settings import FleetSettings
 from honeyhitch.tls.settings import Partner, TlsSettings
 
+ANY_HOST = "0.0.0.0"  # the host of a listener on all addresses of the machine
+
 
 class ConfigError(Exception):
     """Raised for a value that cannot be used. The message names the value's key."""
@@ -33,6 +35,11 @@
         except ValueError:
             raise ConfigError(f"{name}: expected HOST:PORT, got {text!r}") from None
 
+    def overlaps(self, other: Address) -> bool:
+        """Return whether listeners on both addresses would get the same connections."""
+        all_hosts = ANY_HOST in (self.host, other.host)
+        return self.port == other.port and (self.host == other.host or all_hosts)
+
     def __str__(self) -> str:
         """Return the address as HOST:PORT."""
         return f"{self.host}:{self.port}"
--- a/honeyhitch/config/file.py
+++ b/honeyhitch/config/file.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import os
 from collections.abc import Mapping
@@ -73,7 +74,7 @@
     state = Path(str(values["state"]))
     _check_control_path(operator_settings, state)
     addresses = _parse_addresses(values)
-    _check_management(addresses, operator_settings)
+    _check_listeners(addresses, operator_settings)
     return Config(
         name=name,
         listen=addresses["listen"],
@@ -181,16 +182,18 @@
         raise ConfigError(f"control.path: over {MAX_SOCKET_PATH_BYTES} bytes: {path}; give a shorter one")
 
 
-def _check_management(addresses: dict[str, Address], operator: OperatorSettings) -> None:
-    management = addresses.get("management")
-    other_listeners = {
-        "listen": addresses["listen"],
-        "beside.agent-check": operator.agent_check,
+def _check_listeners(addresses: dict[str, Address], operator: OperatorSettings) -> None:
+    """Raise ConfigError if two listeners have one address, which the system would allow for shared ones."""
+    listeners = {
+        "management": addresses.get("management"),
         "beside.health": operator.health,
+        "beside.agent-check": operator.agent_check,
+        "listen": addresses["listen"],
     }
-    for key, address in other_listeners.items():
-        if management is not None and management == address:
-            raise ConfigError(f"management: {management} is the address of {key} already")
+    configured = [(key, address) for key, address in listeners.items() if address is not None]
+    for (key, address), (other_key, other_address) in itertools.combinations(configured, 2):
+        if address.overlaps(other_address):
+            raise ConfigError(f"{key}: {address} is the address of {other_key} already")
 
 
 def _read_seed(value: object) -> int:
--- a/honeyhitch/journal/directory.py
+++ b/honeyhitch/journal/directory.py
@@ -13,11 +13,19 @@
 from contextlib import contextmanager
 from pathlib import Path
 
+from honeyhitch import logs
+from honeyhitch.journal.process_record import (
+    ProcessDescription,
+    ProcessRecord,
+)
+
+log = logs.get_logger()
 FIRST_SLOT = 1
 SECOND_SLOT = 2
 JOURNAL_NAMES = {FIRST_SLOT: "journal", SECOND_SLOT: "journal-2"}
 DIRECTORY_LOCK_NAME = "places"
 SLOT_LOCK_NAME = "place-{slot}"
+PROCESS_RECORD_NAME = "process-{slot}"
 OWNER_ONLY = 0o600  # file mode
 
 
@@ -25,6 +33,16 @@
     """Two other processes already hold the state directory."""
 
 
+@contextmanager
+def _exclusive(path: Path) -> Iterator[None]:
+    fd = os.open(path / DIRECTORY_LOCK_NAME, os.O_RDWR | os.O_CREAT, OWNER_ONLY)
+    try:
+        fcntl.flock(fd, fcntl.LOCK_EX)
+        yield
+    finally:
+        os.close(fd)
+
+
 class StateDirectory:
     """One process's lock on the state directory, in the first `slot` that was free.
 
@@ -36,10 +54,13 @@
         path.mkdir(parents=True, exist_ok=True)
         self.path = path
         self.locks: dict[int, int] = {}  # file descriptor by slot
+        self.record: ProcessRecord | None = None  # None if it could not be created
+        self.description = ProcessDescription()
         with self.exclusive():
             for slot in JOURNAL_NAMES:
                 if self.lock_slot(slot):
                     self.slot = slot
+                    self._open_record()
                     return
         raise StateDirectoryInUseError(f"two processes hold {path} already")
 
@@ -50,12 +71,8 @@
         A process that takes over holds both slots for some milliseconds. A starting process must not mistake
         that for two running processes.
         """
-        fd = os.open(self.path / DIRECTORY_LOCK_NAME, os.O_RDWR | os.O_CREAT, OWNER_ONLY)
-        try:
-            fcntl.flock(fd, fcntl.LOCK_EX)
+        with _exclusive(self.path):
             yield
-        finally:
-            os.close(fd)
 
     def lock_slot(self, slot: int) -> bool:
         """Lock this slot; return false if another running process holds it."""
@@ -75,6 +92,43 @@
         """Release a slot that this process holds."""
         os.close(self.locks.pop(slot))
 
+    def move_to_first_slot(self) -> None:
+        """Leave the second slot for the first one, whose journal this process has taken over.
+
+        It is called with both slots locked, in the context of `exclusive`.
+        """
+        self.unlock_slot(SECOND_SLOT)
+        if self.slot == FIRST_SLOT:
+            return
+        self.slot = FIRST_SLOT
+        self._close_record()
+        self._open_record()
+
+    def describe(self, description: ProcessDescription) -> None:
+        """Tell the other process of this dispatcher about this process, if the directory can be written."""
+        self.description = description
+        if self.record is None:
+            return
+        try:
+            with self.exclusive():
+                self.record.write(description)
+        except OSError as error:
+            log.warning("process.not-described", error=str(error), key=str(self.record.path))
+
+    def _open_record(self) -> None:
+        path = self.path / PROCESS_RECORD_NAME.format(slot=self.slot)
+        try:
+            self.record = ProcessRecord(path)
+        except OSError as error:
+            log.warning("process.not-described", error=str(error), key=str(path))
+            return
+        self.record.write(self.description)
+
+    def _close_record(self) -> None:
+        if self.record is not None:
+            self.record.close()
+            self.record = None
+
     def journal_path(self, slot: int) -> Path:
         """Return the path of a slot's journal."""
         return self.path / JOURNAL_NAMES[slot]
@@ -86,5 +140,6 @@
 
     def close(self) -> None:
         """Release all slots that this process holds."""
+        self._close_record()
         for slot in list(self.locks):
             self.unlock_slot(slot)
--- a/honeyhitch/journal/journal.py
+++ b/honeyhitch/journal/journal.py
@@ -39,8 +39,9 @@
 DISK_BYTES_PER_REMEMBERED_ID = 600  # bytes of `max_bytes` per id or key; one takes about 45 of them
 MAX_IDS_PER_RECORD = 1000  # ids or keys; keeps each record below the size limit of a replay
 DISK_BLOCK_BYTES = 512  # disk space is counted in whole blocks per file
-# Reserved for rounding up both files and their directory, and for the clock and its replacement.
-SPARE_BLOCKS = 6
+# Reserved for rounding up both files and their directory, for the clock and its replacement, and for the
+# records of two processes.
+SPARE_BLOCKS = 8
 ACCEPT_FRACTION = 0.75  # fraction of `max_bytes` beyond which no message is accepted
 WRITE_FRACTION = 0.95  # fraction of `max_bytes` beyond which no record is written
 COMPACT_FRACTION = 0.3  # fraction of `max_bytes` beyond which the file may be compacted
--- a/honeyhitch/service/handover.py
+++ b/honeyhitch/service/handover.py
@@ -148,8 +148,7 @@
         except JournalFullError as error:  # space is freed as messages of this process end
             log.error("handover.journal-full", error=str(error))
             return
-        directory.slot = FIRST_SLOT
-        directory.unlock_slot(SECOND_SLOT)
+        directory.move_to_first_slot()
         self.follower.close()
         retry_after_events = self._retry_after_events()
         self.follower = self._new_follower()
@@ -161,6 +160,12 @@
         if self.recovered:
             self.dispatcher.take_over(messages, dead_letters)
 
+    @property
+    def peer_accepts_messages(self) -> bool:
+        """Whether a peer runs that has not begun to hand its messages over."""
+        ended = self.state_directory.other_slot in self.state_directory.locks  # not taken over yet
+        return self.peer_running and not ended and self.follower.calls_in_flight is None
+
     def close(self) -> None:
         """Close the peer's journal."""
         self.follower.close()
--- a/honeyhitch/service/listeners.py
+++ b/honeyhitch/service/listeners.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
+import errno
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 
 from honeyhitch import logs
 from honeyhitch.config import Address, ConfigError
@@ -19,6 +22,22 @@
 from honeyhitch.transports.client_server import ClientServer, ServerSession
 
 log = logs.get_logger()
+# Between attempts to bind an address that the running process does not share.
+LISTEN_RETRY_SECONDS = 0.005
+LISTEN_RETRY_AT_END_SECONDS = 0.001  # once that process hands its messages over, and is about to end
+
+
+@dataclass(frozen=True, slots=True)
+class Listener:
+    """What to listen for; `setting` is the key of the address in the configuration."""
+
+    setting: str
+    address: Address
+    create_session: Callable[[], ServerSession]
+    max_connections: int = MONITORING_CONNECTIONS
+    single_request: bool = False
+    shared: bool = False  # both processes of an upgrade listen there
+    forward: Callable[[Transaction], Awaitable[bytes]] | None = None
 
 
 def listen_for_clients(service: Service) -> None:
@@ -34,86 +53,140 @@
     def create_session() -> resp.Session:
         return resp.Session(parser, dispatcher.submit, ready, service.scheduler.now, fleet)
 
-    service.clients = _listen(
-        service,
+    listener = Listener(
         "listen",
         service.config.listen,
         create_session,
         service.max_clients,
-        reuse_port=True,
+        shared=True,
         forward=None if fleet is None else fleet.forwarder.forward,
     )
-    if service.handover.peer_running:
-        log.info(
-            "listen.address-shared",
-            prefers_second_listener=sockets.prefer_second_listener(service.clients.listener),
-        )
+    service.clients = _listen(service, listener)
 
 
-def listen_for_monitoring(service: Service) -> None:
-    """Answer agent-checks, health checks and management calls at their configured addresses.
+def listen_for_management(service: Service) -> None:
+    """Answer management calls, each for this process alone.
 
-    Raise ConfigError if one of the addresses cannot be bound.
+    Raise ConfigError if the address cannot be bound.
     """
-    config = service.config
+    address = service.config.management
     dispatcher = service.dispatcher
 
     def state() -> DispatcherState:
         return service_state(service)
 
-    def create_management_session() -> ManagementSession:
+    def create_session() -> ManagementSession:
         return ManagementSession(state, dispatcher.metrics_snapshot, service.fleet)
 
-    if config.operator.agent_check is not None:
-        address = config.operator.agent_check
-        _listen(service, "beside.agent-check", address, lambda: AgentSession(state), MONITORING_CONNECTIONS)
-    if config.operator.health is not None:
-        address = config.operator.health
-        _listen(service, "beside.health", address, lambda: HealthSession(state), MONITORING_CONNECTIONS)
-    if config.management is not None:
-        _listen(
-            service,
-            "management",
-            config.management,
-            create_management_session,
-            MONITORING_CONNECTIONS,
-            single_request=True,
-        )
+    if address is not None:
+        _listen(service, Listener("management", address, create_session, single_request=True))
+
 
+def listen_for_balancers(service: Service) -> None:
+    """Answer agent-checks and health checks.
 
-def _listen(
-    service: Service,
-    setting: str,
-    address: Address,
-    create_session: Callable[[], ServerSession],
-    max_connections: int,
-    *,
-    single_request: bool = False,
-    reuse_port: bool = False,
-    forward: Callable[[Transaction], Awaitable[bytes]] | None = None,
-) -> ClientServer:
-    """Listen at an address and serve its connections.
-
-    `setting` is the key of the address in the configuration. Raise ConfigError with this key if the address
-    cannot be bound.
+    An address that a running process of an earlier version holds for itself is bound once it is free. Raise
+    ConfigError if an address cannot be bound for another reason.
     """
+    operator = service.config.operator
+
+    def state() -> DispatcherState:
+        return service_state(service)
 
-    def create_server() -> ClientServer:
-        return ClientServer(
-            (address.host, address.port),
-            create_session,
-            max_connections,
-            service.tasks,
-            single_request,
-            reuse_port,
-            forward,
+    listeners = list[Listener]()
+    if operator.agent_check is not None:
+        listeners.append(
+            Listener("beside.agent-check", operator.agent_check, lambda: AgentSession(state), shared=True)
         )
+    if operator.health is not None:
+        listeners.append(
+            Listener("beside.health", operator.health, lambda: HealthSession(state), shared=True)
+        )
+    for listener in listeners:
+        _listen_once_free(service, listener)
+
+
+def _listen(service: Service, listener: Listener) -> ClientServer:
+    """Listen at an address and serve its connections. Raise ConfigError if the address cannot be bound."""
+    try:
+        server = service.start_retry.run(lambda: _create_server(service, listener), listener.setting)
+    except OSError as error:
+        raise _config_error(listener, error) from error
+    _serve(service, listener, server)
+    return server
+
 
+def _listen_once_free(service: Service, listener: Listener) -> None:
+    """Listen at an address, or leave that to a task as long as a running process holds the address."""
     try:
-        server = service.start_retry.run(create_server, setting)
+        server = service.start_retry.run(lambda: _create_server(service, listener), listener.setting)
     except OSError as error:
-        raise ConfigError(f"{setting}: cannot listen on {address}: {error.strerror}") from error
+        if error.errno != errno.EADDRINUSE or not service.handover.peer_running:
+            raise _config_error(listener, error) from error
+        service.tasks.start(_retry_listening(service, listener))
+        return
+    _serve(service, listener, server)
+
+
+async def _retry_listening(service: Service, listener: Listener) -> None:
+    """Listen at an address as soon as it can be bound."""
+    handover = service.handover
+    log.info("listen.delayed", setting=listener.setting, address=str(listener.address))
+    while True:
+        handing_over = handover.peer_running and not handover.peer_accepts_messages
+        await asyncio.sleep(LISTEN_RETRY_AT_END_SECONDS if handing_over else LISTEN_RETRY_SECONDS)
+        try:
+            server = _create_server(service, listener)
+            break
+        except OSError as error:
+            if not handover.peer_running:
+                _log_failure(listener, error)
+    _serve(service, listener, server)
+    service.describe_listeners()
+    log.info("listen.opened", setting=listener.setting, address=str(listener.address))
+
+
+def _log_failure(listener: Listener, error: OSError) -> None:
+    log.error(
+        "listen.failed",
+        setting=listener.setting,
+        address=str(listener.address),
+        error=str(error),
+        key=listener.setting,
+    )
+
+
+def _create_server(service: Service, listener: Listener) -> ClientServer:
+    return ClientServer(
+        (listener.address.host, listener.address.port),
+        listener.create_session,
+        listener.max_connections,
+        service.tasks,
+        listener.single_request,
+        listener.shared,
+        listener.forward,
+    )
+
+
+def _serve(service: Service, listener: Listener, server: ClientServer) -> None:
     service.servers.append(server)
+    if listener.shared:
+        service.shared_servers.append(server)
+        _take_new_connections(service, listener, server)
     service.tasks.run_forever(server.accept)
     service.tasks.run_forever(server.sweep)
-    return server
+
+
+def _take_new_connections(service: Service, listener: Listener, server: ClientServer) -> None:
+    """Have new connections reach this process rather than the running one, which is to end."""
+    if not service.handover.peer_running:
+        return
+    log.info(
+        "listen.address-shared",
+        setting=listener.setting,
+        prefers_second_listener=sockets.prefer_second_listener(server.listener),
+    )
+
+
+def _config_error(listener: Listener, error: OSError) -> ConfigError:
+    return ConfigError(f"{listener.setting}: cannot listen on {listener.address}: {error.strerror}")
--- a/honeyhitch/service/open_state.py
+++ b/honeyhitch/service/open_state.py
@@ -13,10 +13,15 @@
 from honeyhitch.journal.clock_anchor import AnchorFile, ClockAnchor, stored_anchor
 from honeyhitch.journal.directory import FIRST_SLOT, StateDirectory, StateDirectoryInUseError
 from honeyhitch.journal.journal import Journal, JournalVersionError
+from honeyhitch.journal.process_record import ProcessDescription
 from honeyhitch.journal.transactions import Transaction
+from honeyhitch.service.peer_check import (
+    check_address,
+    shared_addresses,
+    unshareable_features,
+)
 from honeyhitch.service.start_retry import StartRetry
 from honeyhitch.time_units import MILLISECOND, MINUTE
-from honeyhitch.transports import sockets
 
 log = logs.get_logger()
 BROKER_REDELIVERY = 10 * MINUTE  # how long a broker may redeliver a message; its id is kept as long
@@ -25,21 +30,22 @@
 def open_state_directory(config: Config, listen: bool, retry: StartRetry) -> StateDirectory:
     """Lock a slot of the state directory and return the directory.
 
-    The process in the first slot must find its address unused. A process that listens there without a slot is
+    A process that runs alone must find its addresses unused. A process that listens there without a slot is
     another dispatcher, or a version that shares neither the directory nor the address. Raise ConfigError if
-    the directory or the address cannot be used.
+    the directory or an address cannot be used.
     """
     try:
         directory = retry.run(lambda: StateDirectory(config.state), "state")
     except (StateDirectoryInUseError, OSError) as error:
         raise ConfigError(f"state: {error}") from error
-    if listen and directory.slot == FIRST_SLOT:
+    if directory.slot == FIRST_SLOT:
         try:
-            address = config.listen.host, config.listen.port
-            retry.run(lambda: sockets.check_address_unused(address), "listen")
-        except OSError as error:
+            for key, address in shared_addresses(config, listen).items():
+                check_address(key, address, retry)
+        except ConfigError:
             directory.close()
-            raise ConfigError(f"listen: cannot listen on {config.listen}: {error.strerror}") from error
+            raise
+    directory.describe(ProcessDescription(features=unshareable_features(config)))
     return directory
 
 
--- a/honeyhitch/service/service.py
+++ b/honeyhitch/service/service.py
@@ -13,10 +13,12 @@
 from honeyhitch.endpoints.pool import EndpointPool
 from honeyhitch.journal.clock_anchor import AnchorFile, ClockAnchor
 from honeyhitch.journal.directory import FIRST_SLOT
+from honeyhitch.journal.process_record import ProcessDescription
 from honeyhitch.protocols.control import CommandRegistry
 from honeyhitch.service.descriptors import descriptor_budget, idle_limits
 from honeyhitch.service.handover import ProcessHandover
 from honeyhitch.service.open_state import open_clock, open_journal, open_state_directory
+from honeyhitch.service.peer_check import unshareable_features
 from honeyhitch.service.start_retry import StartRetry
 from honeyhitch.service.state_writer import StateWriter
 from honeyhitch.transports.client_server import ClientServer
@@ -69,6 +71,7 @@
             self.handover.watch,
         ]
         self.servers: list[ClientServer] = []
+        self.shared_servers: list[ClientServer] = []  # those at whose address the peer may listen as well
         self.clients: ClientServer | None = None  # the server to which clients submit messages
         self.commands = CommandRegistry()
         self.control: ControlServer | None = None
@@ -113,6 +116,19 @@
         """Return whether no client of this process has a request in progress."""
         return self.clients is None or self.clients.quiescent
 
+    def shared_requests_finished(self) -> bool:
+        """Return whether no request is in progress at an address at which the peer listens as well."""
+        return all(server.quiescent for server in self.shared_servers)
+
+    def describe_listeners(self) -> None:
+        """Tell the other process of this dispatcher at which addresses this one listens."""
+        description = ProcessDescription(
+            serving=True,
+            shared_addresses=tuple(server.address for server in self.shared_servers),
+            features=unshareable_features(self.config),
+        )
+        self.state_directory.describe(description)
+
 
 async def report_suppressed_events() -> None:
     """Log periodically how many repeated events were suppressed."""
--- a/honeyhitch/service/start.py
+++ b/honeyhitch/service/start.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 from honeyhitch import logs
-from honeyhitch.config import ConfigError
 from honeyhitch.endpoints.list_rows import PoolError
-from honeyhitch.service.listeners import listen_for_clients, listen_for_monitoring
+from honeyhitch.service.listeners import (
+    listen_for_balancers,
+    listen_for_clients,
+    listen_for_management,
+)
+from honeyhitch.service.peer_check import check_peer
 from honeyhitch.service.service import Service
 
 log = logs.get_logger()
@@ -22,11 +26,13 @@
     _apply_known_list(service)
     service.handover.start()
     if service.handover.peer_running:
-        _check_peer(service)
+        check_peer(service.config, service.handover.follower.name)
     _recover_messages(service)
+    listen_for_management(service)
     if listen:
         listen_for_clients(service)
-    listen_for_monitoring(service)
+    listen_for_balancers(service)
+    service.describe_listeners()
     control = service.config.operator.control
     if control is not None:
         from honeyhitch.service.features.control import open_control_socket
@@ -47,32 +53,6 @@
         log.warning("list.known-rejected", error=str(error))
 
 
-def _check_peer(service: Service) -> None:
-    """Raise ConfigError if this process may not run at the same time as the peer.
-
-    This is so if the peer belongs to another dispatcher, or if a feature that two processes cannot share is
-    configured: the store of dead letters, the control socket, the session at the MQTT broker, or the quota of
-    a fleet, which each process would use in full.
-    """
-    config = service.config
-    peer_name = service.handover.follower.name
-    if peer_name != config.name:
-        raise ConfigError(
-            f"name: expected {peer_name!r}, which runs on the same state directory, got {config.name!r}"
-        )
-    unshareable = {
-        "undelivered": config.operator.dead_letters,
-        "control": config.operator.control,
-        "mqtt": config.operator.mqtt,
-        "fleet": config.operator.fleet,
-    }
-    for key, settings in unshareable.items():
-        if settings is not None:
-            raise ConfigError(
-                f"{key}: cannot be used while another process of this dispatcher runs; stop that one first"
-            )
-
-
 def _recover_messages(service: Service) -> None:
     """Resume the journal's messages once the dead letters are loaded or loading takes too long.
 
--- a/honeyhitch/service/status.py
+++ b/honeyhitch/service/status.py
@@ -12,7 +12,7 @@
 
 
 def service_state(service: Service) -> DispatcherState:
-    """Return the state that tells whether a service accepts new work.
+    """Return the state that tells whether this process accepts new work.
 
     An instance of a fleet is starting until it knows which destinations it owns.
     """
--- a/honeyhitch/transports/client_server.py
+++ b/honeyhitch/transports/client_server.py
@@ -120,14 +120,24 @@
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         if reuse_port:
             self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-        self.listener.bind(address)
-        self.listener.listen(LISTEN_BACKLOG)
+        try:
+            self.listener.bind(address)
+            self.listener.listen(LISTEN_BACKLOG)
+        except OSError:
+            self.listener.close()
+            raise
 
     @property
     def port(self) -> int:
         """The TCP port of the listener."""
         return int(self.listener.getsockname()[1])
 
+    @property
+    def address(self) -> str:
+        """The HOST:PORT of the listener."""
+        host, port = self.listener.getsockname()
+        return f"{host}:{port}"
+
     async def accept(self) -> None:
         """Accept clients until cancelled."""
         while True:
--- a/honeyhitch/transports/sockets.py
+++ b/honeyhitch/transports/sockets.py
@@ -45,10 +45,16 @@
     return sock
 
 
-def check_address_unused(address: tuple[str, int]) -> None:
-    """Raise OSError if a socket already listens on the address, even one with SO_REUSEPORT."""
+def check_bind(address: tuple[str, int], reuse_port: bool = False) -> None:
+    """Raise OSError if a listener could not be bound to the address.
+
+    Without `reuse_port` this is so if any socket listens there, even one with SO_REUSEPORT. No connection is
+    accepted meanwhile.
+    """
     with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if reuse_port:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         sock.bind(address)
 
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -217,3 +217,25 @@
     loaded = config.read({}, path, str(ROOT / "deploy" / "fleet.toml"))
     assert loaded.operator.fleet is not None
     assert len(loaded.operator.fleet.zones) == 10
+
+
+# Guards against two listeners of one process on an address that they share without an error.
+@pytest.mark.parametrize(
+    ("agent_check", "health", "error"),
+    [
+        (
+            "127.0.0.1:9101",
+            "127.0.0.1:9101",
+            "beside.health: 127.0.0.1:9101 is the address of beside.agent-check",
+        ),
+        ("0.0.0.0:6379", "127.0.0.1:9102", "beside.agent-check: 0.0.0.0:6379 is the address of listen"),
+    ],
+)
+def test_listeners_with_one_address_are_rejected(
+    tmp_path: Path, agent_check: str, health: str, error: str
+) -> None:
+    operator = f'[beside]\nagent-check = "{agent_check}"\nhealth = "{health}"\n'
+    paths = write_config_files(tmp_path, 6379, 9, [], operator)
+    with pytest.raises(config.ConfigError) as raised:
+        config.read({}, *paths)
+    assert str(raised.value) == f"{error} already"
--- /dev/null
+++ b/tests/test_upgrade_listeners.py
@@ -0,0 +1,173 @@
+"""Upgrades of real processes whose balancer asks throughout, and starts that are refused beside a process."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+import sys
+from asyncio.subprocess import Process
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+
+from .agent import Agent
+from .polling import poll_until
+from .processes import CountingEndpoint, killed_at_end, listening_port
+from .program import run_async_test, write_config_files
+from .rig import endpoint_row
+
+ROOT = Path(__file__).parent.parent
+THIS_RELEASE = "honeyhitch"
+PREVIOUS_RELEASE = "tests.previous_release"
+ACCEPTING = "up ready"
+STOPPED_FOR_SECONDS = 0.3  # how long a process is stopped by SIGSTOP; longer than its peer's poll interval
+BALANCER_INTERVAL_SECONDS = 0.002  # less than the gap between two listeners that do not overlap
+
+
+class Balancer:
+    """Asks for the agent-check and for health in turn, without a pause, and keeps each answer."""
+
+    def __init__(self, agent_check: int, health: int) -> None:
+        self.agent_check, self.health = agent_check, health
+        self.answers = list[str]()
+
+    async def run(self) -> None:
+        while True:
+            self.answers.append(await ask(self.agent_check, b""))
+            health = await ask(self.health, b"GET /health HTTP/1.0\r\n\r\n")
+            self.answers.append(ACCEPTING if "200 OK" in health else health)
+            await asyncio.sleep(BALANCER_INTERVAL_SECONDS)
+
+    def untrue_answers(self) -> list[str]:
+        """Return the answers that do not say that the dispatcher accepts messages."""
+        return [answer for answer in self.answers if not answer.startswith(ACCEPTING)]
+
+    async def answered(self, count: int = 20) -> None:
+        """Wait for some further answers."""
+        target = len(self.answers) + count
+
+        async def reached() -> bool:
+            return len(self.answers) >= target
+
+        await poll_until(reached)
+
+
+async def ask(port: int, request: bytes) -> str:
+    """Return the first line of the answer, or the name of the error if there is none."""
+    try:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    except OSError as error:
+        return type(error).__name__
+    try:
+        writer.write(request)
+        return (await reader.readline()).decode().strip() or "closed without an answer"
+    except OSError as error:
+        return type(error).__name__
+    finally:
+        writer.close()
+
+
+class Deployment:
+    """The addresses and the state directory of one dispatcher, and the processes that use them."""
+
+    def __init__(self, folder: Path, agent: Agent) -> None:
+        self.folder, self.agent, self.port = folder, agent, listening_port()
+        self.agent_check, self.health = listening_port(), listening_port()
+        self.processes = list[Process]()
+        self.managements = list[int]()
+
+    @property
+    def state(self) -> Path:
+        return self.folder / "state"
+
+    @property
+    def beside(self) -> str:
+        return f'[beside]\nagent-check = "127.0.0.1:{self.agent_check}"\nhealth = "127.0.0.1:{self.health}"\n'
+
+    def log(self, number: int) -> str:
+        return (self.folder / str(number) / "log").read_text()
+
+    async def launch(
+        self, release: str = THIS_RELEASE, operator: str | None = None, **overrides: str
+    ) -> Process:
+        """Start a process, whose second address is its own unless `management` gives another one."""
+        directory = self.folder / str(len(self.processes))
+        directory.mkdir()
+        self.managements.append(listening_port())
+        fields = {"state": str(self.state), "management": f"127.0.0.1:{self.managements[-1]}", **overrides}
+        operator = self.beside if operator is None else operator
+        paths = write_config_files(
+            directory, self.port, self.agent.port, self.agent.members, operator, **fields
+        )
+        arguments = ["-m", release, "serve", "--config", str(paths[0]), "--operator", str(paths[1])]
+        with (directory / "log").open("wb") as log:
+            process = await asyncio.create_subprocess_exec(sys.executable, *arguments, cwd=ROOT, stderr=log)
+        self.processes.append(process)
+        return process
+
+    async def start(self, release: str = THIS_RELEASE, operator: str | None = None) -> Process:
+        """Start a process and wait for its yes."""
+        process = await self.launch(release, operator)
+        number = len(self.processes) - 1
+
+        async def says_yes() -> bool:
+            assert process.returncode is None, self.log(number)
+            return (await ask(self.managements[number], b"status\n")).startswith("+OK")
+
+        await poll_until(says_yes, interval=0.01)
+        return process
+
+    def files(self) -> dict[str, bytes]:
+        """Return the content of each file in the state directory."""
+        return {path.name: path.read_bytes() for path in self.state.iterdir() if path.is_file()}
+
+
+@contextlib.asynccontextmanager
+async def deployment(folder: Path) -> AsyncIterator[Deployment]:
+    endpoint = await CountingEndpoint(lambda: None, replies=False).start()
+    agent = Agent([{**endpoint_row("s-1", 1), "host_port": f"127.0.0.1:{endpoint.port}"}])
+    await agent.start()
+    created = Deployment(folder, agent)
+    async with killed_at_end(created.processes):
+        yield created
+
+
+@contextlib.asynccontextmanager
+async def asked_by_balancer(created: Deployment) -> AsyncIterator[Balancer]:
+    balancer = Balancer(created.agent_check, created.health)
+    task = asyncio.ensure_future(balancer.run())
+    try:
+        yield balancer
+    finally:
+        task.cancel()
+
+
+# Guards against a new process that ends because the previous release holds the addresses for itself.
+@pytest.mark.parametrize("end", [signal.SIGTERM, signal.SIGKILL])
+def test_an_upgrade_from_the_previous_release_takes_its_addresses_when_it_ends(
+    tmp_path: Path, end: signal.Signals
+) -> None:
+    async def work() -> None:
+        async with deployment(tmp_path) as created:
+            old = await created.start(PREVIOUS_RELEASE)
+            async with asked_by_balancer(created) as balancer:
+                new = await created.start()
+                await balancer.answered()
+                new.send_signal(signal.SIGHUP)
+                await balancer.answered()
+                assert not balancer.untrue_answers()  # the previous release answers
+                old.send_signal(end)
+                await old.wait()
+                await balancer.answered()
+            async with asked_by_balancer(created) as balancer:
+                await balancer.answered()
+                newest = await created.start()  # the addresses are shared from now on
+                new.send_signal(signal.SIGTERM)
+                assert await new.wait() == 0
+                await balancer.answered()
+                assert not balancer.untrue_answers()
+            assert newest.returncode is None
+
+    run_async_test(work())
