Answer balancers for the dispatcher, not for the process that drains

Callers saw: after SIGTERM in an upgrade, whichever process a balancer's connection reached answered for itself: 'down #not serving' (and 'drain' before that, and -LOADING to PING), while the dispatcher took messages in both.

Cause: listeners.py asked service_state, the phase of one process; a process that hands over has stopped sending, which is the phase DOWN.

Change: agent-check, health and PING ask dispatcher_state: ready as long as this process is, or a running peer that has not begun to hand over, whose held messages then give the weight. A process that hands over ends once the balancers' connections are answered, too.

Result: the test passes, and so does a balancer that asks without a pause through three upgrades in a row; without a peer, a stop says drain as before.

--- a/honeyhitch/service/handover.py
+++ b/honeyhitch/service/handover.py
@@ -166,6 +166,11 @@
         ended = self.state_directory.other_slot in self.state_directory.locks  # not taken over yet
         return self.peer_running and not ended and self.follower.calls_in_flight is None
 
+    @property
+    def peer_message_count(self) -> int:
+        """The number of messages that the peer holds, as far as its journal was read."""
+        return len(self.follower.messages)
+
     def close(self) -> None:
         """Close the peer's journal."""
         self.follower.close()
--- a/honeyhitch/service/listeners.py
+++ b/honeyhitch/service/listeners.py
@@ -17,7 +17,7 @@
 from honeyhitch.protocols.transaction_parser import TransactionParser
 from honeyhitch.service.descriptors import MONITORING_CONNECTIONS
 from honeyhitch.service.service import Service
-from honeyhitch.service.status import service_state
+from honeyhitch.service.status import dispatcher_state, service_state
 from honeyhitch.transports import sockets
 from honeyhitch.transports.client_server import ClientServer, ServerSession
 
@@ -48,7 +48,7 @@
     parser = TransactionParser(service.config.settings, has_destination, dispatcher.metrics.message_invalid)
 
     def ready() -> bool:
-        return service_state(service).phase is Phase.READY
+        return dispatcher_state(service).phase is Phase.READY
 
     def create_session() -> resp.Session:
         return resp.Session(parser, dispatcher.submit, ready, service.scheduler.now, fleet)
@@ -83,7 +83,7 @@
 
 
 def listen_for_balancers(service: Service) -> None:
-    """Answer agent-checks and health checks.
+    """Answer agent-checks and health checks, which ask for the state of the whole dispatcher.
 
     An address that a running process of an earlier version holds for itself is bound once it is free. Raise
     ConfigError if an address cannot be bound for another reason.
@@ -91,7 +91,7 @@
     operator = service.config.operator
 
     def state() -> DispatcherState:
-        return service_state(service)
+        return dispatcher_state(service)
 
     listeners = list[Listener]()
     if operator.agent_check is not None:
--- a/honeyhitch/service/shutdown.py
+++ b/honeyhitch/service/shutdown.py
@@ -36,7 +36,7 @@
     """Hand messages over while a next process runs. Return whether the work left here has finished."""
     while service.handover.peer_running and service.loop.time() - started_at < EXIT_SECONDS:
         service.dispatcher.hand_over()
-        if _calls_and_notices_finished(service) and service.client_requests_finished():
+        if _calls_and_notices_finished(service) and service.shared_requests_finished():
             return True
         await asyncio.sleep(POLL_SECONDS)
     return False
--- a/honeyhitch/service/status.py
+++ b/honeyhitch/service/status.py
@@ -12,7 +12,7 @@
 
 
 def service_state(service: Service) -> DispatcherState:
-    """Return the state that tells whether this process accepts new work.
+    """Return the state that tells whether this process accepts new work, and is not about to end.
 
     An instance of a fleet is starting until it knows which destinations it owns.
     """
@@ -22,6 +22,18 @@
     return state
 
 
+def dispatcher_state(service: Service) -> DispatcherState:
+    """Return the state of the dispatcher, which two processes of an upgrade serve together.
+
+    It is ready as long as one of them is. Balancers and clients ask for this state: their connections may
+    reach either process.
+    """
+    state = service_state(service)
+    if state.phase is Phase.READY or not service.handover.peer_accepts_messages:
+        return state
+    return replace(state, phase=Phase.READY, message_count=service.handover.peer_message_count)
+
+
 async def state_report(service: Service) -> dict[str, Any]:
     """Return the reply to `GET /state` on the control socket."""
     state = service.dispatcher.state()
--- a/tests/previous_release.py
+++ b/tests/previous_release.py
@@ -1,6 +1,7 @@
 """Runs `serve` with the listeners of release 0.2.0, as the old process of an upgrade.
 
-That release shares its clients' address alone and tells other processes nothing about itself.
+That release shares its clients' address alone, tells other processes nothing about itself, and answers
+balancers with the state of its own process.
 """
 
 from __future__ import annotations
@@ -11,7 +12,7 @@
 from unittest import mock
 
 from honeyhitch.cli.main import main
-from honeyhitch.service import listeners, peer_check
+from honeyhitch.service import listeners, peer_check, status
 from honeyhitch.service.service import Service
 from honeyhitch.transports.client_server import ClientServer
 
@@ -31,6 +32,7 @@
 if __name__ == "__main__":
     with (
         mock.patch.object(listeners, "_create_server", create_unshared_server),
+        mock.patch.object(listeners, "dispatcher_state", status.service_state),
         mock.patch("honeyhitch.journal.directory.ProcessRecord", refuse_record),
     ):
         main()
--- a/tests/test_upgrade_listeners.py
+++ b/tests/test_upgrade_listeners.py
@@ -12,10 +12,12 @@
 
 import pytest
 
+from honeyhitch.journal.directory import StateDirectory
+
 from .agent import Agent
 from .polling import poll_until
-from .processes import CountingEndpoint, killed_at_end, listening_port
-from .program import run_async_test, write_config_files
+from .processes import CountingEndpoint, killed_at_end, listening_port, request_line
+from .program import enqueue, run_async_test, write_config_files
 from .rig import endpoint_row
 
 ROOT = Path(__file__).parent.parent
@@ -144,6 +146,28 @@
         task.cancel()
 
 
+# Guards against an upgrade that ends the new process, or in which a balancer is told `drain` or is refused
+# (review/3): the listeners of [beside] were not shared, and each process answered for itself alone.
+def test_a_balancer_that_asks_throughout_an_upgrade_is_always_told_the_truth(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with deployment(tmp_path) as created:
+            old = await created.start()
+            async with asked_by_balancer(created) as balancer:
+                for _ in range(3):
+                    await balancer.answered()
+                    new = await created.start()
+                    # The old process ends later, as its call is never answered.
+                    await request_line(created.port, enqueue(f"m{len(created.processes)}", left=1500))
+                    await balancer.answered()
+                    old.send_signal(signal.SIGTERM)
+                    assert await old.wait() == 0
+                    old = new
+                await balancer.answered()
+            assert not balancer.untrue_answers()
+
+    run_async_test(work())
+
+
 # Guards against a new process that ends because the previous release holds the addresses for itself.
 @pytest.mark.parametrize("end", [signal.SIGTERM, signal.SIGKILL])
 def test_an_upgrade_from_the_previous_release_takes_its_addresses_when_it_ends(
@@ -171,3 +195,49 @@
             assert newest.returncode is None
 
     run_async_test(work())
+
+
+# Guards against `up` for a dispatcher whose last process drains.
+def test_a_balancer_is_told_drain_once_no_process_goes_on(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with deployment(tmp_path) as created:
+            old = await created.start()
+            new = await created.start()
+            await request_line(created.port, enqueue("m", left=3000))
+            old.send_signal(signal.SIGTERM)
+            assert await old.wait() == 0
+            new.send_signal(signal.SIGTERM)
+
+            async def says_drain() -> bool:
+                return await ask(created.agent_check, b"") == "drain"
+
+            await poll_until(says_drain)
+            assert await new.wait() == 0
+
+    run_async_test(work())
+
+
+# Guards against `drain` from a process that hands over to a running one, and `up` once that one has ended.
+def test_a_process_that_drains_answers_for_the_dispatcher(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with deployment(tmp_path) as created:
+            old = await created.start()
+            peer = StateDirectory(created.state)  # as a process without listeners
+            (created.state / "journal-2").touch()
+            await request_line(created.port, enqueue("m", left=3000))  # the call is never answered
+            await asyncio.sleep(STOPPED_FOR_SECONDS)
+            old.send_signal(signal.SIGTERM)
+            await asyncio.sleep(STOPPED_FOR_SECONDS)
+            assert "service.draining" in created.log(0)
+            assert (await ask(created.agent_check, b"")).startswith(ACCEPTING)
+            assert "200 OK" in await ask(created.health, b"GET /health HTTP/1.0\r\n\r\n")
+            assert await request_line(created.port, b"PING\r\n") == b"+PONG\r\n"
+            peer.close()
+
+            async def says_down() -> bool:
+                return await ask(created.agent_check, b"") in ("drain", "down #not serving")
+
+            await poll_until(says_down, limit=1.0)
+            assert await old.wait() == 0
+
+    run_async_test(work())
