Direct new connections to the old process when the new one is stopped again

Callers saw: where an operator stops the new process of an upgrade again (SIGTERM), connections that were completed between its last accept and its end were reset.

Cause: the program on the shared address (sockets.prefer_second_listener) selects the listener that came second until it is closed; nothing directed connections back to the first one.

Change: a process that listened second and ends first attaches the program that selects the first listener, before it hands over.

--- a/honeyhitch/service/listeners.py
+++ b/honeyhitch/service/listeners.py
@@ -181,12 +181,23 @@
     """Have new connections reach this process rather than the running one, which is to end."""
     if not service.handover.peer_running:
         return
+    server.listens_second = True
     log.info(
         "listen.address-shared",
         setting=listener.setting,
-        prefers_second_listener=sockets.prefer_second_listener(server.listener),
+        prefers_second_listener=sockets.prefer_listener(server.listener, sockets.SECOND_LISTENER),
     )
 
 
+def leave_new_connections_to_peer(service: Service) -> None:
+    """Have new connections reach the running process, as this one is to end before it.
+
+    If this one listened first, the peer has directed new connections to itself.
+    """
+    for server in service.shared_servers:
+        if server.listens_second:
+            sockets.prefer_listener(server.listener, sockets.FIRST_LISTENER)
+
+
 def _config_error(listener: Listener, error: OSError) -> ConfigError:
     return ConfigError(f"{listener.setting}: cannot listen on {listener.address}: {error.strerror}")
--- a/honeyhitch/service/service.py
+++ b/honeyhitch/service/service.py
@@ -85,6 +85,9 @@
         `peer_calls_in_flight` is None until the other process hands over its messages. From then on this
         process may use every call slot that the other one does not use.
         """
+        if not peer_running:
+            for server in self.shared_servers:
+                server.listens_second = False
         call_slots = self.config.settings.max_concurrent_calls
         if peer_calls_in_flight is None:
             own_slots = call_slots // (1 + peer_running)
--- a/honeyhitch/service/shutdown.py
+++ b/honeyhitch/service/shutdown.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from honeyhitch import logs
+from honeyhitch.service.listeners import leave_new_connections_to_peer
 from honeyhitch.service.service import Service
 from honeyhitch.time_units import SECOND
 
@@ -27,6 +28,8 @@
     for server in service.servers:
         server.drain()
     service.handover.check_peer()
+    if service.handover.peer_running:
+        leave_new_connections_to_peer(service)
     if await _hand_over(service, started_at):
         return
     await _drain(service, started_at)
--- a/honeyhitch/transports/client_server.py
+++ b/honeyhitch/transports/client_server.py
@@ -115,6 +115,7 @@
         self.forward = forward
         self.clients: dict[Client, None] = {}  # ordered by `state_since`, the oldest first
         self.draining = False
+        self.listens_second = False  # a process that shares the address has listened there before
         self.awaiting_slot = False  # an accepted connection is waiting for a slot
         self.listener = sockets.new_tcp_socket()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/honeyhitch/transports/sockets.py
+++ b/honeyhitch/transports/sockets.py
@@ -18,7 +18,7 @@
 BPF_RETURN_CONSTANT = 0x06  # BPF_RET | BPF_K, linux/filter.h
 BPF_INSTRUCTION = "HBBI"  # struct sock_filter: code, jump offsets, constant
 BPF_PROGRAM = "HP"  # struct sock_fprog: number of instructions, address of the first one
-SECOND_LISTENER = 1  # listeners on a shared address are numbered from 0
+FIRST_LISTENER, SECOND_LISTENER = 0, 1  # numbers of the listeners on a shared address, in their order
 NOTHING_AVAILABLE = -1  # returned by `read_available`
 # Lack of a resource of this machine, or of a route, that may pass. It says nothing about the peer.
 TRANSIENT_CONNECT_ERRORS = frozenset(
@@ -58,17 +58,17 @@
         sock.bind(address)
 
 
-def prefer_second_listener(listener: socket.socket) -> bool:
-    """Direct new connections to `listener`, the second of two listeners that share an address.
+def prefer_listener(listener: socket.socket, number: int) -> bool:
+    """Direct new connections to the listener with this number; `listener` is any of those at its address.
 
-    The queue of the first listener can then be emptied. Return false if the system does not support this;
+    The queue of the other listener can then be emptied. Return false if the system does not support this;
     it then distributes the connections at random.
 
-    The function attaches a classic BPF program of one instruction, `return 1`, which selects a listener by
-    its number (socket(7), SO_ATTACH_REUSEPORT_CBPF). If only one listener is left, the number is invalid, and
-    the system selects a listener as it does without a program.
+    The function attaches a classic BPF program of one instruction, `return NUMBER`, which selects a listener
+    by its number (socket(7), SO_ATTACH_REUSEPORT_CBPF). If there is no listener with the number, the system
+    selects one as it does without a program.
     """
-    instruction = struct.pack(BPF_INSTRUCTION, BPF_RETURN_CONSTANT, 0, 0, SECOND_LISTENER)
+    instruction = struct.pack(BPF_INSTRUCTION, BPF_RETURN_CONSTANT, 0, 0, number)
     instructions = ctypes.create_string_buffer(instruction)
     program = struct.pack(BPF_PROGRAM, 1, ctypes.addressof(instructions))
     try:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -515,10 +515,14 @@
     address = old_listener.getsockname()
     clients = [socket.create_connection(address) for _ in range(8)]
     new_listener = open_listener(address[1])
-    if not sockets.prefer_second_listener(new_listener):
+    if not sockets.prefer_listener(new_listener, sockets.SECOND_LISTENER):
         pytest.skip("this system cannot steer")
     clients += [socket.create_connection(address) for _ in range(32)]
     assert (count_accepted(old_listener), count_accepted(new_listener)) == (8, 32)
+    assert sockets.prefer_listener(new_listener, sockets.FIRST_LISTENER)  # the new one ends first
+    clients += [socket.create_connection(address) for _ in range(32)]
+    assert (count_accepted(old_listener), count_accepted(new_listener)) == (32, 0)
+    assert sockets.prefer_listener(new_listener, sockets.SECOND_LISTENER)
     old_listener.close()
     clients += [socket.create_connection(address) for _ in range(8)]
     assert count_accepted(new_listener) == 8
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -223,6 +223,22 @@
     run_async_test(work())
 
 
+# Guards against connections that are reset when the new process is stopped again: new ones still went to it.
+def test_stopping_the_new_process_again_refuses_no_connection(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with upgrade_under_load(tmp_path, 2) as rig:
+            for _ in range(10):
+                new = await rig.start()
+                target = len(rig.clients.replies) + 20
+                await rig.progress.wait_until(lambda target=target: len(rig.clients.replies) >= target)  # type: ignore[misc]
+                assert await rig.stop(new, signal.SIGTERM) == 0
+        unanswered = [name for name, answer in rig.clients.replies.items() if not answer]
+        assert not unanswered, "connections were closed, refused or left without a reply"
+        assert max(rig.ledger.delivered.values()) == 1
+
+    run_async_test(work())
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_a_kill_of_the_old_or_the_new_process_at_any_moment_loses_no_message(
     tmp_path: Path, seed: int
--- a/tests/test_upgrade_listeners.py
+++ b/tests/test_upgrade_listeners.py
@@ -197,6 +197,52 @@
     run_async_test(work())
 
 
+# Guards against `drain` from the new process while the old one accepts messages, and after its end.
+@pytest.mark.parametrize("end", [signal.SIGTERM, signal.SIGKILL])
+def test_a_new_process_that_ends_early_leaves_true_answers(tmp_path: Path, end: signal.Signals) -> None:
+    async def work() -> None:
+        async with deployment(tmp_path) as created:
+            old = await created.start()
+            new = await created.start()
+            async with asked_by_balancer(created) as balancer:
+                await balancer.answered()
+                new.send_signal(end)
+                await new.wait()
+                if end == signal.SIGKILL:  # a connection that it had not answered was reset
+                    await balancer.answered(4)
+                    balancer.answers.clear()
+                await balancer.answered()
+                assert not balancer.untrue_answers()
+            old.send_signal(signal.SIGTERM)
+            assert await old.wait() == 0
+
+    run_async_test(work())
+
+
+# Guards against connections that still go to a new process which ends first, and are reset at its end.
+def test_a_new_process_that_ends_early_leaves_new_connections_to_the_old_one(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with deployment(tmp_path) as created:
+            await created.start()
+            new = await created.start()
+            await request_line(created.port, enqueue("m", left=1500))  # the call is never answered
+            new.send_signal(signal.SIGTERM)
+
+            async def drains() -> bool:
+                return "service.draining" in created.log(1)
+
+            await poll_until(drains)
+            new.send_signal(signal.SIGSTOP)
+            async with asyncio.timeout(1.0):
+                for _ in range(20):
+                    assert await request_line(created.port, b"PING\r\n") == b"+PONG\r\n"
+                    assert (await ask(created.agent_check, b"")).startswith(ACCEPTING)
+            new.send_signal(signal.SIGCONT)
+            assert await new.wait() == 0
+
+    run_async_test(work())
+
+
 # Guards against `up` for a dispatcher whose last process drains.
 def test_a_balancer_is_told_drain_once_no_process_goes_on(tmp_path: Path) -> None:
     async def work() -> None:
