Refuse a second process before anything of the running one is touched

One without [fleet] or [mqtt] beside a process with it was not refused at all.

Cause: service/start.py checked the peer after Service() had taken the slot, and knew only the configuration of the new process.

The check after the slot is locked stays, for a process that starts in between.

--- a/honeyhitch/journal/directory.py
+++ b/honeyhitch/journal/directory.py
@@ -11,12 +11,15 @@
 import os
 from collections.abc import Iterator
 from contextlib import contextmanager
+from dataclasses import dataclass
 from pathlib import Path
 
 from honeyhitch import logs
 from honeyhitch.journal.process_record import (
     ProcessDescription,
     ProcessRecord,
+    is_locked,
+    read_description,
 )
 
 log = logs.get_logger()
@@ -33,6 +36,34 @@
     """Two other processes already hold the state directory."""
 
 
+@dataclass(frozen=True, slots=True)
+class RunningProcess:
+    """A process that holds a slot of a state directory; versions before 0.3 have no description."""
+
+    journal_path: Path
+    description: ProcessDescription | None
+
+
+def find_running_process(path: Path) -> RunningProcess | None:
+    """Return the process that holds a slot of the state directory at `path`, or None if none does.
+
+    Nothing that a running process can see is changed. Raise StateDirectoryInUseError if two processes run,
+    and OSError if the directory cannot be read.
+    """
+    if not (path / DIRECTORY_LOCK_NAME).exists():
+        return None
+    with _exclusive(path):
+        held_slots = [
+            slot for slot in JOURNAL_NAMES if _is_slot_held(path / SLOT_LOCK_NAME.format(slot=slot))
+        ]
+        if len(held_slots) > 1:
+            raise StateDirectoryInUseError(f"two processes hold {path} already")
+        for slot in held_slots:
+            description = read_description(path / PROCESS_RECORD_NAME.format(slot=slot))
+            return RunningProcess(path / JOURNAL_NAMES[slot], description)
+    return None
+
+
 @contextmanager
 def _exclusive(path: Path) -> Iterator[None]:
     fd = os.open(path / DIRECTORY_LOCK_NAME, os.O_RDWR | os.O_CREAT, OWNER_ONLY)
@@ -43,9 +74,22 @@
         os.close(fd)
 
 
+def _is_slot_held(path: Path) -> bool:
+    try:
+        fd = os.open(path, os.O_RDONLY)
+    except FileNotFoundError:
+        return False
+    try:
+        return is_locked(fd)
+    finally:
+        os.close(fd)
+
+
 class StateDirectory:
     """One process's lock on the state directory, in the first `slot` that was free.
 
+    `peer_running` is whether another process held the other slot when this one was locked.
+
     The constructor raises OSError if the directory cannot be written, and StateDirectoryInUseError if no slot
     is free.
     """
@@ -60,6 +104,7 @@
             for slot in JOURNAL_NAMES:
                 if self.lock_slot(slot):
                     self.slot = slot
+                    self.peer_running = self._is_other_slot_held()
                     self._open_record()
                     return
         raise StateDirectoryInUseError(f"two processes hold {path} already")
@@ -115,6 +160,17 @@
         except OSError as error:
             log.warning("process.not-described", error=str(error), key=str(self.record.path))
 
+    def read_peer_description(self) -> ProcessDescription | None:
+        """Return the description of the process in the other slot, or None if there is none."""
+        try:
+            with self.exclusive():
+                return read_description(self.path / PROCESS_RECORD_NAME.format(slot=self.other_slot))
+        except OSError:
+            return None
+
+    def _is_other_slot_held(self) -> bool:
+        return _is_slot_held(self.path / SLOT_LOCK_NAME.format(slot=self.other_slot))
+
     def _open_record(self) -> None:
         path = self.path / PROCESS_RECORD_NAME.format(slot=self.slot)
         try:
--- a/honeyhitch/service/open_state.py
+++ b/honeyhitch/service/open_state.py
@@ -17,6 +17,7 @@
 from honeyhitch.journal.transactions import Transaction
 from honeyhitch.service.peer_check import (
     check_address,
+    check_running_process,
     shared_addresses,
     unshareable_features,
 )
@@ -32,8 +33,9 @@
 
     A process that runs alone must find its addresses unused. A process that listens there without a slot is
     another dispatcher, or a version that shares neither the directory nor the address. Raise ConfigError if
-    the directory or an address cannot be used.
+    the directory or an address cannot be used, or if this process may not run beside a running one.
     """
+    check_running_process(config, listen, retry)
     try:
         directory = retry.run(lambda: StateDirectory(config.state), "state")
     except (StateDirectoryInUseError, OSError) as error:
--- a/honeyhitch/service/start.py
+++ b/honeyhitch/service/start.py
@@ -25,8 +25,9 @@
         service.fleet.restore()
     _apply_known_list(service)
     service.handover.start()
-    if service.handover.peer_running:
-        check_peer(service.config, service.handover.follower.name)
+    if service.handover.peer_running:  # the peer may have started after the first check
+        peer_name = service.handover.follower.name
+        check_peer(service.config, peer_name, service.state_directory.read_peer_description())
     _recover_messages(service)
     listen_for_management(service)
     if listen:
--- a/tests/test_upgrade_listeners.py
+++ b/tests/test_upgrade_listeners.py
@@ -5,9 +5,10 @@
 import asyncio
 import contextlib
 import signal
+import socket
 import sys
 from asyncio.subprocess import Process
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from pathlib import Path
 
 import pytest
@@ -287,3 +288,82 @@
             assert await old.wait() == 0
 
     run_async_test(work())
+
+
+def _foreign_listener() -> tuple[socket.socket, int]:
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    listener.bind(("127.0.0.1", 0))
+    listener.listen()
+    return listener, listener.getsockname()[1]
+
+
+MQTT = '[mqtt]\nbroker = "127.0.0.1:1"\nintake = "in"\n'
+FLEET = '[fleet]\nview = "127.0.0.1:1"\nzone = "a"\n[fleet.regions]\nr = ["a"]\n'
+Change = Callable[[Deployment], dict[str, str]]
+REFUSALS: dict[str, tuple[str, Change]] = {
+    "mqtt": ("mqtt: ", lambda created: {"operator": created.beside + MQTT}),
+    "control": ("control: ", lambda created: {"operator": created.beside + "[control]\n"}),
+    "undelivered": ("undelivered: ", lambda created: {"operator": created.beside + "[undelivered]\n"}),
+    "fleet": ("fleet: ", lambda created: {"operator": created.beside + FLEET}),
+    "management": (
+        "management: cannot listen on",
+        lambda created: {"management": f"127.0.0.1:{created.managements[0]}"},
+    ),
+    "name": ("name: expected 'n0'", lambda _: {"name": "n1"}),
+}
+
+
+# Guards against a start that is refused after the running process has halved its limits for it, or after
+# clients and balancers were directed to its listeners.
+@pytest.mark.parametrize("reason", REFUSALS)
+def test_a_refused_start_touches_nothing_of_the_running_process(tmp_path: Path, reason: str) -> None:
+    async def work() -> None:
+        expected, change = REFUSALS[reason]
+        async with deployment(tmp_path) as created:
+            await created.start()
+            before = created.files()
+            async with asked_by_balancer(created) as balancer:
+                await balancer.answered()
+                refused = await created.launch(**change(created))
+                assert await refused.wait() == 2
+                await asyncio.sleep(
+                    STOPPED_FOR_SECONDS
+                )  # the running process looks for another one meanwhile
+                assert not balancer.untrue_answers()
+            assert expected in created.log(1)
+            assert created.files() == before
+            assert "handover" not in created.log(0)
+
+    run_async_test(work())
+
+
+# Guards against a second process that shares the address of another program.
+@pytest.mark.parametrize("running", [True, False])
+def test_an_address_of_another_program_is_not_shared(tmp_path: Path, running: bool) -> None:
+    async def work() -> None:
+        listener, port = _foreign_listener()
+        operator = f'[beside]\nagent-check = "127.0.0.1:{port}"\n'
+        async with deployment(tmp_path) as created:
+            if running:
+                await created.start()
+            refused = await created.launch(operator=operator)
+            assert await refused.wait() == 2
+            assert f"beside.agent-check: cannot listen on 127.0.0.1:{port}" in created.log(int(running))
+        listener.close()
+
+    run_async_test(work())
+
+
+# Guards against an upgrade away from a feature that the running process cannot hand over.
+def test_a_start_is_refused_beside_a_process_with_a_feature_that_cannot_be_shared(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with deployment(tmp_path) as created:
+            await created.start(operator=created.beside + "[control]\n")
+            before = created.files()
+            refused = await created.launch()
+            assert await refused.wait() == 2
+            assert "control: is used by the running process" in created.log(1)
+            assert created.files() == before
+
+    run_async_test(work())
