Start beside a process in the second slot that has not taken over yet

Callers saw: a start within some 20 ms after the old process of an upgrade had been killed ended with exit code 2, 'listen: cannot listen on ...: Address already in use'.

Cause: until the new process has taken over, the first slot is free; a start that took it held itself for alone and wanted its address unused (open_state.py).

Evidence: the new test on the commit before, with the process in the second slot stopped by SIGSTOP: the error above.

Change: the addresses have to be unused only if no process holds the other slot; otherwise the check of the running process has looked at them.

Result: the test passes; the three processes end with one that serves.

--- a/honeyhitch/service/open_state.py
+++ b/honeyhitch/service/open_state.py
@@ -11,7 +11,7 @@
 from honeyhitch import logs
 from honeyhitch.config import Config, ConfigError
 from honeyhitch.journal.clock_anchor import AnchorFile, ClockAnchor, stored_anchor
-from honeyhitch.journal.directory import FIRST_SLOT, StateDirectory, StateDirectoryInUseError
+from honeyhitch.journal.directory import StateDirectory, StateDirectoryInUseError
 from honeyhitch.journal.journal import Journal, JournalVersionError
 from honeyhitch.journal.process_record import ProcessDescription
 from honeyhitch.journal.transactions import Transaction
@@ -40,7 +40,7 @@
         directory = retry.run(lambda: StateDirectory(config.state), "state")
     except (StateDirectoryInUseError, OSError) as error:
         raise ConfigError(f"state: {error}") from error
-    if directory.slot == FIRST_SLOT:
+    if not directory.peer_running:
         try:
             for key, address in shared_addresses(config, listen).items():
                 check_address(key, address, retry)
--- a/tests/test_upgrade_listeners.py
+++ b/tests/test_upgrade_listeners.py
@@ -290,6 +290,27 @@
     run_async_test(work())
 
 
+# Guards against a start that is refused because the process in the second slot has not taken over yet.
+def test_a_start_right_after_the_end_of_the_old_process_is_not_refused(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with deployment(tmp_path) as created:
+            old = await created.start()
+            second = await created.start()
+            second.send_signal(signal.SIGSTOP)
+            old.kill()
+            await old.wait()
+            third = await created.start()
+            second.send_signal(signal.SIGCONT)
+            second.send_signal(signal.SIGTERM)
+            assert await second.wait() == 0
+            async with asked_by_balancer(created) as balancer:
+                await balancer.answered()
+                assert not balancer.untrue_answers()
+            assert third.returncode is None
+
+    run_async_test(work())
+
+
 def _foreign_listener() -> tuple[socket.socket, int]:
     listener = socket.socket()
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
