Keep the old process's listeners until the new process has opened its own

Callers saw: if SIGTERM reached the old process while the new one was still starting (on a full disk a start waits for up to 20 s), the old process ended at once, and clients and balancers were refused until the new one listened.

Cause: the hand-over asked only whether a process holds the other slot, which it does from its first moments on (service/shutdown.py).

Evidence: the new test on the commit before: connection refused.

--- a/honeyhitch/service/handover.py
+++ b/honeyhitch/service/handover.py
@@ -171,6 +171,11 @@
         """The number of messages that the peer holds, as far as its journal was read."""
         return len(self.follower.messages)
 
+    def peer_listens(self) -> bool:
+        """Return whether the peer has opened its listeners; a peer without a description is taken to have."""
+        description = self.state_directory.read_peer_description()
+        return description is None or description.serving
+
     def close(self) -> None:
         """Close the peer's journal."""
         self.follower.close()
--- a/honeyhitch/service/shutdown.py
+++ b/honeyhitch/service/shutdown.py
@@ -28,6 +28,8 @@
     for server in service.servers:
         server.drain()
     service.handover.check_peer()
+    if service.handover.peer_running:
+        leave_new_connections_to_peer(service)
     if service.handover.peer_running:
         leave_new_connections_to_peer(service)
     if await _hand_over(service, started_at):
@@ -36,10 +38,14 @@
 
 
 async def _hand_over(service: Service, started_at: float) -> bool:
-    """Hand messages over while a next process runs. Return whether the work left here has finished."""
+    """Hand messages over while a next process runs. Return whether the work left here has finished.
+
+    Until the next process listens, this one keeps its listeners, so that no client or balancer is refused.
+    """
     while service.handover.peer_running and service.loop.time() - started_at < EXIT_SECONDS:
         service.dispatcher.hand_over()
-        if _calls_and_notices_finished(service) and service.shared_requests_finished():
+        finished = _calls_and_notices_finished(service) and service.shared_requests_finished()
+        if finished and service.handover.peer_listens():
             return True
         await asyncio.sleep(POLL_SECONDS)
     return False
--- a/tests/test_upgrade_listeners.py
+++ b/tests/test_upgrade_listeners.py
@@ -14,6 +14,7 @@
 import pytest
 
 from honeyhitch.journal.directory import StateDirectory
+from honeyhitch.journal.process_record import ProcessDescription
 
 from .agent import Agent
 from .polling import poll_until
@@ -290,6 +291,28 @@
     run_async_test(work())
 
 
+# Guards against a gap without a listener, if SIGTERM comes before the new process listens.
+def test_the_old_process_serves_until_the_new_one_listens(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with deployment(tmp_path) as created:
+            old = await created.start()
+            starting = StateDirectory(created.state)  # as a process that has not opened its listeners
+            (created.state / "journal-2").touch()
+            starting.describe(ProcessDescription())
+            await asyncio.sleep(STOPPED_FOR_SECONDS)
+            old.send_signal(signal.SIGTERM)
+            await asyncio.sleep(STOPPED_FOR_SECONDS)
+            assert await request_line(created.port, b"PING\r\n") == b"+PONG\r\n"
+            assert (await ask(created.agent_check, b"")).startswith(ACCEPTING)
+            started_at = asyncio.get_running_loop().time()
+            starting.describe(ProcessDescription(serving=True))
+            assert await old.wait() == 0
+            assert asyncio.get_running_loop().time() - started_at < 1.0
+            starting.close()
+
+    run_async_test(work())
+
+
 # Guards against a start that is refused because the process in the second slot has not taken over yet.
 def test_a_start_right_after_the_end_of_the_old_process_is_not_refused(tmp_path: Path) -> None:
     async def work() -> None:
