Record a rejection over MQTT before its publish is acknowledged

Cause: MqttFrontend put the answer into the memory of its session alone and acknowledged the publish in the same turn, so that the broker dropped it.

Evidence: the new test on the commit before waits for 30 answers that never come.

The answer goes the way of every final answer: it is sent again by the next process, and a redelivered publish is recognised. Rejections whose answers are on their way take no place of max-open.

Open: the error answers to invalid messages are still in memory alone (no ending is stored for them).

--- a/honeyhitch/dispatcher/admission.py
+++ b/honeyhitch/dispatcher/admission.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from honeyhitch import logs
 from honeyhitch.dispatcher.context import DispatcherContext
 from honeyhitch.dispatcher.delivery import Admission
@@ -22,6 +24,7 @@
         self.context = context
         self.endings = endings
         self.rejected_until: dict[str, int] = {}  # by message id, in the order of the rejections
+        self.recorded_rejections: set[str] = set()  # ids; some of them may have been answered
 
     def submit(self, message: Transaction) -> Admission:
         """Accept or reject a message immediately and return the decision.
@@ -53,8 +56,29 @@
             self.admit(message)
         return Admission(True)
 
+    def record_rejection(self, message: Transaction, retry_after: int) -> bool:
+        """Write a rejection to the journal, and have its answer sent, by the next process if need be.
+
+        Return false and send nothing if the journal cannot take the record.
+        """
+        rejected = replace(message, body=b"", ending=Ending.REJECTED, retry_after=retry_after)
+        try:
+            self.context.journal.record_rejected(rejected)
+        except JournalFullError as error:
+            log.warning("journal.full", record="rejection", error=str(error))
+            return False
+        self.recorded_rejections.add(rejected.id)
+        self.endings.answer(rejected)
+        return True
+
     def _is_full(self) -> bool:
-        return len(self.context.messages) >= self.context.settings.max_messages
+        """Return whether the limit is reached; rejections whose answers are on their way take no place."""
+        held = self.context.messages.by_id
+        max_messages = self.context.settings.max_messages
+        if len(held) < max_messages:
+            return False
+        self.recorded_rejections &= held.keys()
+        return len(held) - len(self.recorded_rejections) >= max_messages
 
     def _reject(self, message: Transaction, reason: str) -> Admission:
         log.info("message.rejected", message=message.id, reason=reason, key=reason)
--- a/honeyhitch/dispatcher/dispatcher.py
+++ b/honeyhitch/dispatcher/dispatcher.py
@@ -54,6 +54,13 @@
         """
         return self.admission.submit(transaction)
 
+    def record_rejection(self, transaction: Transaction, retry_after: int) -> bool:
+        """Write a rejection to the journal, and have its answer sent, by the next process if need be.
+
+        `retry_after` is in nanoseconds. Return false and send nothing if the journal cannot take the record.
+        """
+        return self.admission.record_rejection(transaction, retry_after)
+
     def submit_resend(self, transaction: Transaction) -> bool:
         """Write a resend to the journal and return whether it was accepted.
 
--- a/honeyhitch/journal/journal.py
+++ b/honeyhitch/journal/journal.py
@@ -136,6 +136,14 @@
         self.append(MessageRecord(transaction, self.detailed), ACCEPT_FRACTION)
         self._add_message(transaction)
 
+    def record_rejected(self, transaction: Transaction) -> None:
+        """Record a message that was rejected at once, before its frontend confirms that it was received.
+
+        Raise JournalFullError if there is no space.
+        """
+        self.append(MessageRecord(transaction, self.detailed))
+        self._add_message(transaction)
+
     def record_attempt(
         self, transaction: Transaction, started_at: int, zone: int, endpoint: str = ""
     ) -> None:
--- a/honeyhitch/transports/mqtt_frontend.py
+++ b/honeyhitch/transports/mqtt_frontend.py
@@ -57,13 +57,16 @@
             if rejection is not None:
                 self._remember_rejected(message_id)
                 self._publish(rejection, None)
-        # The acknowledgement must come last: an accepted message is now in the journal, so the broker may
-        # discard it.
+        # The acknowledgement must come last: the message or its rejection is now in the journal, so the
+        # broker may discard it.
         self.intake.acknowledge(packet)
         self.intake_link.output_ready.set()
 
     def _submit(self, packet: Packet, reply_context: str, message_id: str) -> Packet | None:
-        """Submit a message; return the answer if the message is not accepted, otherwise None."""
+        """Submit a message; return the answer if the journal takes neither the message nor its rejection.
+
+        The answer to an invalid message is returned as well. It is not repeated after a kill.
+        """
         try:
             transaction = mqtt_messages.parse_transaction(
                 self.transaction_parser, packet, self.scheduler.now()
@@ -71,7 +74,7 @@
             admission = self.dispatcher.submit(transaction)
         except FieldError as error:
             return mqtt_messages.encode_answer(reply_context, message_id, "error", {"reason": str(error)})
-        if admission.accepted:
+        if admission.accepted or self.dispatcher.record_rejection(transaction, admission.retry_after):
             return None
         details: dict[str, object] = {"again_ms": admission.retry_after // MILLISECOND}
         return mqtt_messages.encode_answer(reply_context, message_id, "deferred", details)
--- a/tests/broker.py
+++ b/tests/broker.py
@@ -40,7 +40,7 @@
         # Without this callback, PUBLISH packets to partner/... are routed as usual.
         self.acknowledge_partner_publish: Callable[[Packet], Packet | None] | None = None
         self.published: list[Packet] = []
-        self.answers_held = False
+        self.answers_lost = False  # publishes to re/... are neither routed nor acknowledged
         self.ssl_context: ssl.SSLContext | None = None  # None for TCP without TLS
         self.server: asyncio.Server | None = None
         self.port = 0
@@ -112,6 +112,8 @@
 
     def _handle_publish(self, session: ClientSession, packet: Packet) -> None:
         self.published.append(packet)
+        if packet.topic.startswith("re/") and self.answers_lost:
+            return
         if packet.topic.startswith("partner/") and self.acknowledge_partner_publish is not None:
             self.write(session, self.acknowledge_partner_publish(packet))
             return
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -412,6 +412,41 @@
     run_async_test(work())
 
 
+# Guards against an acknowledged rejection whose answer is lost by a kill (review/2).
+def test_a_kill_in_a_burst_leaves_each_rejected_message_its_one_answer(tmp_path: Path) -> None:
+    async def work() -> None:
+        burst = 80  # the dispatcher may hold 50 messages
+        broker, agent = Broker(), await Peer().start()
+        await broker.start()
+        broker.answers_lost = True  # the process is killed before its answers reach the broker
+        names = [f"m{number}" for number in range(burst)]
+        set_reasons(broker, dict.fromkeys(names, -1))
+        client = Client(asyncio.get_running_loop())
+        operator = OPERATOR.format(port=broker.port, dest=1)
+        async with running_program(tmp_path, agent.port, [], operator):
+            client.connect(broker.port)
+            await poll_condition(lambda: broker.subscribed("n0-intake", "client"))
+            for name in names:
+                client.submit(name, 1)
+            intake = broker.sessions["n0-intake"]
+            await poll_condition(lambda: intake.last_packet_id == burst and not intake.unacknowledged)
+        broker.answers_lost = False
+        set_reasons(broker, {})
+        async with running_program(tmp_path, agent.port, [], operator):
+            await client.wait_for_answers(burst)
+            client.submit("last", 1)
+            await client.wait_for_answers(burst + 1)
+        client.paho.disconnect()
+        client.paho.loop_stop()
+        assert all(len(answers) == 1 for answers in client.answers.values())
+        statuses = collections.Counter(answers[0]["status"] for answers in client.answers.values())
+        assert statuses == {"delivered": 51, "deferred": 30}
+        deferred = [a[0] for a in client.answers.values() if a[0]["status"] == "deferred"]
+        assert all(answer["again_ms"] > 0 for answer in deferred)
+
+    run_async_test(work())
+
+
 def test_one_partner_over_both_protocols_shares_its_retry_after(tmp_path: Path) -> None:
     async def work() -> None:
         broker, agent, endpoint, client = Broker(), await Peer().start(), await Peer().start(), Peer()
