Keep the class, tenant and zone of held messages when the settings' lists change

Stored forms stay; earlier versions skip the record. A message whose class is gone is ended at once: failed if it may have run, else to be submitted again. A tenant that is gone counts as the first one, a zone that is gone as none.

--- a/honeyhitch/dispatcher/endings.py
+++ b/honeyhitch/dispatcher/endings.py
@@ -82,6 +82,17 @@
         if context.resend_coordinator is not None:
             context.resend_coordinator.message_concluded(message)
 
+    def conclude_without_class(self, message: Transaction, ending: Ending) -> None:
+        """Write the ending of a message whose class is not known, and have the answer sent.
+
+        No metric counts it, and the dead-letter store does not get it.
+        """
+        if ending is Ending.UNANSWERED:
+            self.context.journal.record_end(message, ending)
+            return
+        self.context.journal.record_decision(message, ending, retry_after=0)
+        self._answer_once_recorded(message)
+
     def _answer_once_recorded(self, message: Transaction) -> None:
         """Have the answer sent, after a failing disk has taken the decision or at the message's deadline.
 
--- a/honeyhitch/dispatcher/recovery.py
+++ b/honeyhitch/dispatcher/recovery.py
@@ -7,6 +7,7 @@
 from honeyhitch.dispatcher.context import DispatcherContext
 from honeyhitch.dispatcher.endings import Endings
 from honeyhitch.journal.journal import JournalFullError
+from honeyhitch.journal.settings_names import UNKNOWN
 from honeyhitch.journal.transactions import RESEND_FRONTEND, Ending, Transaction
 from honeyhitch.policy.events import ShutdownStarted
 
@@ -33,13 +34,16 @@
         sink = self.context.dead_letter_sink
         if sink is not None:
             for message in dead_letters:
-                sink.store(message)
+                if message.class_index != UNKNOWN:  # the store keeps it by the rules of its class
+                    sink.store(message)
         elif dead_letters:  # they stay in the journal until a start with a dead-letter store
             log.warning("dead-letter.store-missing", waiting=len(dead_letters))
         # Resends come first, because a message that arrived later may be a copy of a resend.
         for message in sorted(pending, key=lambda message: message.frontend != RESEND_FRONTEND):
             if message.ending is not None:
                 self._resume_decided(message)
+            elif message.class_index == UNKNOWN:
+                self._end_unknown_class(message)
             elif message.frontend == RESEND_FRONTEND:
                 self._resume_resend(message)
             else:
@@ -50,9 +54,22 @@
         """Have a decided answer sent, and pass the message to the store if it is an unstored dead letter."""
         self.endings.answer(message)
         sink = self.context.dead_letter_sink
-        if message.is_dead_letter and not message.dead_letter_stored and sink is not None:
+        storable = message.is_dead_letter and not message.dead_letter_stored
+        if storable and message.class_index != UNKNOWN and sink is not None:
             sink.store(message)
 
+    def _end_unknown_class(self, message: Transaction) -> None:
+        """End a message whose class the settings no longer contain: no rule says how it may be sent.
+
+        It fails if it may have been executed, and may be submitted again if not.
+        """
+        log.warning("message.class-missing", message=message.id, key="class")
+        may_have_run = message.first_possible_execution() is not None
+        ending = Ending.FAILED if may_have_run else Ending.REJECTED
+        if message.frontend == RESEND_FRONTEND:
+            ending = Ending.UNANSWERED
+        self.endings.conclude_without_class(message, ending)
+
     def _resume_resend(self, message: Transaction) -> None:
         coordinator = self.context.resend_coordinator
         if coordinator is not None:
--- a/honeyhitch/journal/follower.py
+++ b/honeyhitch/journal/follower.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 from honeyhitch.journal.record_codec import decode_records
+from honeyhitch.journal.settings_names import SettingsNames
 from honeyhitch.journal.state import JournalState
 from honeyhitch.journal.transactions import Transaction
 
@@ -16,8 +17,14 @@
 class JournalFollower(JournalState):
     """The state of a journal file that another process writes or wrote; the follower only reads the file."""
 
-    def __init__(self, path: Path, max_remembered: int, retention: Callable[[Transaction], int]) -> None:
-        super().__init__(max_remembered, retention)
+    def __init__(
+        self,
+        path: Path,
+        max_remembered: int,
+        retention: Callable[[Transaction], int],
+        current_names: SettingsNames | None = None,
+    ) -> None:
+        super().__init__(max_remembered, retention, current_names)
         self.path = path
         self.fd = NO_FILE
         self.read_bytes = 0  # size of the complete records read so far
--- a/honeyhitch/journal/journal.py
+++ b/honeyhitch/journal/journal.py
@@ -28,9 +28,11 @@
     MessageEnded,
     MessageRecord,
     MessagesHandedOver,
+    NamesRecorded,
     Record,
     RetryAfterNoted,
 )
+from honeyhitch.journal.settings_names import SettingsNames
 from honeyhitch.journal.state import JournalState
 from honeyhitch.journal.transactions import Attempt, DeliveredKey, Ending, Transaction
 
@@ -88,8 +90,9 @@
         retention: Callable[[Transaction], int],
         detailed: bool = False,
         file_name: str = "journal",
+        current_names: SettingsNames | None = None,
     ) -> None:
-        super().__init__(max_bytes // DISK_BYTES_PER_REMEMBERED_ID, retention)
+        super().__init__(max_bytes // DISK_BYTES_PER_REMEMBERED_ID, retention, current_names)
         self.new_path = directory / f"{file_name}.new"
         self.max_bytes = max_bytes
         self.peer_bytes = 0  # bytes of `max_bytes` that another process uses
@@ -205,6 +208,12 @@
             self.version = JOURNAL_VERSION
             self._append_or_postpone(JournalOwner(self.version, self.name))
 
+    def record_names(self) -> None:
+        """Record the lists of the settings, before any record whose indices belong to them."""
+        if self.current_names is not None and self.current_names != self.stored_names:
+            self.stored_names = self.current_names
+            self._append_or_postpone(NamesRecorded(self.current_names))
+
     def record_retry_after(self, destination: int, endpoint: str, until: int) -> None:
         """Record a Retry-After from an endpoint; the other process of a hand-over observes it as well."""
         self.retry_after_until[destination, endpoint] = until
@@ -411,6 +420,8 @@
     def _live_records(self) -> Iterator[Record]:
         if self.version:
             yield JournalOwner(self.version, self.name)
+        if self.current_names is not None:
+            yield NamesRecorded(self.current_names)
         concluded = list(self.messages.concluded.items())
         delivered_keys = list(self.messages.delivered_keys.items())
         for start in range(0, max(len(concluded), len(delivered_keys)), MAX_IDS_PER_RECORD):
--- a/honeyhitch/journal/record_codec.py
+++ b/honeyhitch/journal/record_codec.py
@@ -27,9 +27,11 @@
     MessageEnded,
     MessageRecord,
     MessagesHandedOver,
+    NamesRecorded,
     Record,
     RetryAfterNoted,
 )
+from honeyhitch.journal.settings_names import SettingsNames
 from honeyhitch.journal.transactions import Attempt, DeliveredKey, Ending, PossibleExecution, Transaction
 
 RECORD_HEADER = struct.Struct("<II")  # length and checksum of the data after it
@@ -254,6 +256,16 @@
     return JournalOwner(int(fields["v"]), str(fields["name"]))
 
 
+def _encode_names(record: NamesRecorded) -> Fields:
+    names = record.names
+    return {"t": "names", "cls": names.classes, "tenants": names.tenants, "zones": names.zones}
+
+
+def _decode_names(fields: Fields, _: bytes) -> NamesRecorded:
+    lists = (tuple(map(str, fields[key])) for key in ("cls", "tenants", "zones"))
+    return NamesRecorded(SettingsNames(*lists))
+
+
 def _encode_handed_over(record: MessagesHandedOver) -> Fields:
     return {"t": "passed", "ids": record.messages}
 
@@ -296,6 +308,7 @@
     DeadLetterStored: _encode_dead_letter_stored,
     RetryAfterNoted: _encode_retry_after,
     JournalOwner: _encode_owner,
+    NamesRecorded: _encode_names,
     MessagesHandedOver: _encode_handed_over,
     CallsInFlight: _encode_calls_in_flight,
     HandoverReclaimed: _encode_reclaimed,
@@ -311,6 +324,7 @@
     "kept": _decode_dead_letter_stored,
     "wait": _decode_retry_after,
     "born": _decode_owner,
+    "names": _decode_names,
     "passed": _decode_handed_over,
     "out": _decode_calls_in_flight,
     "back": _decode_reclaimed,
--- a/honeyhitch/journal/records.py
+++ b/honeyhitch/journal/records.py
@@ -9,6 +9,7 @@
 
 from dataclasses import dataclass
 
+from honeyhitch.journal.settings_names import SettingsNames
 from honeyhitch.journal.transactions import Attempt, DeliveredKey, Ending, Transaction
 
 
@@ -93,6 +94,13 @@
     name: str
 
 
+@dataclass(slots=True)
+class NamesRecorded:
+    """The names to which the indices of classes, tenants and zones in later records belong."""
+
+    names: SettingsNames
+
+
 @dataclass(slots=True)
 class MessagesHandedOver:
     """The other process of a hand-over resumes these messages."""
@@ -130,6 +138,7 @@
     | DeadLetterStored
     | RetryAfterNoted
     | JournalOwner
+    | NamesRecorded
     | MessagesHandedOver
     | CallsInFlight
     | HandoverReclaimed
--- a/honeyhitch/journal/state.py
+++ b/honeyhitch/journal/state.py
@@ -22,9 +22,11 @@
     MessageEnded,
     MessageRecord,
     MessagesHandedOver,
+    NamesRecorded,
     Record,
     RetryAfterNoted,
 )
+from honeyhitch.journal.settings_names import IndexTranslation, SettingsNames
 from honeyhitch.journal.transactions import DeliveredKey, Ending, MessageTable, Transaction
 
 ESTIMATED_OVERHEAD_BYTES = 512  # size of a message's records, excluding its body
@@ -39,11 +41,18 @@
     """The state after applying records in order.
 
     `retention` returns the nanoseconds for which the id and key of an ended message are remembered.
-    `max_remembered` is the maximum number of ids, and also that of keys.
+    `max_remembered` is the maximum number of ids, and also that of keys. The indices of classes, tenants
+    and zones in the state belong to `current_names`, whatever lists the records refer to.
     """
 
-    def __init__(self, max_remembered: int, retention: Callable[[Transaction], int]) -> None:
+    def __init__(
+        self,
+        max_remembered: int,
+        retention: Callable[[Transaction], int],
+        current_names: SettingsNames | None = None,
+    ) -> None:
         self.retention = retention
+        self.current_names = current_names
         self.max_remembered = max_remembered
         self._reset()
 
@@ -59,6 +68,8 @@
         self.calls_in_flight: int | None = None  # None if the writer does not hand over
         self.name = ""  # the dispatcher's name
         self.version = 0  # version of the journal's format; 0 if no record states it
+        self.stored_names: SettingsNames | None = None  # to which the indices of the next record belong
+        self.translation = IndexTranslation(None, self.current_names)
 
     @property
     def is_empty(self) -> bool:
@@ -78,7 +89,19 @@
 
     # One handler for each kind of record.
 
+    def _apply_names(self, record: NamesRecorded) -> None:
+        self.stored_names = record.names
+        self.translation = IndexTranslation(record.names, self.current_names)
+
     def _apply_message(self, record: MessageRecord) -> None:
+        message = record.message
+        message.class_index = self.translation.class_index(message.class_index)
+        message.tenant = self.translation.tenant(message.tenant)
+        if self.translation.changed:
+            message.possible_executions = [
+                possible._replace(zone=self.translation.zone(possible.zone))
+                for possible in message.possible_executions
+            ]
         if record.answered:
             self._add_pending_dead_letter(record.message)
         else:
@@ -87,7 +110,8 @@
     def _apply_attempt_started(self, record: AttemptStarted) -> None:
         message = self.messages.by_id.get(record.message)
         if message is not None:
-            message.add_attempt(record.number, record.started_at, record.zone, record.endpoint)
+            zone = self.translation.zone(record.zone)
+            message.add_attempt(record.number, record.started_at, zone, record.endpoint)
 
     def _apply_outcome(self, record: AttemptOutcome) -> None:
         message = self.messages.by_id.get(record.message)
@@ -150,7 +174,9 @@
 
     def _apply_ended_messages(self, record: EndedMessages) -> None:
         self.messages.concluded.update(record.concluded)
-        self.messages.delivered_keys.update(record.delivered_keys)
+        for key, delivered in record.delivered_keys.items():
+            zone = self.translation.zone(delivered.zone)
+            self.messages.delivered_keys[key] = delivered._replace(zone=zone)
 
     _HANDLERS: ClassVar[dict[type, Callable[[Any, Any], None]]] = {
         MessageRecord: _apply_message,
@@ -166,6 +192,7 @@
         CallsInFlight: _apply_calls_in_flight,
         HandoverReclaimed: _apply_reclaimed,
         EndedMessages: _apply_ended_messages,
+        NamesRecorded: _apply_names,
     }
 
     # Methods shared with the writer of a journal.
--- a/honeyhitch/service/handover.py
+++ b/honeyhitch/service/handover.py
@@ -54,7 +54,10 @@
 
     def _new_follower(self) -> JournalFollower:
         path = self.state_directory.journal_path(self.state_directory.other_slot)
-        return JournalFollower(path, self.journal.messages.max_remembered, self.journal.retention)
+        journal = self.journal
+        return JournalFollower(
+            path, journal.messages.max_remembered, journal.retention, journal.current_names
+        )
 
     def start(self) -> None:
         """Check for a peer for the first time, before the dispatcher resumes the messages of the journal."""
--- a/honeyhitch/service/open_state.py
+++ b/honeyhitch/service/open_state.py
@@ -14,6 +14,7 @@
 from honeyhitch.journal.directory import StateDirectory, StateDirectoryInUseError
 from honeyhitch.journal.journal import Journal, JournalVersionError
 from honeyhitch.journal.process_record import ProcessDescription
+from honeyhitch.journal.settings_names import SettingsNames
 from honeyhitch.journal.transactions import Transaction
 from honeyhitch.service.peer_check import (
     check_address,
@@ -91,6 +92,13 @@
             return max(longest_deadline, BROKER_REDELIVERY)
         return longest_deadline
 
+    settings = config.settings
+    names = SettingsNames(
+        classes=tuple(message_class.name for message_class in settings.classes),
+        tenants=settings.tenant_names,
+        zones=settings.zone_names,
+    )
+
     def open_file() -> Journal:
         return Journal(
             config.state,
@@ -99,6 +107,7 @@
             retention,
             detailed=config.operator.dead_letters is not None,
             file_name=directory.journal_path(directory.slot).name,
+            current_names=names,
         )
 
     try:
--- a/honeyhitch/service/service.py
+++ b/honeyhitch/service/service.py
@@ -49,6 +49,7 @@
         self.journal = open_journal(config, self.state_directory, self.scheduler.now, self.start_retry)
         self._follow_wall_clock_if_unused()
         self.journal.record_owner(config.name)
+        self.journal.record_names()
         pool = EndpointPool(config.settings)
         self.dispatcher = Dispatcher(config.settings, config.seed, pool, self.journal, self.scheduler)
         self.state_writer = StateWriter(self.loop, self._write_state)
