Keep the settings that need a restart in force after a reload

Callers saw: after SIGHUP with other settings or limits, a process whose peer started or ended (an upgrade) divided the call slots and descriptors of the new file, which is not in force, and looked up kinds of TLS partners in it.

Cause: reload() replaced the whole of service.config, while the log said reload.restart-required (service/reload.py).

Evidence: test_reload.py on the commit before: limits [1, 2] where [4, 8] are in force.

Change: the fields that need a restart stay as they are; a further SIGHUP with the same file logs the warning again.

--- a/honeyhitch/service/reload.py
+++ b/honeyhitch/service/reload.py
@@ -42,7 +42,8 @@
     _apply_discovery_address(service, config)
     _apply_resend_rules(service, config)
     _warn_of_restart(service.config, config)
-    service.config = config
+    in_force = {setting: getattr(service.config, setting) for setting in RESTART_REQUIRED}
+    service.config = replace(config, **in_force)
 
 
 def _apply_discovery_address(service: Service, config: Config) -> None:
