Divide a partner's handshake limits among the two processes of an upgrade

Callers saw: with [tls], the two processes of an upgrade together could run twice as many handshakes with a partner as handshakes and handshake-rate allow.

Cause: a HandshakeBudget knows the number of dispatchers, not that of the dispatcher's processes; call slots and descriptors were divided, these were not.

Change: Service tells each divider the number of processes when a peer starts or ends, and Partners passes it to the budgets.

--- a/honeyhitch/service/service.py
+++ b/honeyhitch/service/service.py
@@ -74,6 +74,7 @@
         self.servers: list[ClientServer] = []
         self.shared_servers: list[ClientServer] = []  # those at whose address the peer may listen as well
         self.clients: ClientServer | None = None  # the server to which clients submit messages
+        self.limit_dividers: list[Callable[[int], None]] = []  # called with the number of processes
         self.commands = CommandRegistry()
         self.control: ControlServer | None = None
         self.dead_letters: DeadLetterService | None = None
@@ -86,6 +87,8 @@
         `peer_calls_in_flight` is None until the other process hands over its messages. From then on this
         process may use every call slot that the other one does not use.
         """
+        for divide in self.limit_dividers:
+            divide(1 + peer_running)
         if not peer_running:
             for server in self.shared_servers:
                 server.listens_second = False
--- a/honeyhitch/tls/handshake_budget.py
+++ b/honeyhitch/tls/handshake_budget.py
@@ -53,8 +53,10 @@
         slow_start_fraction: float = 1.0,
         slow_start_duration: int = 1,
     ) -> None:
-        self.max_concurrent = max(1, handshakes // instance_count)
-        self.rate = rate / instance_count  # per second
+        self.handshakes = handshakes
+        self.total_rate = rate  # per second
+        self.instance_count = instance_count
+        self.set_process_count(1)
         self.slow_start_fraction = slow_start_fraction
         self.slow_start_duration = slow_start_duration
         self.running: set[HandshakeStart] = set()
@@ -63,6 +65,12 @@
         self.unavailable = False
         self.lost_at: deque[int] = deque()  # ns; times at which open connections were lost, oldest first
 
+    def set_process_count(self, processes: int) -> None:
+        """Divide this dispatcher's share evenly among its processes, of which an upgrade has two."""
+        sharers = self.instance_count * processes
+        self.max_concurrent = max(1, self.handshakes // sharers)
+        self.rate = self.total_rate / sharers  # per second
+
     @staticmethod
     def warnings(handshakes: int, rate: float, instance_count: int) -> list[str]:
         """Return a text for each limit that cannot be kept exactly with this number of dispatchers."""
--- a/honeyhitch/tls/partners.py
+++ b/honeyhitch/tls/partners.py
@@ -103,6 +103,11 @@
 
     # Handshakes.
 
+    def set_process_count(self, processes: int) -> None:
+        """Divide the handshake limits evenly among the processes of this dispatcher."""
+        for state in self.states.values():
+            state.budget.set_process_count(processes)
+
     def session_key(self, state: PartnerState, address: str) -> SessionKey:
         """Return the session cache's key for connections to `address`, a HOST:PORT."""
         host, _, _ = address.rpartition(":")
--- a/tests/test_tls_handshake_budget.py
+++ b/tests/test_tls_handshake_budget.py
@@ -14,14 +14,20 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from honeyhitch import config
 from honeyhitch.dispatcher.delivery import Call
 from honeyhitch.endpoints.endpoint import TLS_TRANSPORT, PoolEndpoint
 from honeyhitch.policy.events import ConnectionCapacity, Outcome
+from honeyhitch.service.assembly import assemble
+from honeyhitch.service.shutdown import close
 from honeyhitch.tls import retirement
 from honeyhitch.tls.connection_gate import EndpointConnections
 from honeyhitch.tls.failures import Failure, TlsError
 from honeyhitch.tls.handshake_budget import RESUMED_WEIGHT, HandshakeBudget, HandshakeStart
+from honeyhitch.transports.tls_transport import TlsTransport
 
+from .processes import listening_port
+from .program import run_async_test, write_config_files
 from .rig import ENDPOINT_LIST, START, DispatcherRig, VirtualTime, endpoint_row
 from .world import MS, SECOND
 
@@ -306,3 +312,27 @@
     endpoint_state = gated.dispatcher.policy.destinations[1].endpoints["s-1"].state
     assert not endpoint_state.circuit.ejected
     assert endpoint_state.circuit.consecutive_failures == 0
+
+
+# Guards against two processes of an upgrade that each use the whole share of a partner's handshakes.
+def test_two_processes_of_a_dispatcher_share_its_handshake_limits(tmp_path: Path) -> None:
+    operator = (
+        "[tls]\nhandshakes = 6\nhandshake-rate = 12.0\n"
+        '[[tls.partner]]\nkind = "large"\nserver-name = "partner.example"\n'
+    )
+    paths = write_config_files(tmp_path, listening_port(), 9, [], operator)
+
+    async def work() -> None:
+        service = assemble(config.read({}, *paths))
+        transport = service.dispatcher.transports[TLS_TRANSPORT]
+        assert isinstance(transport, TlsTransport)
+        (state,) = transport.partners.states.values()
+        try:
+            service.divide_limits(True, None)
+            assert (state.budget.max_concurrent, state.budget.rate) == (3, 6.0)
+            service.divide_limits(False, None)
+            assert (state.budget.max_concurrent, state.budget.rate) == (6, 12.0)
+        finally:
+            await close(service)
+
+    run_async_test(work())
