--- a/honeyhitch/journal/journal.py
+++ b/honeyhitch/journal/journal.py
@@ -9,11 +9,11 @@
 import contextlib
 from collections import deque
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
 from pathlib import Path
 
 from honeyhitch import logs
 from honeyhitch.journal.append_file import AppendFile
+from honeyhitch.journal.merge import MergeableState
 from honeyhitch.journal.record_codec import MAX_RECORD_BYTES, decode_records, encode_record
 from honeyhitch.journal.records import (
     AttemptNotExecuted,
@@ -34,7 +34,7 @@
 )
 from honeyhitch.journal.settings_names import SettingsNames
 from honeyhitch.journal.state import JournalState
-from honeyhitch.journal.transactions import Attempt, DeliveredKey, Ending, Transaction
+from honeyhitch.journal.transactions import Attempt, Ending, Transaction
 
 log = logs.get_logger()
 JOURNAL_VERSION = 1  # version of the record format
@@ -59,22 +59,7 @@
     """There is no space for a record, even after compaction, or writing it failed."""
 
 
-@dataclass(frozen=True, slots=True)
-class _SavedState:
-    """The state that a take-over changes, restored if there is no disk space for the result."""
-
-    by_id: dict[str, Transaction]
-    concluded: dict[str, int]
-    delivered_keys: dict[str, DeliveredKey]
-    pending_dead_letters: dict[tuple[str, int], Transaction]
-    handed_over: dict[str, Transaction]
-    calls_in_flight: int | None
-    live_bytes: int
-    dead_letter_bytes: int
-    message_bytes: dict[str, int]
-
-
-class Journal(JournalState):
+class Journal(MergeableState):
     """A journal file, and the state that a replay of it would give.
 
     `max_bytes` is the disk space that the file and its replacement may use together. A `detailed` journal
@@ -262,70 +247,16 @@
         killed in between, the file at `path` counts. Raise JournalFullError and change nothing if there is no
         space.
         """
-        saved = self._save()
-        returned_messages = self._settle_handed_over(peer_state)
-        own_messages = self.messages
-        own_ids = own_messages.by_id.keys() | own_messages.concluded.keys()
-        new_messages = [
-            message for message_id, message in peer_state.messages.by_id.items() if message_id not in own_ids
-        ]
-        new_dead_letters = [
-            message
-            for key, message in peer_state.messages.pending_dead_letters.items()
-            if key not in own_messages.pending_dead_letters
-        ]
-        for transaction in new_messages:
-            self._add_message(transaction)
-        for transaction in new_dead_letters:
-            self._add_pending_dead_letter(transaction)
-        self.retry_after_until = peer_state.retry_after_until | self.retry_after_until
-        own_messages.concluded = peer_state.messages.concluded | own_messages.concluded
-        own_messages.delivered_keys = peer_state.messages.delivered_keys | own_messages.delivered_keys
+        saved = self.save()
+        new_messages, new_dead_letters = self.merge(peer_state)
         new_path = path.with_name(f"{path.name}.new")
         if not self.replace_file(self.snapshot(), path, new_path):
-            self._restore(saved)
+            self.restore(saved)
             raise JournalFullError(f"cannot write the merged journal to {path} within {self.max_bytes} bytes")
         self.new_path = new_path
         with contextlib.suppress(OSError):  # its messages are in this journal, which is read first
             obsolete_path.unlink(missing_ok=True)
-        return new_messages + returned_messages, new_dead_letters
-
-    def _settle_handed_over(self, peer_state: JournalState) -> list[Transaction]:
-        """Drop handed-over messages that the other process accepted, and return the others."""
-        accepted_ids = {message_id for message_id in self.handed_over if peer_state.has_accepted(message_id)}
-        for message_id in accepted_ids:
-            del self.messages.by_id[message_id]
-            self.live_bytes -= self.message_bytes.pop(message_id)
-        returned = [
-            message for message_id, message in self.handed_over.items() if message_id not in accepted_ids
-        ]
-        self.handed_over = {}
-        self.calls_in_flight = None
-        return returned
-
-    def _save(self) -> _SavedState:
-        return _SavedState(
-            by_id=dict(self.messages.by_id),
-            concluded=dict(self.messages.concluded),
-            delivered_keys=dict(self.messages.delivered_keys),
-            pending_dead_letters=dict(self.messages.pending_dead_letters),
-            handed_over=self.handed_over,
-            calls_in_flight=self.calls_in_flight,
-            live_bytes=self.live_bytes,
-            dead_letter_bytes=self.dead_letter_bytes,
-            message_bytes=dict(self.message_bytes),
-        )
-
-    def _restore(self, saved: _SavedState) -> None:
-        self.messages.by_id = saved.by_id
-        self.messages.concluded = saved.concluded
-        self.messages.delivered_keys = saved.delivered_keys
-        self.messages.pending_dead_letters = saved.pending_dead_letters
-        self.handed_over = saved.handed_over
-        self.calls_in_flight = saved.calls_in_flight
-        self.live_bytes = saved.live_bytes
-        self.dead_letter_bytes = saved.dead_letter_bytes
-        self.message_bytes = saved.message_bytes
+        return new_messages, new_dead_letters
 
     def _replay(self) -> None:
         data = self.path.read_bytes()
