--- /dev/null
+++ b/tests/test_resource_limits.py
@@ -0,0 +1,158 @@
+"""Real processes keep `limits.memory_mb` and `limits.sockets` under attack, and serve others meanwhile."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from pathlib import Path
+
+import pytest
+
+from .agent import Agent
+from .faults.limited import (
+    REPLY_TIMEOUT_SECONDS,
+    attack,
+    limited_dispatcher,
+    list_endpoint,
+    ordinary_clients,
+)
+from .processes import CountingEndpoint
+from .program import run_async_test
+
+ATTACK_SECONDS = 3.0
+CROWD = 600  # connections
+TOGETHER = 110  # connections of each attack where all are played at once
+CROWDS = ("stall", "drip", "many-fields", "many-arguments", "http-head", "unread-replies", "silent")
+FLOODS = ("pings", "unsound", "new-names", "empty-lines")
+LEAST_MEMORY_MB = 64
+
+
+async def endpoint_and_agent() -> tuple[CountingEndpoint, Agent]:
+    endpoint = await CountingEndpoint(lambda: None).start()
+    return endpoint, await list_endpoint(endpoint.port)
+
+
+async def play(folder: Path, attacks: dict[str, int], memory_mb: int = 96) -> list[str]:
+    """Play attacks with these numbers of connections, and return what went wrong."""
+    endpoint, agent = await endpoint_and_agent()
+    async with limited_dispatcher(folder, agent, memory_mb) as dispatcher:
+        async with ordinary_clients(dispatcher.port) as clients, asyncio.TaskGroup() as group:
+            for name, connections in attacks.items():
+                port = dispatcher.health_port if name == "http-head" else dispatcher.port
+                group.create_task(attack(name, port, connections, ATTACK_SECONDS))
+        problems = dispatcher.check(*clients)
+        repeated = [name for name, calls in endpoint.calls.items() if calls > 1]
+        return problems + [f"sent more than once: {name}" for name in repeated]
+
+
+# Guards against memory that grows with the number of clients and with what each of them writes, and against
+# clients that keep others from being accepted, read or answered.
+@pytest.mark.parametrize("name", CROWDS)
+def test_a_crowd_of_hostile_clients_exceeds_no_limit_and_delays_no_other_client(
+    tmp_path: Path, name: str
+) -> None:
+    async def work() -> None:
+        assert await play(tmp_path, {name: CROWD}) == []
+
+    run_async_test(work())
+
+
+# Guards against a client that takes the room of all others with small or invalid requests at full speed.
+@pytest.mark.parametrize("name", FLOODS)
+def test_a_flood_on_one_connection_leaves_other_clients_a_fair_share(tmp_path: Path, name: str) -> None:
+    async def work() -> None:
+        assert await play(tmp_path, {name: 1}) == []
+
+    run_async_test(work())
+
+
+# Guards against limits that hold against each attack alone, but not against their sum.
+@pytest.mark.parametrize("memory_mb", [96, LEAST_MEMORY_MB])
+def test_all_attacks_at_once_exceed_no_limit(tmp_path: Path, memory_mb: int) -> None:
+    async def work() -> None:
+        attacks = dict.fromkeys(CROWDS, TOGETHER) | dict.fromkeys(FLOODS, 1)
+        assert await play(tmp_path, attacks, memory_mb) == []
+
+    run_async_test(work())
+
+
+class ExcessivePeer:
+    """A peer that answers each request with a head and then the same bytes again and again, up to a limit."""
+
+    def __init__(self, head: bytes, repeated: bytes, limit: int) -> None:
+        self.head = head
+        self.repeated = repeated
+        self.limit = limit
+        self.requests = 0
+        self.port = 0
+
+    async def start(self) -> ExcessivePeer:
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
+        return self
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            await reader.readuntil(b"\r\n\r\n")
+            self.requests += 1
+            writer.write(self.head)
+            for _ in range(self.limit // len(self.repeated)):
+                writer.write(self.repeated)
+                await writer.drain()
+            await reader.read()
+        writer.close()
+
+
+SHORT_FIELDS = b"".join(b"%x:\r\n" % number for number in range(4096))
+
+
+# Guards against responses of endpoints that take more memory than the limit allows, over all calls together.
+@pytest.mark.parametrize(
+    ("head", "repeated"),
+    [
+        (b"HTTP/1.1 200 OK\r\n", SHORT_FIELDS),
+        (b"HTTP/1.1 503 X\r\n" + SHORT_FIELDS * 3 + b"Content-Length: 60000\r\n\r\n", b"x" * 100),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 10),
+    ],
+    ids=["endless-head", "many-fields", "interim"],
+)
+def test_excessive_responses_of_endpoints_exceed_no_limit(
+    tmp_path: Path, head: bytes, repeated: bytes
+) -> None:
+    async def work() -> None:
+        peer = await ExcessivePeer(head, repeated, 125_000).start()
+        agent = await list_endpoint(peer.port)
+        settings = {"family-info": {"call-slots": 128, "per-call": [1, 1], "own-limits": [False, False]}}
+        async with limited_dispatcher(tmp_path, agent, 48, overrides=settings) as dispatcher:
+            async with ordinary_clients(dispatcher.port) as clients:
+                await asyncio.sleep(ATTACK_SECONDS)
+            assert peer.requests
+            late = [client.slowest for client in clients if client.slowest > REPLY_TIMEOUT_SECONDS]
+            assert (dispatcher.check(), late) == ([], [])
+
+    run_async_test(work())
+
+
+# Guards against lists of discovery that take more memory than the limit allows, or occupy the process.
+@pytest.mark.parametrize("rows", ["many", "unterminated", "nested", "one-line"])
+def test_an_excessive_list_of_discovery_exceeds_no_limit(tmp_path: Path, rows: str) -> None:
+    row = b'{"id":"x-%07d","host_port":"127.0.0.1:9","cell":%d,"phase":"Ready","size":1.0,"up_since_ms":0},'
+    repeated = {
+        "many": b"".join(row % (number, number) for number in range(30_000)) + row[:-1] % (1, 1) + b"]}\n",
+        "unterminated": b'"' + b"x" * 4_000_000,
+        "nested": b"[" * 4_000_000,
+        "one-line": b"1," * 2_000_000,
+    }[rows]
+    body = b'{"revision":99,"complete":true,"members":[' + repeated
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n" % len(body)
+
+    async def work() -> None:
+        endpoint = await CountingEndpoint(lambda: None).start()
+        agent = await list_endpoint(endpoint.port)
+        agent.on_watch = lambda: agent.watches[-1].write(head.partition(b"\r\n\r\n")[2] + body + b"\r\n")
+        async with limited_dispatcher(tmp_path, agent) as dispatcher:
+            async with ordinary_clients(dispatcher.port) as clients:
+                await asyncio.sleep(2 * ATTACK_SECONDS)
+            assert dispatcher.check(*clients) == []
+
+    run_async_test(work())
