Keep of a response only the headers and outcomes that are used, and bound its head

What callers saw: endpoints that answer with heads of very many short fields made a process hold 92 MB where 48 were allowed. Cause: every header and the whole body of each response were kept, up to 128 KiB of bytes for each call, which are several MB as Python objects. Change: the parser keeps six headers, the body of a batch alone, and refuses a head over 16 KiB (interim responses included).

--- a/honeyhitch/protocols/calls.py
+++ b/honeyhitch/protocols/calls.py
@@ -23,6 +23,7 @@
     HTTPStatus.GATEWAY_TIMEOUT.value: Outcome.NOT_SENT,
     HTTPStatus.GONE.value: Outcome.NOT_SENT,
 }
+OUTCOME_LINE_BYTES = 512  # of one message of a batch; an id has at most a quarter of them
 FINAL_STATUSES = (http1.OK, HTTPStatus.GONE.value)  # the message is concluded: no further attempt is made
 # The outcome of one message of a batch, and whether it concludes the message (no further attempt is made).
 BATCH_RESULT_BY_STATUS = {
@@ -60,6 +61,14 @@
     )
 
 
+def outcome_bytes(messages: list[Transaction]) -> int:
+    """Return the most bytes of a response's body that the outcomes of these messages take.
+
+    The body of the response to a single message has no meaning.
+    """
+    return OUTCOME_LINE_BYTES * len(messages) if len(messages) > 1 else 0
+
+
 def parse_retry_after(headers: dict[str, str]) -> int:
     """Return Retry-After in nanoseconds, or 0 if it is missing or malformed.
 
--- a/honeyhitch/protocols/http1.py
+++ b/honeyhitch/protocols/http1.py
@@ -10,6 +10,12 @@
 import httptools
 
 MAX_RESPONSE_BYTES = 1 << 20  # bytes of a response that is not streamed, including its headers
+MAX_HEAD_BYTES = 16_384  # bytes of the headers of a response, interim responses included
+MAX_HEADER_VALUE_BYTES = 1024  # bytes of a header value that is kept
+# The headers that a user of this module reads; the others are not kept.
+KEPT_HEADERS = frozenset(
+    {"connection", "content-length", "retry-after", "transfer-encoding", "x-no-slot", "x-pressure"}
+)
 MAX_STATUS_LINE_BYTES = 64  # leading bytes of a response in which the status code is searched
 # Plain numbers, because looking up enum members is slow and every call uses these statuses.
 OK = HTTPStatus.OK.value
@@ -38,7 +44,7 @@
     """One complete response."""
 
     status: int = 0
-    headers: dict[str, str] = field(default_factory=dict)  # names in lower case
+    headers: dict[str, str] = field(default_factory=dict)  # those of KEPT_HEADERS
     body: bytes = b""
     has_trailing_data: bool = False  # more bytes followed, although no further request was sent
 
@@ -47,21 +53,26 @@
     """Parses the responses of one connection, one at a time. Call `reset` before each request.
 
     With `on_body_chunk`, a body is passed to that callback in chunks and has no length limit. Without it the
-    body is collected, and `max_bytes` is the limit of the response including its headers.
+    body is collected, and `max_bytes` is the limit of the response including its headers. Of a longer body
+    than `max_body_bytes` only the beginning is kept.
     """
 
     def __init__(
-        self, on_body_chunk: Callable[[bytes], None] | None = None, max_bytes: int = MAX_RESPONSE_BYTES
+        self,
+        on_body_chunk: Callable[[bytes], None] | None = None,
+        max_bytes: int = MAX_RESPONSE_BYTES,
+        max_body_bytes: int | None = None,
     ) -> None:
         self.on_body_chunk = on_body_chunk
         self.max_bytes = max_bytes
+        self.max_body_bytes = max_bytes if max_body_bytes is None else max_body_bytes
         self.reset()
 
     def reset(self) -> None:
         """Prepare for the next response."""
         self.parser = httptools.HttpResponseParser(self)
         self.response = Response()
-        self.body_chunks: list[bytes] = []
+        self.body = bytearray()
         self.complete = False
         self.keep_alive = False
         self.headers_complete = False
@@ -96,6 +107,8 @@
         self.first_bytes += data[: max(0, MAX_STATUS_LINE_BYTES - len(self.first_bytes))]
         if self.on_body_chunk is None and self.bytes_received > self.max_bytes:
             raise HttpError(f"response: longer than {self.max_bytes} bytes")
+        if not self.headers_complete and self.bytes_received - len(data) > MAX_HEAD_BYTES:
+            raise HttpError(f"response: its head is longer than {MAX_HEAD_BYTES} bytes")
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -128,9 +141,10 @@
             self.response.status = self.parser.get_status_code()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store one header field; its name is converted to lower case."""
-        if not self.complete:
-            self.response.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+        """Store one header field of KEPT_HEADERS."""
+        kept_name = name.decode("latin-1").lower()
+        if not self.complete and kept_name in KEPT_HEADERS:
+            self.response.headers[kept_name] = value[:MAX_HEADER_VALUE_BYTES].decode("latin-1")
 
     def on_headers_complete(self) -> None:
         """Store status and body framing after the headers. Raise HttpError if Content-Length is too large."""
@@ -149,7 +163,7 @@
         if self.on_body_chunk is not None:
             self.on_body_chunk(body)
         elif not self.complete:
-            self.body_chunks.append(body)
+            self.body += body[: max(0, self.max_body_bytes - len(self.body))]
 
     def on_message_complete(self) -> None:
         """Complete the response; drop an interim response (1xx), because the final response follows."""
@@ -159,6 +173,6 @@
             self.response = Response()
             self.first_bytes = b""
             return
-        self.response.body = b"".join(self.body_chunks)
+        self.response.body = bytes(self.body)
         self.keep_alive = bool(self.parser.should_keep_alive())
         self.complete = True
--- a/honeyhitch/transports/http_transport.py
+++ b/honeyhitch/transports/http_transport.py
@@ -183,6 +183,7 @@
         progress.first_on_connection = not connection.used
         connection.used = True
         connection.parser.reset()
+        connection.parser.max_body_bytes = calls.outcome_bytes(call.messages)
         time_left = call.timeout - (self.scheduler.now() - call.sent_at)
         await connection.channel.send(calls.encode_call(call.messages, time_left, connection.address))
         progress.written = True
