Read limits.memory_mb, and hold incomplete requests of clients only within it

What callers saw: a process passed its limit on memory and was killed, beside hundreds of clients that wrote slowly, stopped half way through a large request, or did not read their replies. Cause: the program did not read limits.memory_mb. Each connection could hold 1 MiB of unread bytes and 1 MB of replies, whatever the number of connections. When all slots were taken by incomplete requests, new clients waited for up to 2 s. Change: a plan divides what the limit leaves beyond a bare process into fixed parts, for one process or two; a process that runs alone keeps room for the second one of an upgrade if the limit allows it. A budget in bytes counts incomplete requests; when it is exhausted, or all slots are taken, the request with the least claim is refused with -BUSY, which its client can read before the connection ends. An idle connection holds no buffer. Replies are limited in each turn, and PING to 1 KiB.

--- a/honeyhitch/config/deployment.py
+++ b/honeyhitch/config/deployment.py
@@ -50,6 +50,7 @@
     """The limits on resources that the process must not exceed."""
 
     sockets: int = 1024  # number of file descriptors
+    memory_bytes: int = 1_000_000_000  # resident memory of all processes
     disk_bytes: int = 3_000_000  # size of the files in the state directory
 
 
--- a/honeyhitch/config/file.py
+++ b/honeyhitch/config/file.py
@@ -26,6 +26,7 @@
 DEFAULT_SOCKETS = 1024
 BYTES_PER_MEGABYTE = 1_000_000
 DEFAULT_DISK_MEGABYTES = 3
+DEFAULT_MEMORY_MEGABYTES = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,7 +136,12 @@
     limits = value if isinstance(value, dict) else {}
     sockets = _read_limit(limits, "sockets", DEFAULT_SOCKETS)
     disk_megabytes = _read_limit(limits, "disk_mb", DEFAULT_DISK_MEGABYTES)
-    return ResourceLimits(sockets=int(sockets), disk_bytes=int(disk_megabytes * BYTES_PER_MEGABYTE))
+    memory_megabytes = _read_limit(limits, "memory_mb", DEFAULT_MEMORY_MEGABYTES)
+    return ResourceLimits(
+        sockets=int(sockets),
+        disk_bytes=int(disk_megabytes * BYTES_PER_MEGABYTE),
+        memory_bytes=int(memory_megabytes * BYTES_PER_MEGABYTE),
+    )
 
 
 def _read_limit(limits: dict[str, Any], name: str, default: int) -> float:
--- /dev/null
+++ b/honeyhitch/memory/__init__.py
@@ -0,0 +1,1 @@
+"""Bounds the memory that other parties make this process hold."""
--- /dev/null
+++ b/honeyhitch/memory/plan.py
@@ -0,0 +1,86 @@
+"""Divides a dispatcher's memory limit among what other parties make its processes hold. All sizes are bytes.
+
+A process needs some memory before it serves anyone. What the limit leaves beyond that, the working memory, is
+divided by fixed fractions. During an upgrade two processes share the limit: where an upgrade is possible, a
+process that runs alone keeps free what a second one needs.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+# Fractions of the working memory. The rest covers fragmentation and values that exist for one event only.
+LIST_FRACTION = 0.30
+CLIENT_FRACTION = 0.21
+REQUEST_FRACTION = 0.12
+MESSAGE_FRACTION = 0.12
+CALL_FRACTION = 0.10
+MIN_WORKING_BYTES = 4_000_000  # the limit on memory is too low if it leaves less
+MIN_UPGRADE_WORKING_BYTES = 12_000_000  # of two processes together, for which one process alone keeps room
+
+CLIENT_BYTES = 16_384  # a client's connection with a small request and unread replies
+CALL_BYTES = 32_768  # a call in flight with the largest head of a response
+MESSAGE_BYTES = 2_048  # a held message, besides its body
+BODY_COPIES = 2  # of a held message: its own, and the one that a call writes
+LISTED_ENDPOINT_BYTES = 3_000  # one endpoint of the list, with what is learned of it
+LIST_EXPANSION = 24  # bytes of memory per byte of a list while it is parsed
+
+
+@dataclass(frozen=True, slots=True)
+class MemoryPlan:
+    """What one process may hold. `working` is the memory that the limit leaves to it."""
+
+    working: int
+    required: int  # the lowest limit that leaves the least working memory to each process
+    upgrade_fits: bool  # the limit leaves room for a second process
+
+    @property
+    def max_clients(self) -> int:
+        """The number of clients' connections."""
+        return max(1, int(self.working * CLIENT_FRACTION) // CLIENT_BYTES)
+
+    @property
+    def request_bytes(self) -> int:
+        """The bytes of all incomplete requests of clients together, beyond the first bytes of each."""
+        return int(self.working * REQUEST_FRACTION)
+
+    @property
+    def message_bytes(self) -> int:
+        """The bytes of all held messages together."""
+        return int(self.working * MESSAGE_FRACTION)
+
+    @property
+    def max_calls(self) -> int:
+        """The number of calls in flight."""
+        return max(1, int(self.working * CALL_FRACTION) // CALL_BYTES)
+
+    @property
+    def max_endpoints(self) -> int:
+        """The number of listed endpoints."""
+        return max(1, int(self.working * LIST_FRACTION) // LISTED_ENDPOINT_BYTES)
+
+    @property
+    def list_bytes(self) -> int:
+        """The bytes of one list that is parsed."""
+        return int(self.working * LIST_FRACTION) // LIST_EXPANSION
+
+
+def message_memory(stored_bytes: int, count: int) -> int:
+    """Return the memory of `count` held messages that take `stored_bytes` in the journal."""
+    return BODY_COPIES * stored_bytes + MESSAGE_BYTES * count
+
+
+def plan_memory(limit: int, process_bytes: int, processes: int = 1, upgradable: bool = True) -> MemoryPlan:
+    """Return the plan of one process.
+
+    `process_bytes` is the memory of a process that serves nobody yet, `processes` the number of processes
+    that share the limit, and `upgradable` says whether a second process may be started beside the one.
+    """
+    if processes > 1:
+        working = limit // processes - process_bytes
+        required = processes * (process_bytes + MIN_WORKING_BYTES)
+        return MemoryPlan(max(MIN_WORKING_BYTES, working), required, limit >= required)
+    shared_working = limit - 2 * process_bytes
+    upgrade_fits = upgradable and shared_working >= MIN_UPGRADE_WORKING_BYTES
+    working = shared_working if upgrade_fits else limit - process_bytes
+    return MemoryPlan(max(MIN_WORKING_BYTES, working), process_bytes + MIN_WORKING_BYTES, upgrade_fits)
--- a/honeyhitch/protocols/agent_check.py
+++ b/honeyhitch/protocols/agent_check.py
@@ -10,6 +10,7 @@
 
 from honeyhitch.dispatcher.delivery import DispatcherState, Phase
 from honeyhitch.protocols.buffer import Buffer
+from honeyhitch.protocols.server_session import ServerSession
 
 MAX_REQUEST_BYTES = 8192
 PERCENT = 100
@@ -31,43 +32,37 @@
     return b"down #not serving\n" if state.phase is Phase.DOWN else b"drain\n"
 
 
-class AgentSession:
+class AgentSession(ServerSession):
     """One agent-check connection: it sends the state immediately, ignores all input, and is closed."""
 
-    forward = None
-
     def __init__(self, state: Callable[[], DispatcherState]) -> None:
+        super().__init__()
         self.greeting = encode_agent_state(state())
         self.closing = True
-        self.has_more_requests = False
-        self.has_partial_request = False
 
-    def receive(self, buffer: Buffer) -> bytes:
+    def receive(self, buffer: Buffer, _max_requests: int | None = None, _client_left: bool = False) -> bytes:
         """Discard the input and return no reply."""
         buffer.consume_all()
         return b""
 
 
-class HealthSession:
+class HealthSession(ServerSession):
     """One connection for health checks over HTTP.
 
     `/health` returns 200 if this instance accepts messages and 503 if not; `/live` always returns 200.
     """
 
-    greeting = b""
-    forward = None
+    overload_reply = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
     def __init__(self, state: Callable[[], DispatcherState]) -> None:
+        super().__init__()
         self.state = state
-        self.closing = False
-        self.has_more_requests = False
-        self.has_partial_request = False
         self.request_bytes = 0  # bytes received since the last complete request
         self.parser = httptools.HttpRequestParser(self)
         self.path = b""
         self.replies: list[bytes] = []
 
-    def receive(self, buffer: Buffer) -> bytes:
+    def receive(self, buffer: Buffer, _max_requests: int | None = None, _client_left: bool = False) -> bytes:
         """Return the responses to the requests that are complete."""
         data = buffer.consume_all()
         self.request_bytes += len(data)
--- a/honeyhitch/protocols/buffer.py
+++ b/honeyhitch/protocols/buffer.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from honeyhitch.memory.budget import MemoryAccount
+
 INITIAL_CAPACITY = 4096  # bytes
 MIN_READ_SPACE = 2048  # minimum number of free bytes offered to a read
 DEFAULT_LIMIT = 1 << 20  # maximum number of unread bytes of a connection
@@ -14,16 +16,18 @@
 class Buffer:
     """Received bytes that are not consumed yet, in `data[start:end]`.
 
-    `limit` is the maximum number of bytes that the buffer holds.
+    `limit` is the maximum number of bytes that the buffer holds. An empty buffer holds no memory. What it
+    holds beyond INITIAL_CAPACITY is counted in `account` if there is one.
     """
 
-    __slots__ = ("data", "end", "limit", "start")
+    __slots__ = ("account", "data", "end", "limit", "start")
 
-    def __init__(self, limit: int = DEFAULT_LIMIT) -> None:
-        self.data = bytearray(INITIAL_CAPACITY)
+    def __init__(self, limit: int = DEFAULT_LIMIT, account: MemoryAccount | None = None) -> None:
+        self.data = bytearray()
         self.start = 0
         self.end = 0
         self.limit = limit
+        self.account = account
 
     def __len__(self) -> int:
         """Return the number of unread bytes."""
@@ -33,7 +37,7 @@
         """Return the writable space after the unread bytes; the caller fills it and then calls `advance`.
 
         The caller must release the view before it uses the buffer again. Raise BufferOverflowError if the
-        limit is reached.
+        limit is reached, and MemoryLimitError if the account does not allow the buffer to grow.
         """
         if len(self.data) - self.end < MIN_READ_SPACE and self.start:
             unread = self.end - self.start
@@ -41,11 +45,21 @@
             self.start = 0
             self.end = unread
         if len(self.data) - self.end < MIN_READ_SPACE:
-            if len(self.data) >= self.limit:
-                raise BufferOverflowError(f"receive buffer: {len(self)} bytes are unread, limit {self.limit}")
-            self.data.extend(bytes(min(len(self.data), self.limit - len(self.data))))
+            self._grow()
         return memoryview(self.data)[self.end :]
 
+    def _grow(self) -> None:
+        capacity = len(self.data)
+        if capacity >= self.limit:
+            raise BufferOverflowError(f"receive buffer: {len(self)} bytes are unread, limit {self.limit}")
+        new_capacity = min(self.limit, max(INITIAL_CAPACITY, 2 * capacity))
+        if self.account is not None and new_capacity > INITIAL_CAPACITY:
+            self.account.grow(new_capacity - max(capacity, INITIAL_CAPACITY))
+        if capacity:
+            self.data.extend(bytes(new_capacity - capacity))
+        else:
+            self.data = bytearray(new_capacity)
+
     def advance(self, count: int) -> None:
         """Add the first `count` bytes of the free space to the unread bytes."""
         self.end += count
@@ -76,7 +90,14 @@
         """Discard the first `count` unread bytes."""
         self.start += count
         if self.start >= self.end:
-            self.start = self.end = 0
+            self.release()
+
+    def release(self) -> None:
+        """Discard all bytes, and the memory that holds them."""
+        if self.account is not None and len(self.data) > INITIAL_CAPACITY:
+            self.account.shrink(len(self.data) - INITIAL_CAPACITY)
+        self.data = bytearray()
+        self.start = self.end = 0
 
     def consume_all(self) -> bytes:
         """Return all unread bytes and empty the buffer."""
--- a/honeyhitch/protocols/management.py
+++ b/honeyhitch/protocols/management.py
@@ -8,6 +8,7 @@
 
 from honeyhitch.dispatcher.delivery import DispatcherState, Phase
 from honeyhitch.protocols.buffer import Buffer
+from honeyhitch.protocols.server_session import ServerSession
 
 MAX_DESTINATION_DIGITS = 15
 MAX_LINE_BYTES = 256  # bytes of a command, including its line end
@@ -26,15 +27,14 @@
         """Return the instances that own a destination."""
 
 
-class ManagementSession:
+class ManagementSession(ServerSession):
     """One connection: its first line is the command, and it is closed after the reply.
 
     A reply is either one line that begins with `+OK` or `-ERR`, or statistics: a line of JSON followed by a
     line `.`.
     """
 
-    greeting = b""
-    forward = None
+    overload_reply = b"-ERR call: too many connections\r\n"
 
     def __init__(
         self,
@@ -42,14 +42,12 @@
         statistics: Callable[[], dict[str, Any]],
         fleet: FleetDescription | None = None,
     ) -> None:
+        super().__init__()
         self.state = state
         self.statistics = statistics
         self.fleet = fleet
-        self.closing = False
-        self.has_more_requests = False
-        self.has_partial_request = False
 
-    def receive(self, buffer: Buffer) -> bytes:
+    def receive(self, buffer: Buffer, _max_requests: int | None = None, _client_left: bool = False) -> bytes:
         """Return the reply, or no bytes while the command line is incomplete."""
         end = buffer.find(b"\n", 0, MAX_LINE_BYTES)
         self.has_partial_request = end < 0 and 0 < len(buffer) < MAX_LINE_BYTES
--- a/honeyhitch/protocols/resp.py
+++ b/honeyhitch/protocols/resp.py
@@ -12,6 +12,7 @@
 from honeyhitch.dispatcher.delivery import Admission
 from honeyhitch.journal.transactions import Transaction
 from honeyhitch.protocols.buffer import Buffer
+from honeyhitch.protocols.server_session import ServerSession
 from honeyhitch.protocols.transaction_parser import MAX_BODY_BYTES, FieldError, TransactionParser
 from honeyhitch.time_units import MILLISECOND
 
@@ -21,6 +22,9 @@
 MAX_LINE_BYTES = 1024  # bytes of a line with a count or with an inline command
 MAX_COUNT_DIGITS = 9  # digits of the number of arguments, or of the length of an argument
 MAX_REPLIES_PER_TURN = 16  # commands answered before other connections are served
+MAX_REPLY_BYTES_PER_TURN = 4096  # bytes of replies after which other connections are served
+MAX_PING_BYTES = 1024  # bytes that a PING may ask to have sent back
+OVERLOAD_RETRY_AFTER = 500 * MILLISECOND  # for a message that was not read, or whose client has left
 MAX_CONSECUTIVE_ERRORS = 32  # consecutive invalid commands after which the connection is closed
 ENQUEUE_ARGUMENTS = 5  # the command, a key, an id, fields and a body
 FORWARDED_BY_FIELD = "via"  # its value is the instance that forwarded the message
@@ -67,6 +71,15 @@
         self.command_size = 0  # total bytes of the arguments whose length is known
         self.arguments: list[bytes] = []
 
+    @property
+    def pending_bytes(self) -> int:
+        """The bytes of the arguments of an incomplete command that were read."""
+        return sum(map(len, self.arguments)) if self.remaining_arguments else 0
+
+    def discard(self) -> None:
+        """Drop the arguments of an incomplete command, which cannot be completed afterwards."""
+        self.arguments = []
+
     def read_command(self, buffer: Buffer) -> list[bytes] | None:
         """Consume and return the arguments of the next command, or return None while it is incomplete.
 
@@ -110,7 +123,10 @@
 
 
 def parse_fields(text: bytes) -> dict[str, str]:
-    """Return the fields of a text such as `a=1,b=2`. Raise FieldError for bytes that are not ASCII."""
+    """Return the fields of a text such as `a=1,b=2`.
+
+    Raise FieldError for bytes that are not ASCII.
+    """
     try:
         fields = (field.partition("=") for field in text.decode("ascii").split(","))
     except UnicodeDecodeError as error:
@@ -150,16 +166,14 @@
     retry_after: int  # ns, sent to the client with a rejection
 
 
-class Session:
-    """One client's connection. The transport sends `greeting`, then feeds received bytes to `receive`.
+class Session(ServerSession):
+    """One client's connection. The transport feeds received bytes to `receive`.
 
-    `closing`: the connection must be closed. `has_more_requests`: the buffer may contain further commands,
-    for which `receive` has to be called again. `has_partial_request`: the last command is incomplete.
     `forward`: a transaction whose destination another instance owns; the transport forwards the transaction
     and sends the reply to the client before it calls `receive` again.
     """
 
-    greeting = b""
+    overload_reply = busy_reply(OVERLOAD_RETRY_AFTER)
 
     def __init__(
         self,
@@ -170,29 +184,41 @@
         router: Router | None = None,
     ) -> None:
         """Initialize: `submit` offers a transaction to the dispatcher, `clock` returns Unix time in ns."""
+        super().__init__()
         self.transaction_parser = transaction_parser
         self.submit = submit
         self.is_ready = is_ready
         self.clock = clock
         self.router = router
-        self.forward: Transaction | None = None
-        self.closing = False
-        self.has_more_requests = False
-        self.has_partial_request = False
         self.command_reader = CommandReader()
         self.consecutive_errors = 0
+        self.client_left = False
+
+    @property
+    def pending_bytes(self) -> int:
+        """The bytes of the arguments of an incomplete command."""
+        return self.command_reader.pending_bytes
+
+    def discard(self) -> None:
+        """Drop an incomplete command."""
+        self.command_reader.discard()
 
-    def receive(self, buffer: Buffer) -> bytes:
+    def receive(self, buffer: Buffer, max_requests: int | None = None, client_left: bool = False) -> bytes:
         """Execute the complete commands in the buffer and return their replies, in order.
 
-        At most MAX_REPLIES_PER_TURN commands are executed, and none after one that sets `forward`.
+        At most `max_requests`, or MAX_REPLIES_PER_TURN, commands are executed, none after one that sets
+        `forward`, and none after MAX_REPLY_BYTES_PER_TURN bytes of replies. With `client_left`, a submitted
+        message is not accepted: its client may have closed its connection, and may submit the message again.
         """
+        self.client_left = client_left
+        most_replies = min(MAX_REPLIES_PER_TURN, max_requests or MAX_REPLIES_PER_TURN)
+        reply_bytes = 0
         replies: list[bytes] = []
         self.has_more_requests = False
         self.has_partial_request = False
         self.forward = None
         while not self.closing:
-            if len(replies) == MAX_REPLIES_PER_TURN:
+            if len(replies) >= most_replies or reply_bytes >= MAX_REPLY_BYTES_PER_TURN:
                 self.has_more_requests = len(buffer) > 0
                 break
             try:
@@ -209,6 +235,7 @@
                 self.has_more_requests = len(buffer) > 0
                 break
             replies.append(reply)
+            reply_bytes += len(reply)
             self.consecutive_errors = self.consecutive_errors + 1 if reply.startswith(ERROR_PREFIX) else 0
             if self.consecutive_errors == MAX_CONSECUTIVE_ERRORS:
                 self.closing = True
@@ -233,6 +260,8 @@
     def _ping(self, command: list[bytes]) -> bytes:
         if not self.is_ready():
             return b"-LOADING not ready\r\n"
+        if len(command) > 1 and len(command[1]) > MAX_PING_BYTES:
+            return error_reply(f"PING: at most {MAX_PING_BYTES} bytes allowed")
         if len(command) > 1:
             return b"$%d\r\n%s\r\n" % (len(command[1]), command[1])
         return b"+PONG\r\n"
--- a/honeyhitch/service/listeners.py
+++ b/honeyhitch/service/listeners.py
@@ -11,15 +11,17 @@
 from honeyhitch.config import Address, ConfigError
 from honeyhitch.dispatcher.delivery import DispatcherState, Phase
 from honeyhitch.journal.transactions import Transaction
+from honeyhitch.memory.budget import MemoryBudget
 from honeyhitch.protocols import resp
 from honeyhitch.protocols.agent_check import AgentSession, HealthSession
 from honeyhitch.protocols.management import ManagementSession
+from honeyhitch.protocols.server_session import ServerSession
 from honeyhitch.protocols.transaction_parser import TransactionParser
 from honeyhitch.service.descriptors import MONITORING_CONNECTIONS
 from honeyhitch.service.service import Service
 from honeyhitch.service.status import dispatcher_state, service_state
 from honeyhitch.transports import sockets
-from honeyhitch.transports.client_server import ClientServer, ServerSession
+from honeyhitch.transports.client_server import ClientServer
 
 log = logs.get_logger()
 # Between attempts to bind an address that the running process does not share.
@@ -37,6 +39,7 @@
     max_connections: int = MONITORING_CONNECTIONS
     single_request: bool = False
     shared: bool = False  # both processes of an upgrade listen there
+    budget: MemoryBudget | None = None  # for incomplete requests
     forward: Callable[[Transaction], Awaitable[bytes]] | None = None
 
 
@@ -59,9 +62,11 @@
         create_session,
         service.max_clients,
         shared=True,
+        budget=service.memory.requests,
         forward=None if fleet is None else fleet.forwarder.forward,
     )
     service.clients = _listen(service, listener)
+    service.limit_clients(service.clients)
 
 
 def listen_for_management(service: Service) -> None:
@@ -165,6 +170,7 @@
         listener.single_request,
         listener.shared,
         listener.forward,
+        listener.budget,
     )
 
 
--- a/honeyhitch/service/service.py
+++ b/honeyhitch/service/service.py
@@ -17,6 +17,7 @@
 from honeyhitch.protocols.control import CommandRegistry
 from honeyhitch.service.descriptors import descriptor_budget, idle_limits
 from honeyhitch.service.handover import ProcessHandover
+from honeyhitch.service.memory_limits import MemoryLimits
 from honeyhitch.service.open_state import open_clock, open_journal, open_state_directory
 from honeyhitch.service.peer_check import unshareable_features
 from honeyhitch.service.start_retry import StartRetry
@@ -31,6 +32,7 @@
     from honeyhitch.service.fleet import FleetService
     from honeyhitch.transports.control import ControlServer
 
+CLOSING_DIVISOR = 16  # a part of the clients' descriptors, for refused clients that may read the reply
 DISCOVERY_SEED = 0xD15C  # mixed into the dispatcher's seed to make a separate random stream
 
 
@@ -58,6 +60,7 @@
         self.handover = ProcessHandover(
             self.state_directory, self.journal, self.dispatcher, self.divide_limits
         )
+        self.memory = MemoryLimits(config)
         self.max_clients, max_idle = descriptor_budget(config)
         self.idle_limits = idle_limits(config, max_idle)
         http = HttpTransport(self.dispatcher, self.scheduler, self.tasks, self.idle_limits.http)
@@ -70,6 +73,7 @@
             http.sweep,
             report_suppressed_events,
             self.handover.watch,
+            self.memory.return_unused,
         ]
         self.servers: list[ClientServer] = []
         self.shared_servers: list[ClientServer] = []  # those at whose address the peer may listen as well
@@ -82,27 +86,35 @@
         self.reload_certificates: Callable[[bool], Coroutine[Any, Any, None]] | None = None
 
     def divide_limits(self, peer_running: bool, peer_calls_in_flight: int | None) -> None:
-        """Divide call slots and descriptors evenly when another process of this dispatcher starts or ends.
+        """Divide the limits evenly when another process of this dispatcher starts or ends, and at the start.
 
         `peer_calls_in_flight` is None until the other process hands over its messages. From then on this
         process may use every call slot that the other one does not use.
         """
+        processes = 1 + peer_running
         for divide in self.limit_dividers:
-            divide(1 + peer_running)
+            divide(processes)
+        plan = self.memory.divide(processes)
         if not peer_running:
             for server in self.shared_servers:
                 server.listens_second = False
         call_slots = self.config.settings.max_concurrent_calls
         if peer_calls_in_flight is None:
-            own_slots = call_slots // (1 + peer_running)
+            own_slots = call_slots // processes
         else:
             own_slots = call_slots - peer_calls_in_flight
-        self.dispatcher.policy.limit_concurrent_calls(max(1, own_slots))
-        self.max_clients, max_idle = descriptor_budget(self.config, processes=1 + peer_running)
+        self.dispatcher.policy.limit_concurrent_calls(max(1, min(own_slots, plan.max_calls)))
+        self.max_clients, max_idle = descriptor_budget(self.config, processes)
         for transport in self.idle_pools:
             transport.set_max_idle(max(1, max_idle // len(self.idle_pools)))
         if self.clients is not None:
-            self.clients.set_max_clients(self.max_clients)
+            self.limit_clients(self.clients)
+
+    def limit_clients(self, server: ClientServer) -> None:
+        """Apply the limits on descriptors and memory to the server to which clients submit messages."""
+        closing = self.max_clients // CLOSING_DIVISOR
+        server.max_closing = closing
+        server.set_max_clients(min(self.max_clients - closing, self.memory.plan.max_clients))
 
     def _follow_wall_clock_if_unused(self) -> None:
         """Use the time of the wall clock if no process has left a time in the state directory."""
--- a/honeyhitch/service/start.py
+++ b/honeyhitch/service/start.py
@@ -23,6 +23,7 @@
     """
     if service.fleet is not None:
         service.fleet.restore()
+    service.divide_limits(peer_running=False, peer_calls_in_flight=None)
     _apply_known_list(service)
     service.handover.start()
     if service.handover.peer_running:  # the peer may have started after the first check
--- a/honeyhitch/transports/client_server.py
+++ b/honeyhitch/transports/client_server.py
@@ -1,8 +1,9 @@
 """Accepts client connections and has a protocol session answer the requests that the clients send.
 
-A connection keeps its slot while it is in use. A new connection that sends nothing, and a connection with an
-incomplete request, are closed after a timeout. When all slots are taken, the connection that has been unused
-for longest is closed to free a slot for the next client.
+A new connection that sends nothing, and a connection with an incomplete request, are closed after a timeout.
+When all slots are taken, the connection that has been unused for longest is closed to free a slot for the
+next client; if all are in use, an incomplete request is refused. When incomplete requests take more memory
+than allowed, the one that has the least claim to go on is refused. A client whose request is refused is told.
 """
 
 from __future__ import annotations
@@ -11,14 +12,16 @@
 import contextlib
 import errno
 import socket
+from collections import Counter
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
-from typing import Protocol
 
 from honeyhitch import logs
 from honeyhitch.journal.transactions import Transaction
+from honeyhitch.memory.budget import MemoryAccount, MemoryBudget, MemoryLimitError
 from honeyhitch.protocols.buffer import Buffer, BufferOverflowError
+from honeyhitch.protocols.server_session import ServerSession
 from honeyhitch.transports import sockets
+from honeyhitch.transports.clients import Client, ClientTable
 from honeyhitch.transports.tasks import Tasks
 
 log = logs.get_logger()
@@ -30,65 +33,23 @@
 )
 # Time limit for the first request, for the rest of a partial request, and for the client to read replies.
 REQUEST_TIMEOUT_SECONDS = 2.0
-# A new client that has sent no byte for this long may lose its slot: a request in transit would have arrived.
-IDLE_CLIENT_SECONDS = 0.1
 # A new client is given this time to send its first request before the server counts as quiescent, where
 # another process accepts later connections.
 NEW_CLIENT_SECONDS = 0.3
 SWEEP_INTERVAL_SECONDS = 0.25  # between checks for timeouts
 SLOT_POLL_SECONDS = 0.01  # between checks for a free slot while all slots are taken
+# A request that is incomplete for less time is not refused for another client's slot.
+MIN_REQUEST_SECONDS = 0.25
+# Larger than any command of a client, so that one request at a time fits.
+RECEIVE_BUFFER_BYTES = 81_920
+DEFAULT_REQUEST_BYTES = 1 << 26  # of incomplete requests together, where no limit on memory is given
+CLOSING_SECONDS = 0.5  # in which a client may read why its request was refused
+MAX_DISCARDED_BYTES = 131_072  # of a refused client, before its connection is closed
+FORWARDED_COPIES = 2  # of the body of a message while another instance is asked
+DEFAULT_MAX_CLOSING = 8  # connections on which clients may still read that
 REQUEST_TIMEOUT_REPLY = b"-ERR request: not whole in time\r\n"
 
 
-class ServerSession(Protocol):
-    """The server side of a protocol on one connection, without I/O."""
-
-    greeting: bytes  # sent before the first request is read
-    closing: bool  # the connection must be closed
-    has_more_requests: bool  # the buffer may contain further complete requests
-    has_partial_request: bool  # the last request is incomplete
-
-    @property
-    def forward(self) -> Transaction | None:
-        """The transaction that another instance of the fleet has to answer, or None.
-
-        The reply of that instance must be sent before any further request is handled.
-        """
-
-    def receive(self, buffer: Buffer) -> bytes:
-        """Return the replies to complete requests in the buffer; some remain if `has_more_requests`."""
-
-
-@dataclass(slots=True, eq=False)
-class Client:
-    """One client's connection; `state_since` is the time on the loop's clock when its state last changed."""
-
-    sock: socket.socket
-    port: int  # of the client's end
-    state_since: float  # seconds
-    answered: bool = False  # at least one reply was sent
-    has_partial_request: bool = False
-    sending: bool = False  # a reply is being written
-    closed: bool = False  # nothing more is read from the connection
-
-    @property
-    def between_requests(self) -> bool:
-        """Whether the client was answered and nothing is pending.
-
-        The connection may then be closed, because the client opens another one for its next request.
-        """
-        return self.answered and self._nothing_pending
-
-    @property
-    def idle(self) -> bool:
-        """Whether the client has not sent anything yet."""
-        return not self.answered and self._nothing_pending
-
-    @property
-    def _nothing_pending(self) -> bool:
-        return not self.has_partial_request and not self.sending and sockets.is_reusable(self.sock)
-
-
 class ClientServer:
     """One listener and the connections of its clients."""
 
@@ -101,19 +62,32 @@
         single_request: bool = False,
         reuse_port: bool = False,
         forward: Callable[[Transaction], Awaitable[bytes]] | None = None,
+        budget: MemoryBudget | None = None,
     ) -> None:
         """Bind and listen. Raise OSError if the address cannot be used.
 
         `single_request`: a connection carries one request only. `reuse_port`: another process may listen on
         the same address. `forward` obtains the reply of the instance that owns a transaction's destination.
+        `budget` counts the memory of incomplete requests.
         """
         self.create_session = create_session
         self.max_clients = max_clients
+        self.max_closing = DEFAULT_MAX_CLOSING
         self.tasks = tasks
         self.loop = tasks.loop
         self.single_request = single_request
         self.forward = forward
-        self.clients: dict[Client, None] = {}  # ordered by `state_since`, the oldest first
+        self.budget = budget or MemoryBudget(DEFAULT_REQUEST_BYTES)
+        self.budget.reclaim = self._refuse_incomplete_requests
+        self.table = ClientTable(single_request)
+        self.clients = self.table.all
+        self.closing_clients: dict[
+            Client, None
+        ] = {}  # refused ones that may read the reply, the oldest first
+        self.open_sockets = 0  # of clients, closing ones included
+        self.reading: Client | None = None  # whose bytes are being received
+        self.closed_for = Counter[str]()  # connections by the reason for which this server closed them
+        self.refused_for = Counter[str]()  # requests that were refused before they were handled, by reason
         self.draining = False
         self.listens_second = False  # a process that shares the address has listened there before
         self.awaiting_slot = False  # an accepted connection is waiting for a slot
@@ -143,22 +117,35 @@
         """Accept clients until cancelled."""
         while True:
             await sockets.wait_readable(self.loop, self.listener)
-            try:
-                sock, address = self.listener.accept()
-            except (BlockingIOError, InterruptedError):
-                continue
-            except OSError as error:
-                if error.errno not in ENDED_BEFORE_ACCEPT:  # descriptors or buffers will be released later
-                    log.warning("accept.failed", error=str(error), key=str(error.errno))
-                    await asyncio.sleep(ACCEPT_RETRY_SECONDS)
-                continue
-            await self._wait_for_slot()
-            sock.setblocking(False)
-            with contextlib.suppress(OSError):
-                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            client = Client(sock, address[1], self.loop.time())
-            self.clients[client] = None
-            self.tasks.start(self._serve(client))
+            await self._accept_next()
+
+    async def _accept_next(self) -> bool:
+        """Accept the next connection and serve it; return false if none waits any more."""
+        try:
+            sock, address = self.listener.accept()
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError as error:
+            if error.errno in ENDED_BEFORE_ACCEPT:
+                return True
+            log.warning("accept.failed", error=str(error), key=str(error.errno))
+            await asyncio.sleep(ACCEPT_RETRY_SECONDS)  # descriptors or buffers will be released later
+            return False
+        await self._wait_for_slot()
+        sock.setblocking(False)
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._add_client(sock, address[1])
+        return True
+
+    def _add_client(self, sock: socket.socket, port: int) -> None:
+        account = MemoryAccount(self.budget)
+        now = self.loop.time()
+        buffer = Buffer(RECEIVE_BUFFER_BYTES, account)
+        client = Client(sock, port, now, self.create_session(), buffer, account, received_at=now)
+        self.table.add(client)
+        self.open_sockets += 1
+        self.tasks.start(self._serve(client))
 
     async def _wait_for_slot(self) -> None:
         """Wait for a free slot for the connection that was accepted last.
@@ -168,28 +155,41 @@
         """
         self.awaiting_slot = True
         while True:
-            if len(self.clients) < self.max_clients or self.free_slot():
+            if len(self.clients) < self.max_clients or self.free_slot() or self._refuse_for_slot():
                 break
             await asyncio.sleep(SLOT_POLL_SECONDS)
+        while self.open_sockets >= self.max_clients + self.max_closing and self.closing_clients:
+            self._shut_down_closing()
+            await asyncio.sleep(0)  # lets the tasks of closed connections close their sockets
         self.awaiting_slot = False
 
     def free_slot(self) -> bool:
-        """Close the connection that has been unused for longest; return false if none may be closed.
+        """Close the connection that has been unused for longest; return false if none may be closed."""
+        client = self.table.unused_client(self.loop.time())
+        if client is None:
+            return False
+        self._close_client(client, "slot-needed")
+        return True
 
-        The connection of a client that was answered may be closed at any time, because the client sends its
-        next request on a new connection. If such a connection had to be unused for a minimum time first, many
-        new clients at once would get no slot. With `single_request`, a client whose request is incomplete
-        counts as idle.
-        """
-        idle_before = self.loop.time() - IDLE_CLIENT_SECONDS
-        for client in self.clients:
-            if client.between_requests or (client.state_since < idle_before and self._counts_as_idle(client)):
-                self._close_client(client, "slot-needed")
-                return True
-        return False
+    def _refuse_for_slot(self) -> bool:
+        """Refuse an incomplete request for its client's slot; return false if none may be refused yet."""
+        client = self.table.incomplete_client(self.loop.time(), MIN_REQUEST_SECONDS)
+        if client is None:
+            return False
+        self._close_client(client, "slot-needed", client.session.overload_reply)
+        return True
 
-    def _counts_as_idle(self, client: Client) -> bool:
-        return client.idle or (self.single_request and not client.sending)
+    def _refuse_incomplete_requests(self, count: int) -> None:
+        """Refuse incomplete requests that hold at least `count` bytes, if there are as many.
+
+        None is refused for the sake of a client that has less claim to go on.
+        """
+        target = self.budget.used - count
+        while self.budget.used > target:
+            client = self.table.incomplete_client(self.loop.time(), holds_memory=True, reading=self.reading)
+            if client is None or client is self.reading:
+                return
+            self._close_client(client, "memory-needed", client.session.overload_reply)
 
     def set_max_clients(self, max_clients: int) -> None:
         """Change the number of slots, and close unused connections that exceed it."""
@@ -206,39 +206,76 @@
                 pending = client.sending or client.has_partial_request or not client.answered
                 if client.state_since < oldest_allowed and pending:
                     self._time_out(client)
+            self._end_closing(self.loop.time() - CLOSING_SECONDS)
 
-    def _time_out(self, client: Client) -> None:
-        if not client.sending:
-            with contextlib.suppress(OSError):
-                client.sock.send(REQUEST_TIMEOUT_REPLY)
-        self._close_client(client, "reply-not-read" if client.sending else "request-incomplete")
+    def _end_closing(self, closed_before: float) -> None:
+        """Shut down the refused clients that have had their time to read the reply."""
+        for client in [other for other in self.closing_clients if other.state_since < closed_before]:
+            del self.closing_clients[client]
+            self._shut_down(client)
 
-    def _record_state_change(self, client: Client) -> None:
-        """Set the client's `state_since` to the current time, and move the client to the end of the order."""
-        client.state_since = self.loop.time()
-        if client in self.clients:
-            del self.clients[client]
-            self.clients[client] = None
+    def _time_out(self, client: Client) -> None:
+        if client.sending:
+            self._close_client(client, "reply-not-read")
+        else:
+            self._close_client(client, "request-incomplete", REQUEST_TIMEOUT_REPLY)
 
-    def _close_client(self, client: Client, reason: str) -> None:
-        """Shut a connection down, and log the reason.
+    def _close_client(self, client: Client, reason: str, reply: bytes = b"") -> None:
+        """Shut a connection down after an optional reply to an incomplete request, and log the reason.
 
-        Bytes that arrive from now on are not read, because the client submits them again on a new connection.
+        Bytes that arrive from now on are not taken for requests, because the client submits them again on a
+        new connection.
         """
         log.info(
-            "client.closed", client_port=client.port, reason=reason, answered=client.answered, key=reason
+            "client.closed",
+            client_port=client.port,
+            reason=reason,
+            answered=client.answered,
+            held_bytes=client.account.held,
+            key=reason,
         )
-        self.clients.pop(client, None)
+        self.closed_for[reason] += 1
+        self.table.remove(client)
         client.closed = True
+        if not client.sending:
+            client.release()
+        if reply and self.max_closing:
+            self._send_last_reply(client, reply)
+        else:
+            self._shut_down(client)
+
+    def _send_last_reply(self, client: Client, reply: bytes) -> None:
+        """Send a reply and leave the client some time to read it.
+
+        If the connection were closed while the client still sends, the reply could be lost with it.
+        """
+        with contextlib.suppress(OSError):
+            client.sock.send(reply)
+            client.sock.shutdown(socket.SHUT_WR)
+        client.state_since = self.loop.time()
+        self.closing_clients[client] = None
+        if len(self.closing_clients) > self.max_closing:
+            self._shut_down_closing()
+
+    def _shut_down_closing(self) -> None:
+        """Shut down the refused client that has had the most time to read its reply."""
+        oldest = next(iter(self.closing_clients))
+        del self.closing_clients[oldest]
+        self._shut_down(oldest)
+
+    def _shut_down(self, client: Client) -> None:
         with contextlib.suppress(OSError):
             client.sock.shutdown(socket.SHUT_RDWR)  # the client's task reads the end and closes the socket
 
     async def _serve(self, client: Client) -> None:
-        session = self.create_session()
+        session = client.session
         try:
             if session.greeting:
                 await self.loop.sock_sendall(client.sock, session.greeting)
             await self._answer_requests(client, session)
+        except MemoryLimitError as error:
+            self._refuse(client, "memory-needed", error)
+            await self._discard_input(client)
         except (OSError, BufferOverflowError) as error:
             # The client closed the connection, or a request exceeded the size of the buffer.
             name = type(error).__name__
@@ -251,17 +288,29 @@
                 key=name,
             )
         finally:
-            self.clients.pop(client, None)
+            self.table.remove(client)
+            self.closing_clients.pop(client, None)
+            client.release()
             client.sock.close()
+            self.open_sockets -= 1
+
+    def _refuse(self, client: Client, reason: str, error: MemoryLimitError) -> None:
+        """Refuse the request that a client is sending."""
+        log.info("request.refused", client_port=client.port, reason=reason, error=str(error), key=reason)
+        self.refused_for[reason] += 1
+        self._close_client(client, reason, client.session.overload_reply)
 
     async def _answer_requests(self, client: Client, session: ServerSession) -> None:
-        buffer = Buffer()
         while not session.closing:
-            if session.has_more_requests:  # lets the tasks of other connections run first
-                await asyncio.sleep(0)
-            elif not await sockets.read(self.loop, client.sock, buffer) or client.closed:
+            if not session.has_more_requests and not await self._read(client):
                 return
-            replies = session.receive(buffer)
+            if client.closed:
+                await self._discard_input(client)
+                return
+            await self._wait_for_turn(client)
+            if client.closed:
+                return
+            replies = self._receive(client, session)
             if replies:
                 await self._send(client, replies)
             if session.forward is not None:
@@ -269,31 +318,88 @@
             elif not replies and session.has_partial_request:
                 self._on_partial_request(client)
             client.has_partial_request = session.has_partial_request or session.has_more_requests
+            self.table.update(client)
             if self.draining and client.between_requests:
                 return
 
+    async def _wait_for_turn(self, client: Client) -> None:
+        """Wait until the requests of a client may be handled; its connection is not closed meanwhile."""
+        client.ready = True
+        self.table.update(client)
+        await asyncio.sleep(0)
+        client.ready = False
+
+    async def _read(self, client: Client) -> int:
+        """Read once and return the number of bytes, 0 at the end of the connection."""
+        while True:
+            await sockets.wait_readable(self.loop, client.sock)
+            if client.closed:
+                return 1  # what has arrived is not taken for a request
+            self.reading = client
+            try:
+                count = sockets.read_available(client.sock, client.buffer)
+            finally:
+                self.reading = None
+            if count != sockets.NOTHING_AVAILABLE:
+                client.received_at = self.loop.time()
+                return count
+
+    def _receive(self, client: Client, session: ServerSession) -> bytes:
+        """Have complete requests answered, and return the replies."""
+        refused_before = session.refused_requests
+        client_left = False
+        replies = session.receive(client.buffer, None, client_left)
+        client.count_session_bytes()
+        if excess := self.budget.excess:
+            self.reading = client
+            self.budget.reclaim(excess)
+            self.reading = None
+        if refused := session.refused_requests - refused_before:
+            log.info("client.left", client_port=client.port, refused=refused, key="client.left")
+            self.refused_for["client-left"] += refused
+        return replies
+
+    async def _discard_input(self, client: Client) -> None:
+        """Read and drop what a refused client still sends, until it ends the connection or sends too much.
+
+        After CLOSING_SECONDS the connection is shut down, and ends as well.
+        """
+        left = MAX_DISCARDED_BYTES
+        with contextlib.suppress(OSError):
+            while left > 0:
+                await sockets.wait_readable(self.loop, client.sock)
+                received = len(client.sock.recv(left))
+                if not received:
+                    return
+                left -= received
+
     def _on_partial_request(self, client: Client) -> None:
         """Start the timeout of a request at its first bytes.
 
         The timeout of a client's first request starts when the connection is accepted.
         """
         if client.answered and not client.has_partial_request:
-            self._record_state_change(client)
+            self.table.record_state_change(client, self.loop.time())
 
     async def _forward(self, client: Client, transaction: Transaction) -> None:
         """Send the reply of another instance to the client."""
-        client.has_partial_request = True  # keeps a drain or a new client from closing the connection
-        self._record_state_change(client)
-        assert self.forward is not None  # a session asks for it only if the service forwards messages
-        await self._send(client, await self.forward(transaction))
+        client.ready = True  # keeps a drain or a new client from closing the connection
+        self.table.record_state_change(client, self.loop.time())
+        client.account.add(FORWARDED_COPIES * len(transaction.body))
+        try:
+            assert self.forward is not None  # a session asks for it only if the service forwards messages
+            await self._send(client, await self.forward(transaction))
+        finally:
+            client.account.shrink(FORWARDED_COPIES * len(transaction.body))
+            client.ready = False
 
     async def _send(self, client: Client, replies: bytes) -> None:
         client.sending = True
-        self._record_state_change(client)
+        self.table.record_state_change(client, self.loop.time())
         await self.loop.sock_sendall(client.sock, replies)
         client.sending = False
         client.answered = True
-        self._record_state_change(client)
+        self.table.record_state_change(client, self.loop.time())
 
     @property
     def quiescent(self) -> bool:
