Leave room for other clients' messages when one connection submits all it can

What callers saw: while one client submitted messages under ever new names on one connection at full speed, others got -BUSY to nine of ten messages (10 of 143). Nothing bounded the memory of held messages.

10,000 rejected ids are remembered. message.rejected names fair-share and memory. Cost: one connection alone can hold 8 of 9 parts of max-open. Submissions look at the held messages only when at most a ninth is free.

--- a/honeyhitch/dispatcher/admission.py
+++ b/honeyhitch/dispatcher/admission.py
@@ -8,12 +8,16 @@
 from honeyhitch.dispatcher.context import DispatcherContext
 from honeyhitch.dispatcher.delivery import Admission
 from honeyhitch.dispatcher.endings import Endings
+from honeyhitch.dispatcher.fair_share import Room, may_take_room
 from honeyhitch.dispatcher.ports import ArrivalDecision
 from honeyhitch.journal.journal import JournalFullError
 from honeyhitch.journal.transactions import RESEND_FRONTEND, RESP_FRONTEND, Ending, Transaction
+from honeyhitch.memory.plan import message_memory
 from honeyhitch.time_units import MILLISECOND
 
 log = logs.get_logger()
+UNLIMITED_BYTES = 1 << 60
+MAX_REMEMBERED_REJECTIONS = 10_000  # ids of rejected messages that are still rejected if they come again
 BUSY_RETRY_AFTER = 500 * MILLISECOND  # for messages that are rejected before the policy receives them
 
 
@@ -25,6 +29,7 @@
         self.endings = endings
         self.rejected_until: dict[str, int] = {}  # by message id, in the order of the rejections
         self.recorded_rejections: set[str] = set()  # ids; some of them may have been answered
+        self.max_message_bytes = UNLIMITED_BYTES  # memory of all held messages together
 
     def submit(self, message: Transaction) -> Admission:
         """Accept or reject a message immediately and return the decision.
@@ -41,8 +46,10 @@
             return Admission(True)
         if context.peer_process is not None and context.peer_process.has_accepted(message.id):
             return Admission(True)
-        if not context.accepting or self._is_full():
-            return self._reject(message, "full" if context.accepting else "not-accepting")
+        if not context.accepting:
+            return self._reject(message, "not-accepting")
+        if reason := self._lacks_room(message):
+            return self._reject(message, reason)
         message.accepted_at = context.scheduler.now()
         try:
             context.journal.record_accepted(message)
@@ -72,19 +79,45 @@
         return True
 
     def _is_full(self) -> bool:
-        """Return whether the limit is reached; rejections whose answers are on their way take no place."""
+        """Return whether the limit on messages is reached."""
+        return self._free_places() <= 0
+
+    def _free_places(self) -> int:
+        """Return how many messages may be held besides; rejections that wait for their answers take none."""
         held = self.context.messages.by_id
         max_messages = self.context.settings.max_messages
-        if len(held) < max_messages:
-            return False
-        self.recorded_rejections &= held.keys()
-        return len(held) - len(self.recorded_rejections) >= max_messages
+        if len(held) >= max_messages:
+            self.recorded_rejections &= held.keys()
+        return max_messages - len(held) + len(self.recorded_rejections)
+
+    def _lacks_room(self, message: Transaction) -> str:
+        """Return the limit that does not allow a message to be held, or an empty text if all of them do."""
+        context = self.context
+        held = context.messages.by_id
+        memory_in_use = message_memory(context.journal.live_bytes, len(held))
+        size = len(message.body)
+        rooms = (
+            ("full", Room(self._free_places(), context.settings.max_messages, 1, in_bytes=False)),
+            (
+                "memory",
+                Room(self.max_message_bytes - memory_in_use, self.max_message_bytes, message_memory(size, 1)),
+            ),
+            ("journal", Room(context.journal.free_message_bytes, context.journal.max_bytes, size)),
+        )
+        for reason, room in rooms:
+            if room.free < room.needed:
+                return reason
+            if not may_take_room(room, message, held.values()):
+                return "fair-share"
+        return ""
 
     def _reject(self, message: Transaction, reason: str) -> Admission:
         log.info("message.rejected", message=message.id, reason=reason, key=reason)
         self.context.metrics.message_rejected(message)
         if message.frontend == RESP_FRONTEND:
             self.rejected_until[message.id] = self.context.scheduler.now() + BUSY_RETRY_AFTER
+            if len(self.rejected_until) > MAX_REMEMBERED_REJECTIONS:
+                del self.rejected_until[next(iter(self.rejected_until))]
         return Admission(False, BUSY_RETRY_AFTER)
 
     def _rejected_for(self, message: Transaction) -> int:
--- a/honeyhitch/dispatcher/dispatcher.py
+++ b/honeyhitch/dispatcher/dispatcher.py
@@ -149,6 +149,10 @@
         """Pass on a change of the connections to an endpoint that takes calls only on open connections."""
         self.event_queue.enqueue(capacity)
 
+    def limit_messages(self, max_bytes: int) -> None:
+        """Accept no message while the held messages would take more than `max_bytes` of memory."""
+        self.admission.max_message_bytes = max_bytes
+
     # Start, shutdown and hand-over.
 
     def recover(self) -> None:
--- /dev/null
+++ b/honeyhitch/dispatcher/fair_share.py
@@ -0,0 +1,44 @@
+"""Decides how much of a limited room one submitter may take, so that others find room as well.
+
+A submitter may hold at most FREE_ROOM_FACTOR times the room that is still free (a dynamic threshold). One
+that takes all it can thus leaves a part of the room free, and several of them share the rest evenly.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from itertools import count
+from typing import NamedTuple
+
+from honeyhitch.journal.transactions import NO_SUBMITTER, Transaction
+
+FREE_ROOM_FACTOR = 8
+_submitters = count(NO_SUBMITTER + 1)
+
+
+def new_submitter() -> int:
+    """Return a number that identifies a submitter in this process, such as one client's connection."""
+    return next(_submitters)
+
+
+class Room(NamedTuple):
+    """A limited room, in messages or in bytes."""
+
+    free: int
+    total: int
+    needed: int  # by the message that is submitted
+    in_bytes: bool = True
+
+    @property
+    def is_scarce(self) -> bool:
+        """Whether any submitter can have reached its threshold."""
+        return self.free - self.needed <= self.total // (FREE_ROOM_FACTOR + 1)
+
+
+def may_take_room(room: Room, message: Transaction, held: Iterable[Transaction]) -> bool:
+    """Return whether the submitter of a message stays within its part of a room if the message is held."""
+    if message.submitter == NO_SUBMITTER or not room.is_scarce:
+        return True
+    own = [other for other in held if other.submitter == message.submitter]
+    taken = sum(len(other.body) for other in own) if room.in_bytes else len(own)
+    return taken + room.needed <= FREE_ROOM_FACTOR * room.free
--- a/honeyhitch/journal/journal.py
+++ b/honeyhitch/journal/journal.py
@@ -110,6 +110,15 @@
         """The number of bytes in the file."""
         return self.file.size
 
+    @property
+    def free_message_bytes(self) -> int:
+        """The bytes of further messages that the file can take, in addition to the present ones.
+
+        A compaction writes all of them again, so each takes its space twice.
+        """
+        reserved = self.peer_bytes + SPARE_BLOCKS * DISK_BLOCK_BYTES
+        return int(ACCEPT_FRACTION * self.max_bytes - reserved) // 2 - self.live_bytes
+
     def close(self) -> None:
         """Close the file."""
         self.file.close()
--- a/honeyhitch/journal/transactions.py
+++ b/honeyhitch/journal/transactions.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 RESP_FRONTEND = "resp"  # the RESP frontend; its clients get no notice of deliveries
+NO_SUBMITTER = 0  # not known: found in the journal, or submitted by this process itself
 RESEND_FRONTEND = "resend"  # the frontend of messages that the dead-letter store resends
 
 
@@ -79,6 +80,7 @@
     is_dead_letter: bool = False  # ended undelivered; the journal keeps it until the store has it
     dead_letter_stored: bool = False
     earlier_execution: tuple[int, int] | None = None  # time and zone, of a resend or of the resent message
+    submitter: int = NO_SUBMITTER  # the connection that submitted it to this process; not stored
 
     def first_possible_execution(self) -> Execution | None:
         """Return the earliest attempt that may have been executed, or None."""
--- a/honeyhitch/protocols/resp.py
+++ b/honeyhitch/protocols/resp.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 
 from honeyhitch.dispatcher.delivery import Admission
+from honeyhitch.dispatcher.fair_share import new_submitter
 from honeyhitch.journal.transactions import Transaction
 from honeyhitch.protocols.buffer import Buffer
 from honeyhitch.protocols.server_session import ServerSession
@@ -195,6 +196,7 @@
         self.router = router
         self.command_reader = CommandReader()
         self.consecutive_errors = 0
+        self.submitter = new_submitter()
         self.client_left = False
 
     @property
@@ -282,6 +284,7 @@
                 return b""
             if route is Route.REJECT:
                 return busy_reply(self.router.retry_after)
+        transaction.submitter = self.submitter
         admission = self.submit(transaction)
         if admission.accepted:
             return b"+OK\r\n"
--- a/honeyhitch/service/service.py
+++ b/honeyhitch/service/service.py
@@ -95,6 +95,7 @@
         for divide in self.limit_dividers:
             divide(processes)
         plan = self.memory.divide(processes)
+        self.dispatcher.limit_messages(plan.message_bytes)
         if not peer_running:
             for server in self.shared_servers:
                 server.listens_second = False
--- a/honeyhitch/transports/mqtt_frontend.py
+++ b/honeyhitch/transports/mqtt_frontend.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from honeyhitch import logs
+from honeyhitch.dispatcher.fair_share import new_submitter
 from honeyhitch.journal.transactions import Transaction
 from honeyhitch.protocols import mqtt_messages
 from honeyhitch.protocols.mqtt_packets import FIRST_ERROR_REASON, Packet
@@ -38,6 +39,7 @@
         self.intake_link = context.create_link(self.intake)
         self.replies_link = context.create_link(self.replies)
         self.links = (self.intake_link, self.replies_link)
+        self.submitter = new_submitter()
         self.rejected: dict[str, None] = {}  # the latest ids of rejected messages, oldest first
 
     def _on_publish(self, packet: Packet) -> None:
@@ -71,6 +73,7 @@
             transaction = mqtt_messages.parse_transaction(
                 self.transaction_parser, packet, self.scheduler.now()
             )
+            transaction.submitter = self.submitter
             admission = self.dispatcher.submit(transaction)
         except FieldError as error:
             return mqtt_messages.encode_answer(reply_context, message_id, "error", {"reason": str(error)})
