Bound the bytes and the endpoints of discovery's lists by the memory, and parse each byte once

What callers saw: a list of 4 MB took a process over 96 MB, and other clients had no reply for up to 2.4 s. Cause: lists of up to 4 MiB were accepted whatever the limit on memory. Each further piece of an unterminated line had the whole line copied, and a string without an end was searched again from each quote. Change: the plan bounds the bytes of a list that is parsed and the endpoints that are listed; a list beyond is refused, the known one stays in use, and watch.broken says why. Complete lines alone are looked at, with patterns that do not go back.

--- a/honeyhitch/endpoints/pool.py
+++ b/honeyhitch/endpoints/pool.py
@@ -19,6 +19,8 @@
 from honeyhitch.policy.events import EndpointListing, EndpointListUpdate, EndpointStatus, UpdateMode
 from honeyhitch.policy.settings import Settings
 
+UNLIMITED_ENDPOINTS = 1 << 30
+
 
 class EndpointPool:
     """Endpoints by id. Removed endpoints are dropped; a call in flight holds its own endpoint."""
@@ -36,6 +38,7 @@
         self.accepts_destination: Callable[[int], bool] | None = None
         # The fraction of a listed rate that this instance may use, from 0 to 1; None is the whole rate.
         self.quota_fraction: Callable[[int], float] | None = None
+        self.max_endpoints = UNLIMITED_ENDPOINTS
         self._parser = RowParser(self.kinds, self.zones)
 
     def has_destination(self, destination: int) -> bool:
@@ -51,7 +54,8 @@
     def update(self, received: dict[str, Any], cached: bool = False) -> EndpointListUpdate:
         """Apply one complete list or one change from discovery, and return the update for the policy.
 
-        Raise PoolError and change nothing if it is invalid, or if it is a change older than the last one.
+        Raise PoolError and change nothing if it is invalid, if it is a change older than the last one, or if
+        more than `max_endpoints` would be listed.
         """
         try:
             endpoint_list = EndpointList.parse(received)
@@ -68,6 +72,7 @@
             raise PoolError(
                 f"revision: expected a change of {self.revision} or later, got {endpoint_list.revision}"
             )
+        self._check_size(endpoint_list, parsed_endpoints)
         endpoints = [
             endpoint
             for endpoint in parsed_endpoints
@@ -83,6 +88,13 @@
         listings += tuple(self._listing(endpoint) for endpoint in self.pinned.values())
         return EndpointListUpdate(UpdateMode.CACHED if cached else UpdateMode.FULL, listings)
 
+    def _check_size(self, endpoint_list: EndpointList, kept: list[PoolEndpoint]) -> None:
+        listed = {endpoint.id for endpoint in kept if endpoint.status is not EndpointStatus.GONE}
+        if not endpoint_list.complete:
+            listed |= self.endpoints.keys()
+        if len(listed) > self.max_endpoints:
+            raise PoolError(f"members: {len(listed)} endpoints, the memory allows {self.max_endpoints}")
+
     def accepts_row(self, row: Row, complete: bool = False) -> bool:
         """Return whether a row is applied.
 
--- a/honeyhitch/protocols/discovery.py
+++ b/honeyhitch/protocols/discovery.py
@@ -16,8 +16,9 @@
 
 MAX_LIST_BYTES = 4 << 20  # bytes of one list
 MAX_QUOTED_LENGTH = 80  # bytes of malformed input that are quoted in an error
-# Only strings and brackets are needed to find the end of an object.
-JSON_TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*"|[{}\[\]]')
+# Only strings and brackets are needed to find the end of an object. A string without an end is one token, so
+# that the search never returns to a byte that it has passed.
+JSON_TOKEN = re.compile(rb'"(?:[^"\\]++|\\.)*+"?|[{}\[\]]', re.DOTALL)
 OPENING_BRACKETS = b"{["
 CLOSING_BRACKETS = b"}]"
 ACCEPT_JSON = {"Accept": "application/json"}
@@ -57,7 +58,7 @@
 def _parse_object(text: bytes, name: str) -> dict[str, Any]:
     try:
         value = json.loads(text)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise WatchError(f"{name}: expected JSON, got {text[:MAX_QUOTED_LENGTH]!r}") from error
     if not isinstance(value, dict):
         raise WatchError(f"{name}: expected an object, got {text[:MAX_QUOTED_LENGTH]!r}")
@@ -69,10 +70,13 @@
 
     An object may span several lines, none of which is empty; an empty line is a heartbeat. With
     `keep_row`, a list may have any length, and only the elements of its `members` array for which
-    `keep_row` returns true are kept.
+    `keep_row` returns true are kept. Without it, an object has at most `max_bytes` bytes.
     """
 
-    def __init__(self, keep_row: Callable[[dict[str, Any]], bool] | None = None) -> None:
+    def __init__(
+        self, keep_row: Callable[[dict[str, Any]], bool] | None = None, max_bytes: int = MAX_LIST_BYTES
+    ) -> None:
+        self.max_bytes = max_bytes
         self.list_parser = ListParser(keep_row) if keep_row is not None else None
         self.partial_line = bytearray()
         self.partial_object = bytearray()
@@ -111,11 +115,14 @@
             raise WatchError(f"watch: {error}") from error
 
     def _split_lines(self, data: bytes) -> None:
-        self.partial_line += data
-        if len(self.partial_line) + len(self.partial_object) > MAX_LIST_BYTES:
-            raise WatchError(f"watch: over {MAX_LIST_BYTES} bytes are not parsed yet")
-        *lines, remainder = bytes(self.partial_line).split(b"\n")
-        self.partial_line = bytearray(remainder)
+        line_end = data.rfind(b"\n") + 1
+        if len(self.partial_line) + len(self.partial_object) + len(data) > self.max_bytes:
+            raise WatchError(f"watch: over {self.max_bytes} bytes are not parsed yet")
+        if not line_end:  # only complete lines are looked at, so that no byte is looked at twice
+            self.partial_line += data
+            return
+        lines = bytes(self.partial_line + data[: line_end - 1]).split(b"\n")
+        self.partial_line = bytearray(data[line_end:])
         for line in lines:
             if line.strip():
                 self._add_line(line)
--- a/honeyhitch/service/service.py
+++ b/honeyhitch/service/service.py
@@ -96,6 +96,7 @@
             divide(processes)
         plan = self.memory.divide(processes)
         self.dispatcher.limit_messages(plan.message_bytes)
+        self.discovery.limit_lists(plan.list_bytes, plan.max_endpoints)
         if not peer_running:
             for server in self.shared_servers:
                 server.listens_second = False
--- a/honeyhitch/transports/discovery.py
+++ b/honeyhitch/transports/discovery.py
@@ -12,6 +12,7 @@
 from honeyhitch.journal.transactions import Transaction
 from honeyhitch.protocols import http1, notices
 from honeyhitch.protocols.buffer import Buffer
+from honeyhitch.protocols.discovery import MAX_LIST_BYTES
 from honeyhitch.protocols.discovery_backoff import WatchBackoff
 from honeyhitch.time_units import SECOND
 from honeyhitch.transports import sockets
@@ -39,6 +40,12 @@
         self.notice_added = asyncio.Event()
         self.running_tasks: list[asyncio.Task[None]] = []  # the task for notices, then the task for the watch
         self.reads_partial_lists = False
+        self.max_list_bytes = MAX_LIST_BYTES
+
+    def limit_lists(self, max_bytes: int, max_endpoints: int) -> None:
+        """Refuse lists of more bytes, and updates after which more endpoints would be listed."""
+        self.max_list_bytes = min(MAX_LIST_BYTES, max_bytes)
+        self.dispatcher.pool.max_endpoints = max_endpoints
 
     def start(self, watch: bool = True) -> None:
         """Start to send notices and to watch; without `watch`, watching starts with `refetch`."""
@@ -76,7 +83,13 @@
         )
         keep_row = self._keep_row if self.reads_partial_lists else None
         watch = ListWatch(
-            self.address, self.loop, backoff, lambda: pool.revision, self._apply_update, keep_row
+            self.address,
+            self.loop,
+            backoff,
+            lambda: pool.revision,
+            self._apply_update,
+            keep_row,
+            lambda: self.max_list_bytes,
         )
         await watch.run()
 
--- a/honeyhitch/transports/list_watch.py
+++ b/honeyhitch/transports/list_watch.py
@@ -33,7 +33,8 @@
 
     `on_update` is called with each list or change in discovery's format, and raises an exception if the
     update cannot be used. `revision` returns the revision of the update that was applied last. With
-    `keep_row`, only the rows of a list for which it returns true are kept.
+    `keep_row`, only the rows of a list for which it returns true are kept. `max_bytes` returns the most bytes
+    of a list that is parsed as a whole.
     """
 
     def __init__(
@@ -44,6 +45,7 @@
         revision: Callable[[], int],
         on_update: Callable[[dict[str, Any]], None],
         keep_row: Callable[[dict[str, Any]], bool] | None = None,
+        max_bytes: Callable[[], int] = lambda: MAX_LIST_BYTES,
     ) -> None:
         self.address = address
         self.loop = loop
@@ -51,6 +53,7 @@
         self.revision = revision
         self.on_update = on_update
         self.keep_row = keep_row
+        self.max_bytes = max_bytes
 
     async def run(self) -> None:
         """Watch until cancelled; updates that were applied stay in use while the agent sends nothing."""
@@ -75,7 +78,7 @@
 
     async def _watch(self) -> None:
         """Run one watch. Raise an exception when it breaks, ends, or receives nothing in time."""
-        parser = WatchParser(self.keep_row)
+        parser = WatchParser(self.keep_row, self.max_bytes())
         buffer = Buffer()
         self.backoff.watch_opened()
         deadline = self._read_deadline()
@@ -130,7 +133,8 @@
         request = encode_list_request(self.address)
         if self.keep_row is None:
             async with asyncio.timeout_at(deadline):
-                return parse_complete_list(await send_request(self.loop, sock, buffer, request))
+                response = await send_request(self.loop, sock, buffer, request, self.max_bytes())
+                return parse_complete_list(response)
         parser = WatchParser(self.keep_row)
         lists: list[dict[str, Any]] = []
         await self.loop.sock_sendall(sock, request)
@@ -159,13 +163,17 @@
 
 
 async def send_request(
-    loop: asyncio.AbstractEventLoop, sock: socket.socket, buffer: Buffer, request: bytes
+    loop: asyncio.AbstractEventLoop,
+    sock: socket.socket,
+    buffer: Buffer,
+    request: bytes,
+    max_bytes: int = http1.MAX_RESPONSE_BYTES,
 ) -> http1.Response:
-    """Send one request on an open connection and return its response.
+    """Send one request on an open connection and return its response of at most `max_bytes` bytes.
 
     Raise OSError if the connection breaks, and HttpError if the response is malformed or too long.
     """
-    parser = http1.ResponseParser(max_bytes=MAX_LIST_BYTES)
+    parser = http1.ResponseParser(max_bytes=max_bytes)
     await loop.sock_sendall(sock, request)
     while True:
         count = await sockets.read(loop, sock, buffer)
