Let a submitter that is alone take the whole room for messages

Cause: the room for others was kept free where no other submitter was known. Change: the threshold is in force from the moment at which another submitter is known, and for 10 s after that.

--- a/honeyhitch/dispatcher/admission.py
+++ b/honeyhitch/dispatcher/admission.py
@@ -8,7 +8,7 @@
 from honeyhitch.dispatcher.context import DispatcherContext
 from honeyhitch.dispatcher.delivery import Admission
 from honeyhitch.dispatcher.endings import Endings
-from honeyhitch.dispatcher.fair_share import Room, may_take_room
+from honeyhitch.dispatcher.fair_share import Room, Submitters, may_take_room
 from honeyhitch.dispatcher.ports import ArrivalDecision
 from honeyhitch.journal.journal import JournalFullError
 from honeyhitch.journal.transactions import RESEND_FRONTEND, RESP_FRONTEND, Ending, Transaction
@@ -30,6 +30,7 @@
         self.rejected_until: dict[str, int] = {}  # by message id, in the order of the rejections
         self.recorded_rejections: set[str] = set()  # ids; some of them may have been answered
         self.max_message_bytes = UNLIMITED_BYTES  # memory of all held messages together
+        self.submitters = Submitters()
 
     def submit(self, message: Transaction) -> Admission:
         """Accept or reject a message immediately and return the decision.
@@ -94,6 +95,9 @@
         """Return the limit that does not allow a message to be held, or an empty text if all of them do."""
         context = self.context
         held = context.messages.by_id
+        now = context.scheduler.now()
+        self.submitters.record(message.submitter, now)
+        several_submitters = self.submitters.several(now)
         memory_in_use = message_memory(context.journal.live_bytes, len(held))
         size = len(message.body)
         rooms = (
@@ -107,7 +111,7 @@
         for reason, room in rooms:
             if room.free < room.needed:
                 return reason
-            if not may_take_room(room, message, held.values()):
+            if several_submitters and not may_take_room(room, message, held.values()):
                 return "fair-share"
         return ""
 
--- a/honeyhitch/dispatcher/fair_share.py
+++ b/honeyhitch/dispatcher/fair_share.py
@@ -1,7 +1,8 @@
 """Decides how much of a limited room one submitter may take, so that others find room as well.
 
 A submitter may hold at most FREE_ROOM_FACTOR times the room that is still free (a dynamic threshold). One
-that takes all it can thus leaves a part of the room free, and several of them share the rest evenly.
+that takes all it can thus leaves a part of the room free, and several of them share the rest evenly. A
+submitter that is alone may take the whole room. Times are nanoseconds.
 """
 
 from __future__ import annotations
@@ -11,8 +12,10 @@
 from typing import NamedTuple
 
 from honeyhitch.journal.transactions import NO_SUBMITTER, Transaction
+from honeyhitch.time_units import NEVER, SECOND
 
 FREE_ROOM_FACTOR = 8
+ALONE_AFTER = 10 * SECOND  # since another one submitted a message, a submitter is taken to be alone
 _submitters = count(NO_SUBMITTER + 1)
 
 
@@ -35,6 +38,24 @@
         return self.free - self.needed <= self.total // (FREE_ROOM_FACTOR + 1)
 
 
+class Submitters:
+    """Whether several submitters have submitted messages lately."""
+
+    def __init__(self) -> None:
+        self.last = NO_SUBMITTER
+        self.changed_at = -NEVER
+
+    def record(self, submitter: int, now: int) -> None:
+        """Note that a submitter submits a message."""
+        if submitter != self.last != NO_SUBMITTER:
+            self.changed_at = now
+        self.last = submitter
+
+    def several(self, now: int) -> bool:
+        """Return whether more than one has submitted lately."""
+        return now - self.changed_at < ALONE_AFTER
+
+
 def may_take_room(room: Room, message: Transaction, held: Iterable[Transaction]) -> bool:
     """Return whether the submitter of a message stays within its part of a room if the message is held."""
     if message.submitter == NO_SUBMITTER or not room.is_scarce:
--- a/tests/test_fair_share.py
+++ b/tests/test_fair_share.py
@@ -6,8 +6,9 @@
 
 import pytest
 
-from honeyhitch.dispatcher.fair_share import FREE_ROOM_FACTOR, Room, may_take_room
+from honeyhitch.dispatcher.fair_share import ALONE_AFTER, FREE_ROOM_FACTOR, Room, Submitters, may_take_room
 from honeyhitch.journal.transactions import NO_SUBMITTER, Transaction
+from honeyhitch.time_units import SECOND
 
 
 def message(submitter: int, body: bytes = b"") -> Transaction:
@@ -49,5 +50,17 @@
     assert len(held) > 190
 
 
+def test_a_submitter_is_alone_until_another_one_submits_and_some_time_after_that() -> None:
+    submitters = Submitters()
+    for second in range(3):
+        submitters.record(1, second * SECOND)
+        assert not submitters.several(second * SECOND)
+    submitters.record(2, 3 * SECOND)
+    submitters.record(2, 4 * SECOND)
+    assert submitters.several(4 * SECOND)
+    submitters.record(2, 3 * SECOND + ALONE_AFTER)
+    assert not submitters.several(3 * SECOND + ALONE_AFTER)
+
+
 def test_messages_without_a_known_submitter_may_take_the_whole_room() -> None:
     assert len(fill([NO_SUBMITTER], 50)) == 50
