Accept no message whose client has ended its connection before the message was read

Change: before each turn the connection is asked whether the client has ended its side. If so, messages that were not handled are answered -BUSY and not accepted. A client that only ended its sending cannot be told from one that left; it reads that its message may be submitted again. Pipelined commands on the control socket are not executed either once their caller has left. One poll(2) for each turn.

--- a/honeyhitch/protocols/resp.py
+++ b/honeyhitch/protocols/resp.py
@@ -277,6 +277,9 @@
         _, _, message_id, text, body = command
         fields = parse_fields(text)
         transaction = self.transaction_parser.parse(message_id, fields, body, self.clock())
+        if self.client_left:
+            self.refused_requests += 1
+            return busy_reply(OVERLOAD_RETRY_AFTER)
         if self.router is not None:
             route = self.router.route(transaction, FORWARDED_BY_FIELD in fields)
             if route is Route.FORWARD:
--- a/honeyhitch/transports/client_server.py
+++ b/honeyhitch/transports/client_server.py
@@ -352,7 +352,7 @@
     def _receive(self, client: Client, session: ServerSession) -> bytes:
         """Have complete requests answered, and return the replies."""
         refused_before = session.refused_requests
-        client_left = False
+        client_left = sockets.has_peer_left(client.sock)
         replies = session.receive(client.buffer, self.turns.requests_per_turn, client_left)
         client.count_session_bytes()
         if excess := self.budget.excess:
--- a/honeyhitch/transports/control.py
+++ b/honeyhitch/transports/control.py
@@ -134,6 +134,9 @@
         requests = parser.requests
         parser.requests = []
         for index, request in enumerate(requests):
+            if index and sockets.has_peer_left(sock):  # it does not wait for the replies, and may ask again
+                log.info("control.client-left", unread=len(requests) - index, key=request.actor)
+                return
             last = parser.closing and malformed is None and index == len(requests) - 1
             await self.loop.sock_sendall(sock, await self._execute(request, last))
         if malformed is not None:
--- a/honeyhitch/transports/sockets.py
+++ b/honeyhitch/transports/sockets.py
@@ -205,6 +205,17 @@
     return bool(poll.poll(0))
 
 
+def has_peer_left(sock: socket.socket) -> bool:
+    """Return whether the peer has ended its side of the connection, or the connection is broken.
+
+    Bytes that arrived before that may still be unread. A peer that only ended its sending cannot be told from
+    one that closed the connection.
+    """
+    poll = select.poll()
+    poll.register(sock, select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 def is_reusable(sock: socket.socket) -> bool:
     """Return whether the connection is alive and has no unread bytes."""
     try:
