Take an endpoint for gone once a process that started later has its address

What callers saw: a new endpoint came up at the address of one that had gone, and got the messages of the old one's destination. Cause: discovery lists the new endpoint seconds before it notices that the old one is gone (a silent end takes up to 12 s). The pool knew endpoints by id alone, and did not read up_since_ms, so both were listed at one address. Change: of the endpoints at one address, those that started earlier than another one there are gone: they get no new call, also from a call that is connecting. Equal times may be one process that serves several destinations. A newer start, or another address, lists the endpoint again. Log: endpoint.superseded.

--- a/honeyhitch/endpoints/endpoint.py
+++ b/honeyhitch/endpoints/endpoint.py
@@ -21,6 +21,7 @@
     listed_rate: float = 1.0  # calls per second
     status: EndpointStatus = EndpointStatus.READY
     transport: str = "http"
+    started_at_ms: int = 0  # Unix time in milliseconds at which its process started, 0 for long ago
 
     def listing(self) -> EndpointListing:
         """Return the endpoint in the form that the policy needs."""
--- a/honeyhitch/endpoints/list_rows.py
+++ b/honeyhitch/endpoints/list_rows.py
@@ -83,9 +83,16 @@
             kind=_index_of(self.kinds, row.get("flavor")),
             zone=_index_of(self.zones, row.get("locality")),
             status=status,
+            started_at_ms=_parse_start(row),
         )
 
 
+def _parse_start(row: Row) -> int:
+    """Return when the process of an endpoint started; 0, long ago, for a missing or unusable time."""
+    started_at_ms = row.get("up_since_ms")
+    return max(0, started_at_ms) if isinstance(started_at_ms, int) else 0
+
+
 def _parse_destination(row: Row, known_endpoint: PoolEndpoint | None) -> int:
     destination = row.get("cell")
     if destination is not None:
--- a/honeyhitch/endpoints/pool.py
+++ b/honeyhitch/endpoints/pool.py
@@ -6,6 +6,8 @@
 from dataclasses import replace
 from typing import Any
 
+from honeyhitch import logs
+from honeyhitch.endpoints.address_holders import AddressHolders, latest_starts
 from honeyhitch.endpoints.endpoint import PoolEndpoint
 from honeyhitch.endpoints.list_rows import (
     EndpointList,
@@ -19,6 +21,7 @@
 from honeyhitch.policy.events import EndpointListing, EndpointListUpdate, EndpointStatus, UpdateMode
 from honeyhitch.policy.settings import Settings
 
+log = logs.get_logger()
 UNLIMITED_ENDPOINTS = 1 << 30
 
 
@@ -39,6 +42,7 @@
         # The fraction of a listed rate that this instance may use, from 0 to 1; None is the whole rate.
         self.quota_fraction: Callable[[int], float] | None = None
         self.max_endpoints = UNLIMITED_ENDPOINTS
+        self._holders = AddressHolders()
         self._parser = RowParser(self.kinds, self.zones)
 
     def has_destination(self, destination: int) -> bool:
@@ -78,6 +82,7 @@
             for endpoint in parsed_endpoints
             if endpoint.status is not EndpointStatus.GONE or endpoint.id in self.endpoints
         ]
+        endpoints = self._without_superseded(endpoints, endpoint_list.complete)
         listings = tuple(
             self._listing(endpoint) for endpoint in [*self._moved_endpoints(endpoints), *endpoints]
         )
@@ -133,6 +138,39 @@
                 moved_endpoints.append(replace(known_endpoint, status=EndpointStatus.GONE))
         return moved_endpoints
 
+    def _without_superseded(self, endpoints: list[PoolEndpoint], complete: bool) -> list[PoolEndpoint]:
+        """Return the endpoints of an update, with those as gone whose address another process took over.
+
+        These are endpoints of the update, and endpoints of the pool at an address of the update.
+        """
+        listed = [endpoint for endpoint in endpoints if endpoint.status is not EndpointStatus.GONE]
+        updated_ids = {endpoint.id for endpoint in endpoints}
+        others: list[PoolEndpoint] = []
+        if not complete:
+            addresses = {endpoint.address for endpoint in listed}
+            others = [
+                other
+                for address in addresses
+                for other in self._holders.at(address)
+                if other.id not in updated_ids and other.id not in self.pinned
+            ]
+        latest = latest_starts([*listed, *others])
+        superseded = {
+            endpoint.id
+            for endpoint in [*listed, *others]
+            if endpoint.started_at_ms < latest[endpoint.address]
+        }
+        for endpoint_id in superseded & self.endpoints.keys():
+            address = self.endpoints[endpoint_id].address
+            log.info("endpoint.superseded", member=endpoint_id, address=address, key=endpoint_id)
+        if not superseded:
+            return endpoints
+        kept = [endpoint for endpoint in endpoints if endpoint.id not in superseded]
+        return kept + [
+            replace(self.endpoints[endpoint_id], status=EndpointStatus.GONE)
+            for endpoint_id in sorted(superseded & self.endpoints.keys())
+        ]
+
     def _apply(
         self, endpoints: list[PoolEndpoint], listings: tuple[EndpointListing, ...], complete: bool
     ) -> None:
@@ -143,11 +181,17 @@
                 for endpoint_id, endpoint in self.endpoints.items()
                 if endpoint_id in listed_ids
             }
+            self._holders.replace_all(self.endpoints.values())
         for endpoint in endpoints:
+            known_endpoint = self.endpoints.get(endpoint.id)
+            if known_endpoint is not None and known_endpoint.address != endpoint.address:
+                self._holders.remove(known_endpoint)
             if endpoint.status is not EndpointStatus.GONE:
                 self.endpoints[endpoint.id] = endpoint
+                self._holders.add(endpoint)
             elif endpoint.id not in self.pinned:
                 self.endpoints.pop(endpoint.id, None)
+                self._holders.remove(endpoint)
         self.destinations.update(listing.destination for listing in listings)
 
     def _listing(self, endpoint: PoolEndpoint) -> EndpointListing:
--- a/tests/test_endpoint_pool.py
+++ b/tests/test_endpoint_pool.py
@@ -111,3 +111,53 @@
     endpoint_pool.accepts_destination = accepts_destination
     with pytest.raises(PoolError, match="members"):
         endpoint_pool.update({"revision": 1, "complete": True, "members": [row]})
+
+
+def started(name: str, cell: int, started_ms: int, port: int = 9) -> dict[str, Any]:
+    return {**endpoint_row(name, cell), "up_since_ms": started_ms, "host_port": f"127.0.0.1:{port}"}
+
+
+# Guards against a call that reaches another destination at an address that changed hands.
+@pytest.mark.parametrize("complete", [True, False])
+def test_an_endpoint_is_gone_once_a_process_that_started_later_has_its_address(complete: bool) -> None:
+    pool = EndpointPool(settings())
+    pool.update({"revision": 1, "complete": True, "members": [started("old", 1, 1000)]})
+    rows = [started("new", 2, 2000)] + ([started("old", 1, 1000)] if complete else [])
+    update = pool.update({"revision": 2, "complete": complete, "members": rows})
+    assert set(pool.endpoints) == {"new"}
+    statuses = {listing.endpoint: listing.status for listing in update.listings}
+    assert statuses["new"] is EndpointStatus.READY
+    assert complete or statuses["old"] is EndpointStatus.GONE
+    pool.update({"revision": 3, "members": [started("old", 1, 1000)]})  # listed again, by a late change
+    assert set(pool.endpoints) == {"new"}
+    pool.update({"revision": 4, "members": [started("old", 1, 1000, port=10)]})
+    assert set(pool.endpoints) == {"new", "old"}
+    pool.update({"revision": 5, "members": [started("old", 1, 3000)]})
+    assert set(pool.endpoints) == {"old"}
+
+
+def test_endpoints_that_started_together_may_share_an_address() -> None:
+    pool = EndpointPool(settings())
+    rows = [started("one", 1, 1000), started("two", 2, 1000)]
+    pool.update({"revision": 1, "complete": True, "members": rows})
+    assert set(pool.endpoints) == {"one", "two"}
+    pool.update({"revision": 2, "members": [started("three", 2, 1000)]})
+    assert set(pool.endpoints) == {"one", "two", "three"}
+    pool.update({"revision": 3, "members": [started("four", 2, 1001)]})
+    assert set(pool.endpoints) == {"four"}
+
+
+def test_a_list_with_more_endpoints_than_the_memory_allows_changes_nothing() -> None:
+    pool = EndpointPool(settings())
+    pool.max_endpoints = 2
+    pool.update(
+        {"revision": 1, "complete": True, "members": [started("one", 1, 0, 1), started("two", 2, 0, 2)]}
+    )
+    for complete in (True, False):
+        rows = [started("three", 1, 0, 3)] + (
+            [started("one", 1, 0, 1), started("two", 2, 0, 2)] if complete else []
+        )
+        with pytest.raises(PoolError, match="3 endpoints, the memory allows 2"):
+            pool.update({"revision": 2, "complete": complete, "members": rows})
+    assert set(pool.endpoints) == {"one", "two"}
+    assert pool.revision == 1
