Read the complete list after the connection to the agent broke

What callers saw: after a new agent had come up at the address of the old one, changes were missed: messages went on to an endpoint that the new agent does not list. Cause: a watch that broke was opened again with the revision that was applied last, which another agent may not know or may mean another list by. Only a change of the address in the settings had the complete list read. Change: after a connection that was refused, reset or closed, the complete list is requested before the watch. A watch that fell silent asks for changes as before, as its agent is the same.

--- a/honeyhitch/transports/list_watch.py
+++ b/honeyhitch/transports/list_watch.py
@@ -72,6 +72,10 @@
     def _record_failure(self, error: Exception) -> None:
         if isinstance(error, TimeoutError):
             self.backoff.timed_out()
+        elif isinstance(error, OSError):
+            # The agent may have ended, and another one may come up at its address, which does not know the
+            # revision that was applied last or means another one by it.
+            self.backoff.request_full_list()
         status = error.status if isinstance(error, WatchError) else 0
         if not isinstance(error, OSError) and status not in HARMLESS_STATUSES:
             self.backoff.request_full_list()
