Name the owner in a forwarded message, so that no other instance at its address accepts it

What callers saw: a message that an owner had accepted when it ended could be accepted once more, by another instance that came up at its address within the 0.35 s in which a message is forwarded; it would run twice. Cause: a forwarded request that got no reply on a reused connection was sent again to the address, in the belief that the same instance listens there. Evidence: two tests of test_forwarder.py, run against the code before with a literal reply: the reply of the other instance was relayed to the client, and the next owner was not asked. Seen in tests alone, not with real processes. Change: the field to= (of the dispatchers' own requests, beside via=) names the owner. An instance of another name answers -MISDIRECTED and accepts nothing. If nothing was sent to the owner before, the next owner is asked; otherwise the client gets the error that nothing is known. Not covered: an instance that comes back under its own name with an empty state folder within that time.

--- a/honeyhitch/protocols/forwarding.py
+++ b/honeyhitch/protocols/forwarding.py
@@ -1,7 +1,8 @@
 """Forwarding of a message to the instance that owns its destination: the request and the possible outcomes.
 
 The request is the `ENQUEUE` command that clients send, with the remaining time of the message and the field
-`via`, which tells the owner not to forward the message again. The owner's reply is relayed unchanged.
+`via`, which tells the owner not to forward the message again, and `to`, the name of the owner: an instance
+of another name at its address accepts nothing. The owner's reply is relayed unchanged.
 
 On a connection that carried an earlier request, a `PING` with the message's id follows, whose reply repeats
 the id. It shows that the reply before it belongs to this message, and is not the reply to an earlier one that
@@ -14,7 +15,7 @@
 
 from honeyhitch.journal.transactions import Transaction
 from honeyhitch.policy.settings import Settings
-from honeyhitch.protocols.resp import FORWARDED_BY_FIELD, MAX_LINE_BYTES
+from honeyhitch.protocols.resp import FORWARDED_BY_FIELD, MAX_LINE_BYTES, MISDIRECTED_REPLY, OWNER_FIELD
 from honeyhitch.time_units import MILLISECOND
 
 UNUSED_KEY = b"0" * 16  # the key argument of ENQUEUE, which has no meaning
@@ -29,6 +30,11 @@
 
     reply: bytes
 
+    @property
+    def misdirected(self) -> bool:
+        """Whether another instance has the address of the owner; it did not accept the message."""
+        return self.reply == MISDIRECTED_REPLY
+
 
 @dataclass(frozen=True, slots=True)
 class NothingWritten:
@@ -56,8 +62,10 @@
 ForwardOutcome = Relayed | NothingWritten | Unanswered | ConnectionEnded
 
 
-def encode_request(settings: Settings, transaction: Transaction, instance: str, now: int) -> bytes | None:
-    """Return the request as forwarded by `instance`, or None if the deadline of the message has passed.
+def encode_request(
+    settings: Settings, transaction: Transaction, instance: str, now: int, owner: str = ""
+) -> bytes | None:
+    """Return the request as forwarded by `instance` to `owner`, or None if the deadline has passed.
 
     `now` is a Unix time in nanoseconds. The field `d` is the time that remains of the client's time limit.
     """
@@ -76,6 +84,8 @@
     if transaction.recovered_from_journal:
         fields["again"] = "1"
     fields[FORWARDED_BY_FIELD] = instance
+    if owner:
+        fields[OWNER_FIELD] = owner
     text = ",".join(f"{name}={value}" for name, value in fields.items())
     return _encode_command(b"ENQUEUE", UNUSED_KEY, transaction.id.encode(), text.encode(), transaction.body)
 
--- a/honeyhitch/protocols/resp.py
+++ b/honeyhitch/protocols/resp.py
@@ -30,6 +30,9 @@
 MAX_CONSECUTIVE_ERRORS = 32  # consecutive invalid commands after which the connection is closed
 ENQUEUE_ARGUMENTS = 5  # the command, a key, an id, fields and a body
 FORWARDED_BY_FIELD = "via"  # its value is the instance that forwarded the message
+OWNER_FIELD = "to"  # its value is the instance to which the message was forwarded
+# The reply to a message that was forwarded to another instance, which had this address before.
+MISDIRECTED_REPLY = b"-MISDIRECTED not this instance\r\n"
 ERROR_PREFIX = b"-ERR"
 
 
@@ -186,14 +189,19 @@
         is_ready: Callable[[], bool],
         clock: Callable[[], int],
         router: Router | None = None,
+        instance: str = "",
     ) -> None:
-        """Initialize: `submit` offers a transaction to the dispatcher, `clock` returns Unix time in ns."""
+        """Initialize: `submit` offers a transaction to the dispatcher, `clock` returns Unix time in ns.
+
+        `instance` is the name of this dispatcher.
+        """
         super().__init__()
         self.transaction_parser = transaction_parser
         self.submit = submit
         self.is_ready = is_ready
         self.clock = clock
         self.router = router
+        self.instance = instance
         self.command_reader = CommandReader()
         self.consecutive_errors = 0
         self.submitter = new_submitter()
@@ -277,6 +285,8 @@
         _, _, message_id, text, body = command
         fields = parse_fields(text)
         transaction = self.transaction_parser.parse(message_id, fields, body, self.clock())
+        if FORWARDED_BY_FIELD in fields and fields.get(OWNER_FIELD, self.instance) != self.instance:
+            return MISDIRECTED_REPLY
         if self.client_left:
             self.refused_requests += 1
             return busy_reply(OVERLOAD_RETRY_AFTER)
--- a/honeyhitch/service/fleet.py
+++ b/honeyhitch/service/fleet.py
@@ -72,6 +72,9 @@
             scheduler.now,
             NO_OWNER_REPLY,
         )
+        self.forwarder.owner_name = self._name_at
+        self._named_view = self.fleet.view  # the view from which `_names` was made
+        self._names: dict[str, str] = {}  # of the instances, by address
         self.lost_partitions = set[int]()  # partitions without a quota whose messages are still held
         self._quota_fractions: dict[int, float] = {}  # by partition, as last applied to the dispatcher
         self._saved_at = 0
@@ -154,6 +157,14 @@
             "zones": candidates,
         }
 
+    def _name_at(self, address: str) -> str:
+        """Return the name of the instance that the view lists at an address, or no text if there is none."""
+        view = self.fleet.view
+        if view is not self._named_view:
+            self._named_view = view
+            self._names = {instance.address: instance.name for instance in view.instances.values()}
+        return self._names.get(address, "")
+
     def _owner_addresses(self, destination: int) -> list[str]:
         owners = self.fleet.owners(destination, self.scheduler.now())
         return [instance.address for instance in owners]
--- a/honeyhitch/service/listeners.py
+++ b/honeyhitch/service/listeners.py
@@ -54,7 +54,9 @@
         return dispatcher_state(service).phase is Phase.READY
 
     def create_session() -> resp.Session:
-        return resp.Session(parser, dispatcher.submit, ready, service.scheduler.now, fleet)
+        return resp.Session(
+            parser, dispatcher.submit, ready, service.scheduler.now, fleet, service.config.name
+        )
 
     listener = Listener(
         "listen",
--- a/honeyhitch/transports/peers.py
+++ b/honeyhitch/transports/peers.py
@@ -132,6 +132,7 @@
         self.clock = clock
         self.rejection = rejection
         self.loop = connections.loop
+        self.owner_name: Callable[[str], str] = lambda _: ""  # of an address; empty if it is not known
 
     async def forward(self, transaction: Transaction) -> bytes:
         """Try the owners in turn until one is reached, and return the reply for the client.
@@ -143,7 +144,7 @@
             if self.loop.time() >= deadline:
                 break
             match await self._forward_to_owner(address, transaction, deadline):
-                case Relayed(reply):
+                case Relayed(reply) as relayed if not relayed.misdirected:
                     return reply
                 case Unanswered() | ConnectionEnded():
                     log.warning("forward.unanswered", message=transaction.id, key=address)
@@ -154,13 +155,19 @@
     async def _forward_to_owner(
         self, address: str, transaction: Transaction, deadline: float
     ) -> ForwardOutcome:
-        """Send the request to one owner, and once more on a new connection if a reused connection ended."""
+        """Send the request to one owner, and once more on a new connection if a reused connection ended.
+
+        Another instance may have the address of the owner by then.
+        """
         outcome = await self._attempt(address, transaction, deadline)
         if not isinstance(outcome, ConnectionEnded):
             return outcome
         outcome = await self._attempt(address, transaction, deadline, fresh=True)
         # The first request was written, so the message must not be sent to another owner.
-        return Unanswered() if isinstance(outcome, NothingWritten) else outcome
+        not_accepted = isinstance(outcome, NothingWritten) or (
+            isinstance(outcome, Relayed) and outcome.misdirected
+        )
+        return Unanswered() if not_accepted else outcome
 
     async def _attempt(
         self, address: str, transaction: Transaction, deadline: float, fresh: bool = False
@@ -171,7 +178,10 @@
             return NothingWritten()
         outcome: ForwardOutcome = NothingWritten()
         try:
-            request = forwarding.encode_request(self.settings, transaction, self.instance, self.clock())
+            owner = self.owner_name(address)
+            request = forwarding.encode_request(
+                self.settings, transaction, self.instance, self.clock(), owner
+            )
             if request is None:
                 return outcome
             outcome = Unanswered()  # holds for any failure from here on, because bytes may have been sent
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -7,8 +7,14 @@
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
+import pytest
+
+from honeyhitch.dispatcher.delivery import Admission
 from honeyhitch.journal.transactions import Transaction
+from honeyhitch.protocols import forwarding, resp
+from honeyhitch.protocols.buffer import Buffer
 from honeyhitch.protocols.forwarding import UNANSWERED_REPLY
+from honeyhitch.protocols.transaction_parser import TransactionParser
 from honeyhitch.transports.peers import Forwarder, PeerConnections
 
 from .program import run_async_test
@@ -175,3 +181,58 @@
         assert owner.connections == 2
 
     run_test(work)
+
+
+async def act_as_another_instance(_number: int, writer: asyncio.StreamWriter) -> None:
+    writer.write(resp.MISDIRECTED_REPLY)
+
+
+# Guards against a message that is accepted by a process that came up at the address of its owner.
+def test_a_request_names_its_owner_and_goes_on_if_another_instance_has_the_address() -> None:
+    async def work() -> None:
+        replaced, other = await Owner(act_as_another_instance).start(), await Owner(accept).start()
+        forwarder = create_forwarder(replaced, other)
+        forwarder.owner_name = lambda address: f"owner-{address.rpartition(':')[2]}"
+        assert await forwarder.forward(create_message("a")) == b"+OK\r\n"
+        assert b",to=owner-%d" % replaced.port in replaced.requests[0]
+        assert b",to=owner-%d" % other.port in other.requests[0]
+
+    run_test(work)
+
+
+# Guards against a message that runs twice: at its owner, which had accepted it when it ended, and elsewhere.
+def test_a_request_that_a_replaced_owner_may_have_accepted_is_answered_with_an_error() -> None:
+    async def work() -> None:
+        async def be_replaced(number: int, writer: asyncio.StreamWriter) -> None:
+            if number == 2:
+                owner.on_request = act_as_another_instance
+                writer.transport.abort()
+            else:
+                writer.write(b"+OK\r\n")
+
+        owner, other = await Owner(be_replaced).start(), await Owner(accept).start()
+        forwarder = create_forwarder(owner, other)
+        assert await forwarder.forward(create_message("a")) == b"+OK\r\n"
+        assert await forwarder.forward(create_message("b")) == UNANSWERED_REPLY
+        assert len(owner.requests) == 3
+        assert not other.requests
+
+    run_test(work)
+
+
+@pytest.mark.parametrize(("owner", "accepted"), [("x", True), ("y", False), ("", True)])
+def test_an_instance_accepts_no_message_that_was_forwarded_to_another_one(owner: str, accepted: bool) -> None:
+    submitted: list[Transaction] = []
+
+    def submit(transaction: Transaction) -> Admission:
+        submitted.append(transaction)
+        return Admission(True)
+
+    parser = TransactionParser(settings(**SETTINGS), lambda _: True)
+    session = resp.Session(parser, submit, lambda: True, lambda: 0, instance="x")
+    request = forwarding.encode_request(settings(**SETTINGS), create_message("a"), "z", 0, owner)
+    assert request is not None
+    buffer = Buffer()
+    buffer.feed(request)
+    assert session.receive(buffer) == (b"+OK\r\n" if accepted else resp.MISDIRECTED_REPLY)
+    assert bool(submitted) is accepted
