Read no further message from a broker that does not take the answers

What callers saw: with a broker that publishes large messages and does not take the answers, a process held 115 MB where 48 were allowed. Cause: each answer, with the publisher's id, response topic and correlation data of up to 64 KB each, was queued without a limit. Change: a response topic and correlation data of over 4 KiB together are refused by PUBACK (reason 0x83); at most 128 characters of an id are repeated; with 1,024 answers unconfirmed the intake is not read, and the broker keeps the rest.

--- a/honeyhitch/protocols/mqtt_messages.py
+++ b/honeyhitch/protocols/mqtt_messages.py
@@ -22,6 +22,7 @@
 NO_SUBSCRIBERS = 0x10
 ANSWER_QOS = 2
 CALL_QOS = 1
+MAX_REPLY_CONTEXT_BYTES = 4096  # response topic and correlation data of a publish, encoded for the journal
 UNDELIVERABLE = "undeliverable"
 STATUS_BY_ENDING = {Ending.DELIVERED: "delivered", Ending.REJECTED: "deferred", Ending.FAILED: UNDELIVERABLE}
 
@@ -29,14 +30,18 @@
 def encode_reply_context(packet: Packet) -> str:
     """Return the response topic and correlation data of a publish as JSON, which the journal stores.
 
-    Raise FieldError if the response topic is missing, empty or contains a wildcard.
+    Raise FieldError if the response topic is missing, empty or contains a wildcard, and if both together are
+    too long.
     """
     topic = packet.properties.get("response_topic")
     if not isinstance(topic, str) or not topic or "+" in topic or "#" in topic:
         raise FieldError("response topic: expected one topic name")
     correlation = packet.properties.get("correlation", b"")
     data = base64.b64encode(correlation if isinstance(correlation, bytes) else b"").decode()
-    return json.dumps({"topic": topic, "data": data}, separators=(",", ":"))
+    reply_context = json.dumps({"topic": topic, "data": data}, separators=(",", ":"))
+    if len(reply_context) > MAX_REPLY_CONTEXT_BYTES:
+        raise FieldError(f"response topic and correlation data: over {MAX_REPLY_CONTEXT_BYTES} bytes")
+    return reply_context
 
 
 def parse_transaction(parser: TransactionParser, packet: Packet, now: int) -> Transaction:
--- a/honeyhitch/transports/mqtt_frontend.py
+++ b/honeyhitch/transports/mqtt_frontend.py
@@ -10,13 +10,14 @@
 from honeyhitch.journal.transactions import Transaction
 from honeyhitch.protocols import mqtt_messages
 from honeyhitch.protocols.mqtt_packets import FIRST_ERROR_REASON, Packet
-from honeyhitch.protocols.transaction_parser import FieldError, TransactionParser
+from honeyhitch.protocols.transaction_parser import MAX_ID_LENGTH, FieldError, TransactionParser
 from honeyhitch.time_units import MILLISECOND, SECOND
 from honeyhitch.transports.mqtt_link import MqttContext
 
 log = logs.get_logger()
 IMPLEMENTATION_SPECIFIC_ERROR = 0x83  # reason code of PUBACK
 MAX_REJECTED_IDS = 10_000  # message ids of rejected messages that are kept to recognize a redelivery
+MAX_UNCONFIRMED_ANSWERS = 1024  # beyond which no further message is read
 QUOTA_RETRY_DELAY = SECOND  # ns before an answer that exceeded the broker's quota is published again
 
 
@@ -38,16 +39,21 @@
         self.replies = context.create_session("answers", expiry)
         self.intake_link = context.create_link(self.intake)
         self.replies_link = context.create_link(self.replies)
+        self.intake_link.may_read = self._may_accept
         self.links = (self.intake_link, self.replies_link)
         self.submitter = new_submitter()
         self.rejected: dict[str, None] = {}  # the latest ids of rejected messages, oldest first
 
+    def _may_accept(self) -> bool:
+        """Return whether the broker takes the answers, so that further messages may be read."""
+        return len(self.replies.queue) + len(self.replies.outgoing) < MAX_UNCONFIRMED_ANSWERS
+
     def _on_publish(self, packet: Packet) -> None:
         if self.dispatcher.draining or not self.dispatcher.accepting:
             # Without an acknowledgement the broker delivers the message to the next process, or to another
             # dispatcher.
             return
-        message_id = dict(packet.user).get("id", "")
+        message_id = dict(packet.user).get("id", "")[:MAX_ID_LENGTH]
         try:
             reply_context = mqtt_messages.encode_reply_context(packet)
         except FieldError as error:  # the publish does not say where to send an answer
--- a/honeyhitch/transports/mqtt_link.py
+++ b/honeyhitch/transports/mqtt_link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -17,6 +18,7 @@
 CONNECT_TIMEOUT_SECONDS = 5.0  # to connect, and again for the server's CONNACK
 DRAIN_TIMEOUT_SECONDS = 20.0  # maximum wait for publishes in flight before a connection is replaced
 DRAIN_POLL_SECONDS = 0.05
+READ_PAUSE_SECONDS = 0.05  # between checks whether the session may read on
 READ_TIMEOUT_FACTOR = 1.5  # times the keep-alive (MQTT 5.0, 3.1.2.10)
 
 
@@ -49,7 +51,8 @@
 class BrokerLink:
     """The connection of one session to the broker at HOST:PORT.
 
-    The caller sets `output_ready` after it has given the session something to send.
+    The caller sets `output_ready` after it has given the session something to send. While `may_read` returns
+    false, nothing more is read, so that the broker keeps what it has.
     """
 
     def __init__(
@@ -60,6 +63,7 @@
         self.loop = tasks.loop
         self.connector = connector or PlainConnector(tasks.loop)
         self.output_ready = asyncio.Event()
+        self.may_read: Callable[[], bool] = lambda: True
 
     async def run(self) -> None:
         """Open one connection and serve it until it ends; then raise OSError, TimeoutError or MqttError."""
@@ -100,6 +104,9 @@
     async def _read(self, channel: Channel) -> None:
         buffer = Buffer()
         while True:
+            if self.session.connected and not self.may_read():
+                await asyncio.sleep(READ_PAUSE_SECONDS)
+                continue
             async with asyncio.timeout(self._read_timeout()):
                 count = await channel.read(buffer)
             if not count:
--- a/tests/faults/limited.py
+++ b/tests/faults/limited.py
@@ -183,19 +183,23 @@
     memory_mb: int = 96,
     sockets: int = 1024,
     overrides: dict[str, Any] | None = None,
+    operator: str = "",
 ) -> AsyncIterator[LimitedDispatcher]:
-    """Run a dispatcher with these limits, and watch its usage; `overrides` are of its settings."""
+    """Run a dispatcher with these limits, and watch its usage; `overrides` are of its settings.
+
+    `operator` is added to the operator's file.
+    """
     port, health_port = listening_port(), listening_port()
-    path, operator = write_config_files(
+    path, operator_path = write_config_files(
         folder,
         port,
         agent.port,
         agent.members,
-        operator=f'[beside]\nhealth = "127.0.0.1:{health_port}"\n',
+        operator=f'[beside]\nhealth = "127.0.0.1:{health_port}"\n{operator}',
         settings=limit_settings() | (overrides or {}),
         limits={"memory_mb": memory_mb, "sockets": sockets, "disk_mb": 3},
     )
-    dispatcher = LimitedDispatcher(path, operator, port, health_port, agent, memory_mb, sockets)
+    dispatcher = LimitedDispatcher(path, operator_path, port, health_port, agent, memory_mb, sockets)
     await dispatcher.start_process()
     sampling = asyncio.create_task(dispatcher.usage.sample(dispatcher.processes))
     try:
