Forget destinations that are neither listed nor used, however many were ever named

What callers would see: memory grows with each destination that discovery ever listed, or that a client named before the first list came. Cause: the policy and the pool kept every number for good. Change: when the number of destinations has doubled (1,024 at least), those are dropped that have no endpoint, message and call, and got no call for 10 minutes. The pool remembers 10,000 numbers without an endpoint.

--- a/honeyhitch/endpoints/pool.py
+++ b/honeyhitch/endpoints/pool.py
@@ -23,6 +23,7 @@
 
 log = logs.get_logger()
 UNLIMITED_ENDPOINTS = 1 << 30
+MAX_FORMER_DESTINATIONS = 10_000  # without an endpoint now; beyond, they are not known any more
 
 
 class EndpointPool:
@@ -193,6 +194,8 @@
                 self.endpoints.pop(endpoint.id, None)
                 self._holders.remove(endpoint)
         self.destinations.update(listing.destination for listing in listings)
+        if len(self.destinations) > MAX_FORMER_DESTINATIONS + len(self.endpoints):
+            self.destinations = {endpoint.destination for endpoint in self.endpoints.values()}
 
     def _listing(self, endpoint: PoolEndpoint) -> EndpointListing:
         listing = endpoint.listing()
--- a/honeyhitch/policy/destination.py
+++ b/honeyhitch/policy/destination.py
@@ -52,6 +52,12 @@
         queue.push(message.objective_at, sequence, message)
         message.queued = True
 
+    def forgettable(self, unused_since: int) -> bool:
+        """Return whether it has no endpoint and no call, and got no call after `unused_since`."""
+        if self.endpoints or self.concurrent_calls:
+            return False
+        return self.state is None or self.state.last_sent_at < unused_since
+
     def queue_length(self) -> int:
         """Return the number of queue entries, including those of ended messages that are not dropped yet."""
         return sum(map(len, self.queues.values()))
--- a/honeyhitch/policy/endpoint_list.py
+++ b/honeyhitch/policy/endpoint_list.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from random import Random
 
 from honeyhitch.policy.decaying_counter import DecayingCounter
@@ -11,9 +11,11 @@
 from honeyhitch.policy.endpoint_state import EndpointState
 from honeyhitch.policy.events import EndpointListing, EndpointListUpdate, EndpointStatus, UpdateMode
 from honeyhitch.policy.settings import Settings
-from honeyhitch.time_units import SECOND
+from honeyhitch.time_units import MINUTE, SECOND
 
 CONNECTION_FAILURES_DECAY_TIME = 30 * SECOND
+MIN_CHECKED_DESTINATIONS = 1024  # with fewer, none is dropped
+FORGET_AFTER = 10 * MINUTE  # since the last call to a destination that has no endpoint any more
 COMPLETE_LISTS = (UpdateMode.FULL, UpdateMode.CACHED)
 
 
@@ -29,6 +31,22 @@
         self._rng = rng
         self._connection_failures = [DecayingCounter(CONNECTION_FAILURES_DECAY_TIME) for _ in settings.kinds]
         self.destinations: dict[int, Destination] = {}
+        self._check_at_count = MIN_CHECKED_DESTINATIONS
+
+    @property
+    def has_grown(self) -> bool:
+        """Whether the number of destinations has doubled since unused ones were dropped."""
+        return len(self.destinations) >= self._check_at_count
+
+    def drop_unused(self, in_use: Collection[Destination], now: int) -> None:
+        """Drop the destinations that are neither listed nor in use, and of which nothing recent is known.
+
+        Otherwise each number that a client or discovery ever named would be kept. `now` is in nanoseconds.
+        """
+        for number, destination in list(self.destinations.items()):
+            if destination not in in_use and destination.forgettable(now - FORGET_AFTER):
+                del self.destinations[number]
+        self._check_at_count = max(MIN_CHECKED_DESTINATIONS, 2 * len(self.destinations))
 
     def destination(self, number: int) -> Destination:
         """Return the destination with this number; create it if there is none."""
--- a/honeyhitch/policy/engine.py
+++ b/honeyhitch/policy/engine.py
@@ -110,6 +110,9 @@
         """Handle the events at time `now`; return the actions, which are to be carried out in their order."""
         self.now = now
         self._actions = []
+        if self.endpoint_list.has_grown:
+            in_use = {message.destination for message in self.messages.values()}
+            self.endpoint_list.drop_unused(in_use, now)
         for event in events:
             self._handlers[type(event)](event)
         self.scheduler.run_due(now)
