Bound the bodies of the control socket's callers together, and the values in each

What callers would see: eight callers of the control socket could make the process hold 8 MiB of bodies, and a body of brackets decodes to some twenty times its size. Change: bodies of all callers together take at most what one body may have; a further one is answered 503. A body has at most 20,000 commas and brackets (413). The limit of a body stays.

--- a/honeyhitch/protocols/control.py
+++ b/honeyhitch/protocols/control.py
@@ -13,9 +13,13 @@
 
 import httptools
 
+from honeyhitch.memory.budget import MemoryAccount, MemoryLimitError
+
 MAX_HEAD_BYTES = 16_384  # bytes of the request line and the headers
 MAX_BODY_BYTES = 1 << 20
+MAX_VALUES = 20_000  # commas and brackets of a body, which bound the values that it is decoded to
 MAX_LENGTH_DIGITS = 20  # digits of a Content-Length that are parsed; any further ones are ignored
+VALUE_DELIMITERS = (b",", b"[", b"{")
 RESPONSE_HEADERS = {"Content-Type": "application/json", "Cache-Control": "no-store"}
 
 
@@ -83,8 +87,10 @@
 class ControlRequestParser:
     """Parses the requests of one connection; `requests` holds the complete requests, oldest first."""
 
-    def __init__(self, actor: str) -> None:
+    def __init__(self, actor: str, account: MemoryAccount | None = None) -> None:
+        """Create a parser whose bodies are counted in `account` if there is one."""
         self.actor = actor
+        self.account = account
         self.requests: list[ControlRequest] = []
         self.closing = False  # no further request is parsed, and the connection has to be closed
         self.parser = httptools.HttpRequestParser(self)
@@ -144,6 +150,11 @@
         """Append a part of the body. Raise ControlError if the body is too long."""
         self.body_size += len(body)
         self._check_body_size(self.body_size)
+        if self.account is not None:
+            try:
+                self.account.grow(len(body))
+            except MemoryLimitError as error:
+                raise self._close_with(HTTPStatus.SERVICE_UNAVAILABLE, str(error)) from error
         self.body_chunks.append(body)
 
     def on_message_complete(self) -> None:
@@ -151,8 +162,12 @@
         method = self.parser.get_method().decode("latin-1")
         path = self.url.partition(b"?")[0].decode("latin-1")
         text = b"".join(self.body_chunks)
+        if sum(map(text.count, VALUE_DELIMITERS)) > MAX_VALUES:
+            raise self._close_with(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, f"body: over {MAX_VALUES} values")
         self.closing = not self.parser.should_keep_alive()
         self._reset()
+        if self.account is not None:
+            self.account.close()
         try:
             arguments = json.loads(text) if text else {}
         except ValueError as error:
--- a/honeyhitch/transports/control.py
+++ b/honeyhitch/transports/control.py
@@ -12,8 +12,10 @@
 from pathlib import Path
 
 from honeyhitch import logs
+from honeyhitch.memory.budget import MemoryAccount, MemoryBudget
 from honeyhitch.protocols.buffer import Buffer, BufferOverflowError
 from honeyhitch.protocols.control import (
+    MAX_BODY_BYTES,
     CommandRegistry,
     ControlError,
     ControlRequest,
@@ -61,6 +63,7 @@
         self.tasks = tasks
         self.loop = tasks.loop
         self.open_connections = 0
+        self.bodies = MemoryBudget(MAX_BODY_BYTES)  # of all connections together
         self.listener = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
         self.listener.setblocking(False)
         try:
@@ -111,7 +114,8 @@
             self.tasks.start(self._serve(sock, user_name(uid)))
 
     async def _serve(self, sock: socket.socket, actor: str) -> None:
-        parser = ControlRequestParser(actor)
+        account = MemoryAccount(self.bodies)
+        parser = ControlRequestParser(actor, account)
         buffer = Buffer()
         try:
             while not parser.closing:
@@ -122,6 +126,7 @@
         except (OSError, BufferOverflowError, TimeoutError):
             pass  # the client closed the connection, sent more than the buffer holds, or nothing in time
         finally:
+            account.close()
             self.open_connections -= 1
             sock.close()
 
