Bound the view, the kept rows of a list and the cached TLS sessions by the memory

What callers would see: the view of a fleet and lists that are read in part were bounded by counts (4 MiB, 100,000 rows), and cached TLS sessions by 4,096, whatever the limit on memory. Change: the limits of the plan hold for them as well. Measured: the tests of lists, fleets and TLS files pass.

--- a/honeyhitch/memory/plan.py
+++ b/honeyhitch/memory/plan.py
@@ -15,6 +15,8 @@
 REQUEST_FRACTION = 0.12
 MESSAGE_FRACTION = 0.12
 CALL_FRACTION = 0.10
+SESSION_FRACTION = 0.03
+MIN_SESSIONS = 16
 MIN_WORKING_BYTES = 4_000_000  # the limit on memory is too low if it leaves less
 MIN_UPGRADE_WORKING_BYTES = 12_000_000  # of two processes together, for which one process alone keeps room
 
@@ -22,6 +24,7 @@
 CALL_BYTES = 32_768  # a call in flight with the largest head of a response
 MESSAGE_BYTES = 2_048  # a held message, besides its body
 BODY_COPIES = 2  # of a held message: its own, and the one that a call writes
+SESSION_BYTES = 8_192  # a TLS session with the certificates of its partner
 LISTED_ENDPOINT_BYTES = 3_000  # one endpoint of the list, with what is learned of it
 LIST_EXPANSION = 24  # bytes of memory per byte of a list while it is parsed
 
@@ -54,6 +57,11 @@
         """The number of calls in flight."""
         return max(1, int(self.working * CALL_FRACTION) // CALL_BYTES)
 
+    @property
+    def max_sessions(self) -> int:
+        """The number of TLS sessions that are kept to be resumed."""
+        return max(MIN_SESSIONS, int(self.working * SESSION_FRACTION) // SESSION_BYTES)
+
     @property
     def max_endpoints(self) -> int:
         """The number of listed endpoints."""
--- a/honeyhitch/protocols/discovery.py
+++ b/honeyhitch/protocols/discovery.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from honeyhitch.protocols import http1
-from honeyhitch.protocols.list_parser import ListError, ListParser
+from honeyhitch.protocols.list_parser import MAX_KEPT_ROWS, ListError, ListParser
 
 MAX_LIST_BYTES = 4 << 20  # bytes of one list
 MAX_QUOTED_LENGTH = 80  # bytes of malformed input that are quoted in an error
@@ -70,14 +70,18 @@
 
     An object may span several lines, none of which is empty; an empty line is a heartbeat. With
     `keep_row`, a list may have any length, and only the elements of its `members` array for which
-    `keep_row` returns true are kept. Without it, an object has at most `max_bytes` bytes.
+    `keep_row` returns true are kept, at most `max_rows` of them. Without it, an object has at most
+    `max_bytes` bytes.
     """
 
     def __init__(
-        self, keep_row: Callable[[dict[str, Any]], bool] | None = None, max_bytes: int = MAX_LIST_BYTES
+        self,
+        keep_row: Callable[[dict[str, Any]], bool] | None = None,
+        max_bytes: int = MAX_LIST_BYTES,
+        max_rows: int = MAX_KEPT_ROWS,
     ) -> None:
         self.max_bytes = max_bytes
-        self.list_parser = ListParser(keep_row) if keep_row is not None else None
+        self.list_parser = ListParser(keep_row, max_rows) if keep_row is not None else None
         self.partial_line = bytearray()
         self.partial_object = bytearray()
         self.bracket_depth = 0  # number of open brackets in the partial object
--- a/honeyhitch/protocols/list_parser.py
+++ b/honeyhitch/protocols/list_parser.py
@@ -30,8 +30,10 @@
     `keep_row` is called with each row as decoded from JSON.
     """
 
-    def __init__(self, keep_row: Callable[[dict[str, Any]], bool]) -> None:
+    def __init__(self, keep_row: Callable[[dict[str, Any]], bool], max_rows: int = MAX_KEPT_ROWS) -> None:
+        """Keep at most `max_rows` rows of a list."""
         self.keep_row = keep_row
+        self.max_rows = max_rows
         self._decoder = json.JSONDecoder()
         self._utf8 = codecs.getincrementaldecoder("utf-8")()
         self._text = ""  # decoded from UTF-8 and not parsed yet
@@ -112,8 +114,8 @@
             raise ListError(f"list: members: expected an object, got {quoted!r}")
         if self.keep_row(row):
             self._rows.append(row)
-        if len(self._rows) > MAX_KEPT_ROWS:
-            raise ListError(f"list: more than {MAX_KEPT_ROWS} members have to be kept")
+        if len(self._rows) > self.max_rows:
+            raise ListError(f"list: more than {self.max_rows} members have to be kept")
 
     def _parse_tail(self, head: str) -> dict[str, Any] | None:
         """Return the list, or None while the text after its rows is incomplete.
--- a/honeyhitch/service/features/tls.py
+++ b/honeyhitch/service/features/tls.py
@@ -27,6 +27,7 @@
     settings = TlsSettings((*endpoint_partners, *broker_partners))
     rng = Random(service.config.seed ^ TLS_SEED)
     partners = Partners(settings, service.config.settings, os.environ, service.scheduler.now, rng)
+    partners.sessions.max_sessions = min(partners.sessions.max_sessions, service.memory.plan.max_sessions)
     service.limit_dividers.append(partners.set_process_count)
     _add_transport(service, partners, max_idle)
     if broker is None:
--- a/honeyhitch/service/fleet.py
+++ b/honeyhitch/service/fleet.py
@@ -20,7 +20,7 @@
 from honeyhitch.protocols.discovery_backoff import WatchBackoff
 from honeyhitch.protocols.resp import Route, busy_reply
 from honeyhitch.time_units import MILLISECOND, SECOND
-from honeyhitch.transports.list_watch import ListWatch
+from honeyhitch.transports.list_watch import ListLimits, ListWatch
 from honeyhitch.transports.peers import Forwarder, PeerConnections
 
 log = logs.get_logger()
@@ -75,6 +75,7 @@
         self.forwarder.owner_name = self._name_at
         self._named_view = self.fleet.view  # the view from which `_names` was made
         self._names: dict[str, str] = {}  # of the instances, by address
+        self.list_limits = ListLimits()  # of the view
         self.lost_partitions = set[int]()  # partitions without a quota whose messages are still held
         self._quota_fractions: dict[int, float] = {}  # by partition, as last applied to the dispatcher
         self._saved_at = 0
@@ -191,7 +192,14 @@
             address_changed=False,
             drain_grace=self.settings.lease / SECOND,
         )
-        watch = ListWatch(self.settings.view, self.loop, backoff, self._revision, self.apply_update)
+        watch = ListWatch(
+            self.settings.view,
+            self.loop,
+            backoff,
+            self._revision,
+            self.apply_update,
+            limits=lambda: self.list_limits,
+        )
         await watch.run()
 
     def _revision(self) -> int:
--- a/honeyhitch/transports/discovery.py
+++ b/honeyhitch/transports/discovery.py
@@ -16,7 +16,7 @@
 from honeyhitch.protocols.discovery_backoff import WatchBackoff
 from honeyhitch.time_units import SECOND
 from honeyhitch.transports import sockets
-from honeyhitch.transports.list_watch import ListWatch, send_request
+from honeyhitch.transports.list_watch import ListLimits, ListWatch, send_request
 from honeyhitch.transports.tasks import Tasks
 
 log = logs.get_logger()
@@ -40,11 +40,11 @@
         self.notice_added = asyncio.Event()
         self.running_tasks: list[asyncio.Task[None]] = []  # the task for notices, then the task for the watch
         self.reads_partial_lists = False
-        self.max_list_bytes = MAX_LIST_BYTES
+        self.list_limits = ListLimits()
 
     def limit_lists(self, max_bytes: int, max_endpoints: int) -> None:
         """Refuse lists of more bytes, and updates after which more endpoints would be listed."""
-        self.max_list_bytes = min(MAX_LIST_BYTES, max_bytes)
+        self.list_limits = ListLimits(min(MAX_LIST_BYTES, max_bytes), max_endpoints)
         self.dispatcher.pool.max_endpoints = max_endpoints
 
     def start(self, watch: bool = True) -> None:
@@ -89,7 +89,7 @@
             lambda: pool.revision,
             self._apply_update,
             keep_row,
-            lambda: self.max_list_bytes,
+            lambda: self.list_limits,
         )
         await watch.run()
 
--- a/honeyhitch/transports/list_watch.py
+++ b/honeyhitch/transports/list_watch.py
@@ -6,7 +6,7 @@
 import socket
 from collections.abc import Callable
 from http import HTTPStatus
-from typing import Any
+from typing import Any, NamedTuple
 
 from honeyhitch import logs
 from honeyhitch.protocols import http1
@@ -20,6 +20,7 @@
     parse_complete_list,
 )
 from honeyhitch.protocols.discovery_backoff import WatchBackoff
+from honeyhitch.protocols.list_parser import MAX_KEPT_ROWS
 from honeyhitch.transports import sockets
 
 log = logs.get_logger()
@@ -28,13 +29,20 @@
 CLOSED_BEFORE_RESPONSE = "expected a complete response, but the agent closed the connection"
 
 
+class ListLimits(NamedTuple):
+    """The limits of a list: of its bytes if it is parsed as a whole, otherwise of the rows that are kept."""
+
+    max_bytes: int = MAX_LIST_BYTES
+    max_rows: int = MAX_KEPT_ROWS
+
+
 class ListWatch:
     """Requests lists and changes from the agent at one address (HOST:PORT), and applies each on arrival.
 
     `on_update` is called with each list or change in discovery's format, and raises an exception if the
     update cannot be used. `revision` returns the revision of the update that was applied last. With
-    `keep_row`, only the rows of a list for which it returns true are kept. `max_bytes` returns the most bytes
-    of a list that is parsed as a whole.
+    `keep_row`, only the rows of a list for which it returns true are kept. `limits` returns the limits of a
+    list that are in force.
     """
 
     def __init__(
@@ -45,7 +53,7 @@
         revision: Callable[[], int],
         on_update: Callable[[dict[str, Any]], None],
         keep_row: Callable[[dict[str, Any]], bool] | None = None,
-        max_bytes: Callable[[], int] = lambda: MAX_LIST_BYTES,
+        limits: Callable[[], ListLimits] = lambda: ListLimits(),
     ) -> None:
         self.address = address
         self.loop = loop
@@ -53,7 +61,7 @@
         self.revision = revision
         self.on_update = on_update
         self.keep_row = keep_row
-        self.max_bytes = max_bytes
+        self.limits = limits
 
     async def run(self) -> None:
         """Watch until cancelled; updates that were applied stay in use while the agent sends nothing."""
@@ -82,7 +90,7 @@
 
     async def _watch(self) -> None:
         """Run one watch. Raise an exception when it breaks, ends, or receives nothing in time."""
-        parser = WatchParser(self.keep_row, self.max_bytes())
+        parser = WatchParser(self.keep_row, *self.limits())
         buffer = Buffer()
         self.backoff.watch_opened()
         deadline = self._read_deadline()
@@ -137,9 +145,9 @@
         request = encode_list_request(self.address)
         if self.keep_row is None:
             async with asyncio.timeout_at(deadline):
-                response = await send_request(self.loop, sock, buffer, request, self.max_bytes())
+                response = await send_request(self.loop, sock, buffer, request, self.limits().max_bytes)
                 return parse_complete_list(response)
-        parser = WatchParser(self.keep_row)
+        parser = WatchParser(self.keep_row, *self.limits())
         lists: list[dict[str, Any]] = []
         await self.loop.sock_sendall(sock, request)
         while not parser.complete:
