Count in a submitter's share of the memory what its messages really take

What callers saw: with 4 MB of working memory, a flood of small messages took the whole room for messages again: 10 of 135 messages of other clients were accepted (36 MB, by hand). Cause: the share in bytes counted the bodies alone, 4 bytes of some 2,300 that a message takes. Change: each room has its own measure of a message: one, its memory, or its record.

--- a/honeyhitch/dispatcher/admission.py
+++ b/honeyhitch/dispatcher/admission.py
@@ -11,6 +11,7 @@
 from honeyhitch.dispatcher.fair_share import Room, Submitters, may_take_room
 from honeyhitch.dispatcher.ports import ArrivalDecision
 from honeyhitch.journal.journal import JournalFullError
+from honeyhitch.journal.state import estimated_bytes
 from honeyhitch.journal.transactions import RESEND_FRONTEND, RESP_FRONTEND, Ending, Transaction
 from honeyhitch.memory.plan import message_memory
 from honeyhitch.time_units import MILLISECOND
@@ -21,6 +22,11 @@
 BUSY_RETRY_AFTER = 500 * MILLISECOND  # for messages that are rejected before the policy receives them
 
 
+def _memory_size(message: Transaction) -> int:
+    """Return the bytes of memory that a message takes while it is held."""
+    return message_memory(estimated_bytes(message), 1)
+
+
 class AdmissionControl:
     """Accepts or rejects messages that frontends and the dead-letter store submit."""
 
@@ -99,17 +105,13 @@
         self.submitters.record(message.submitter, now)
         several_submitters = self.submitters.several(now)
         memory_in_use = message_memory(context.journal.live_bytes, len(held))
-        size = len(message.body)
-        rooms = (
-            ("full", Room(self._free_places(), context.settings.max_messages, 1, in_bytes=False)),
-            (
-                "memory",
-                Room(self.max_message_bytes - memory_in_use, self.max_message_bytes, message_memory(size, 1)),
-            ),
-            ("journal", Room(context.journal.free_message_bytes, context.journal.max_bytes, size)),
-        )
-        for reason, room in rooms:
-            if room.free < room.needed:
+        rooms = {
+            "full": Room(self._free_places(), context.settings.max_messages, lambda _: 1),
+            "memory": Room(self.max_message_bytes - memory_in_use, self.max_message_bytes, _memory_size),
+            "journal": Room(context.journal.free_message_bytes, context.journal.max_bytes, estimated_bytes),
+        }
+        for reason, room in rooms.items():
+            if room.free < room.size(message):
                 return reason
             if several_submitters and not may_take_room(room, message, held.values()):
                 return "fair-share"
--- a/honeyhitch/dispatcher/fair_share.py
+++ b/honeyhitch/dispatcher/fair_share.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from itertools import count
 from typing import NamedTuple
 
@@ -29,13 +29,11 @@
 
     free: int
     total: int
-    needed: int  # by the message that is submitted
-    in_bytes: bool = True
+    size: Callable[[Transaction], int]  # what a message takes of it
 
-    @property
-    def is_scarce(self) -> bool:
-        """Whether any submitter can have reached its threshold."""
-        return self.free - self.needed <= self.total // (FREE_ROOM_FACTOR + 1)
+    def is_scarce(self, message: Transaction) -> bool:
+        """Return whether the submitter of a message can have reached its threshold."""
+        return self.free - self.size(message) <= self.total // (FREE_ROOM_FACTOR + 1)
 
 
 class Submitters:
@@ -58,8 +56,7 @@
 
 def may_take_room(room: Room, message: Transaction, held: Iterable[Transaction]) -> bool:
     """Return whether the submitter of a message stays within its part of a room if the message is held."""
-    if message.submitter == NO_SUBMITTER or not room.is_scarce:
+    if message.submitter == NO_SUBMITTER or not room.is_scarce(message):
         return True
-    own = [other for other in held if other.submitter == message.submitter]
-    taken = sum(len(other.body) for other in own) if room.in_bytes else len(own)
-    return taken + room.needed <= FREE_ROOM_FACTOR * room.free
+    taken = sum(room.size(other) for other in held if other.submitter == message.submitter)
+    return taken + room.size(message) <= FREE_ROOM_FACTOR * room.free
--- a/honeyhitch/journal/state.py
+++ b/honeyhitch/journal/state.py
@@ -32,7 +32,7 @@
 ESTIMATED_OVERHEAD_BYTES = 512  # size of a message's records, excluding its body
 
 
-def _estimated_bytes(message: Transaction) -> int:
+def estimated_bytes(message: Transaction) -> int:
     """Return the estimated bytes of a message's record and of later records about the message."""
     return len(message.body) + ESTIMATED_OVERHEAD_BYTES
 
@@ -201,14 +201,14 @@
         self.live_bytes -= self.message_bytes.get(message.id, 0)  # a message that was handed over may return
         self.handed_over.pop(message.id, None)
         self.messages.by_id[message.id] = message
-        size = _estimated_bytes(message)
+        size = estimated_bytes(message)
         self.message_bytes[message.id] = size
         self.live_bytes += size
 
     def _add_pending_dead_letter(self, message: Transaction) -> None:
         """Add a message whose final answer was sent and that only waits for the dead-letter store."""
         self.messages.pending_dead_letters[message.id, message.ended_at] = message
-        size = _estimated_bytes(message)
+        size = estimated_bytes(message)
         self.live_bytes += size
         self.dead_letter_bytes += size
 
@@ -220,7 +220,7 @@
         dead_letter = self.messages.pending_dead_letters.pop((message_id, ended_at), None)
         if dead_letter is not None:
             dead_letter.dead_letter_stored = True
-            size = _estimated_bytes(dead_letter)
+            size = estimated_bytes(dead_letter)
             self.live_bytes -= size
             self.dead_letter_bytes -= size
 
--- a/tests/test_fair_share.py
+++ b/tests/test_fair_share.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
+from collections.abc import Callable
 
 import pytest
 
@@ -10,22 +10,31 @@
 from honeyhitch.journal.transactions import NO_SUBMITTER, Transaction
 from honeyhitch.time_units import SECOND
 
+BODY = bytes(10)
+
 
 def message(submitter: int, body: bytes = b"") -> Transaction:
     return Transaction("m", 0, 1, 0, body, submitter=submitter)
 
 
-def fill(submitters: list[int], total: int, size: int = 1) -> list[Transaction]:
+def count_one(_: Transaction) -> int:
+    return 1
+
+
+def count_bytes(held: Transaction) -> int:
+    return len(held.body)
+
+
+def fill(
+    submitters: list[int], total: int, size: Callable[[Transaction], int] = count_one
+) -> list[Transaction]:
     """Return the messages that are held once none of the submitters may add another one."""
     held: list[Transaction] = []
-    in_bytes = size > 1
     while True:
-        taken = sum(len(other.body) for other in held) if in_bytes else len(held)
-        room = Room(total - taken, total, size, in_bytes)
+        room = Room(total - sum(map(size, held)), total, size)
+        candidates = [message(submitter, BODY) for submitter in submitters]
         accepted = [
-            replace(message(submitter, bytes(size)))
-            for submitter in submitters
-            if room.free >= size and may_take_room(room, message(submitter, bytes(size)), held)
+            other for other in candidates if room.free >= size(other) and may_take_room(room, other, held)
         ]
         if not accepted:
             return held
@@ -34,13 +43,14 @@
 
 
 # Guards against a submitter that fills the whole room, so that the messages of all others are rejected.
-@pytest.mark.parametrize("size", [1, 10])
-def test_one_submitter_leaves_a_part_of_the_room_free(size: int) -> None:
-    total = 200 * size
+@pytest.mark.parametrize("size", [count_one, count_bytes])
+def test_one_submitter_leaves_a_part_of_the_room_free(size: Callable[[Transaction], int]) -> None:
+    one = size(message(1, BODY))
+    total = 200 * one
     held = fill([1], total, size)
-    free = total - size * len(held)
-    assert free >= total // (FREE_ROOM_FACTOR + 1) - size
-    assert may_take_room(Room(free, total, size, size > 1), message(2, bytes(size)), held)
+    free = total - one * len(held)
+    assert free >= total // (FREE_ROOM_FACTOR + 1) - one
+    assert may_take_room(Room(free, total, size), message(2, BODY), held)
 
 
 def test_several_submitters_share_the_room_evenly_and_leave_little_free() -> None:
