Play hostile clients and peers in the soak, and check the memory

Change: in six of ten plays, drawn apart from the other faults, attacks of tests/faults/hostile.py come one after the other, an endpoint sends heads without end to their messages, and the agent sends lines without end. Every play checks memory_mb (96).

--- a/tests/faults/hostile.py
+++ b/tests/faults/hostile.py
@@ -1,4 +1,4 @@
-"""Hostile clients for tests of limits: `python -m tests.faults.hostile ATTACK PORT COUNT SECONDS`.
+"""Hostile clients for tests of limits: `python -m tests.faults.hostile ATTACK PORT COUNT SECONDS [FIELDS]`.
 
 Each attack opens up to COUNT connections to one loopback port, opens a connection again once it was closed,
 and ends by itself after SECONDS.
@@ -17,7 +17,7 @@
 import uvloop
 
 BODY_BYTES = 65_536
-FIELD_TEXT = b"c=standard,t=studio,d=8000,k=%s,dest=1"
+FIELD_TEXT = "c=standard,t=studio,d=8000,dest=1"  # of a message, unless the command line gives other fields
 DRIP_BYTES = 1024
 DRIP_PAUSE_SECONDS = 0.02
 RECONNECT_SECONDS = 0.05
@@ -34,7 +34,8 @@
 
 def submission(name: bytes, body: bytes = b"body", fields: bytes | None = None) -> bytes:
     """Return a client's command that submits a message for destination 1."""
-    return encode_command(b"ENQUEUE", b"0", name, FIELD_TEXT % name if fields is None else fields, body)
+    text = b"%s,k=%s" % (FIELD_TEXT.encode(), name) if fields is None else fields
+    return encode_command(b"ENQUEUE", b"0", name, text, body)
 
 
 class Connection:
@@ -185,7 +186,9 @@
 
 def main() -> None:
     """Play the attack that the command line names."""
-    name, port, count, seconds = sys.argv[1:]
+    global FIELD_TEXT
+    name, port, count, seconds, *fields = sys.argv[1:]
+    FIELD_TEXT = fields[0] if fields else FIELD_TEXT
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(play(name, int(port), int(count), float(seconds)))
 
--- a/tests/faults/limited.py
+++ b/tests/faults/limited.py
@@ -227,8 +227,11 @@
                 raise result
 
 
-async def attack(name: str, port: int, connections: int, seconds: float) -> None:
-    """Play an attack of `hostile` in a process of its own, which ends by itself."""
+async def attack(name: str, port: int, connections: int, seconds: float, *fields: str) -> None:
+    """Play an attack of `hostile` in a process of its own, which ends by itself.
+
+    `fields` may give the fields of the messages that are submitted.
+    """
     arguments = [
         sys.executable,
         "-m",
@@ -238,6 +241,7 @@
         str(connections),
         str(seconds),
     ]
+    arguments += fields
     process = await asyncio.create_subprocess_exec(*arguments, cwd=ROOT)
     try:
         assert await process.wait() == 0
--- a/tests/faults/soak.py
+++ b/tests/faults/soak.py
@@ -27,6 +27,8 @@
 from ..rig import endpoint_row
 from .clients import Client, Submission
 from .endpoint import Attempt, RecordingEndpoint, Reply, overlapping_attempts
+from .excess import SHORT_FIELDS, ExcessivePeer
+from .limited import BYTES_PER_MEGABYTE, Usage, attack
 from .proxy import CopyingProxy
 from .shim import Fault, Shim
 
@@ -47,6 +49,25 @@
 READY_SECONDS = 10.0
 DRAIN_GRACE_SECONDS = 2.0
 CUT_SECONDS = 0.05  # a response that was written this close to a cut may not have arrived
+HOSTILE_SEED = 0x4057  # mixed into the seed, so that the other draws do not depend on hostile peers
+HOSTILE_PROBABILITY = 0.6  # of a play with hostile clients and peers
+HOSTILE_CLASS = "standard"
+HOSTILE_DESTINATION = 4  # of the hostile clients' messages; its endpoint sends more than it should
+HOSTILE_ATTACKS = (
+    "stall",
+    "drip",
+    "many-fields",
+    "many-arguments",
+    "unread-replies",
+    "silent",
+    "pings",
+    "unsound",
+    "new-names",
+    "pipeline-and-close",
+)
+HOSTILE_CONNECTIONS = (1, 40, 100)
+EXCESSIVE_LINE = b'{"members":["' + b"x" * 600_000
+MEMORY_MEGABYTES = 96
 CLOCK_STEPS = (-3600 * SECOND, -3 * SECOND, 3 * SECOND, 3600 * SECOND)
 MEMBERS = (("batch", 1, "large"), ("batch-2", 1, "large"), ("single", 2, "small"), ("single-2", 3, "small"))
 
@@ -66,6 +87,9 @@
         }
         for name, seconds in DEADLINE_SECONDS.items()
     ]
+    settings["classes"].append(
+        {"name": HOSTILE_CLASS, "semantics": "pure", "aim": SECOND, "deadline": 8 * SECOND, "group": "all"}
+    )
     settings["caps"]["max-open"] = 200
     return settings
 
@@ -116,6 +140,7 @@
     seed: int
     directory: Path
     rng: Random = field(init=False)
+    hostile_rng: Random = field(init=False)
     agent: TimedAgent = field(default_factory=TimedAgent)
     endpoints: dict[str, RecordingEndpoint] = field(default_factory=dict)
     proxies: dict[str, CopyingProxy] = field(default_factory=dict)
@@ -123,6 +148,9 @@
     outages: list[Outage] = field(default_factory=list)
     drains: list[Drain] = field(default_factory=list)
     shim_broke_connections: bool = False
+    hostile: bool = False
+    usage: Usage = field(default_factory=Usage)
+    processes: list[Process] = field(default_factory=list)
     problems: list[str] = field(default_factory=list)
     message_count: int = 0
     copies: int = 0
@@ -131,13 +159,15 @@
 
     def __post_init__(self) -> None:
         self.rng = Random(self.seed)
+        self.hostile_rng = Random(self.seed ^ HOSTILE_SEED)
+        self.hostile = self.hostile_rng.random() < HOSTILE_PROBABILITY
 
     async def play(self) -> list[str]:
         """Play the seed and return the rules that were broken."""
         await self._start_peers()
         self.port = listening_port()
         shim = Shim(self.directory / "faults")
-        limits = {"sockets": DESCRIPTORS, "disk_mb": 3}
+        limits = {"sockets": DESCRIPTORS, "disk_mb": 3, "memory_mb": MEMORY_MEGABYTES}
         path, _ = write_config_files(
             self.directory,
             self.port,
@@ -146,14 +176,16 @@
             settings=soak_settings(),
             limits=limits,
         )
-        process = await spawn(path, environment=shim.environment)
-        tasks: list[asyncio.Task[None]] = []
+        process = await self._spawn(path, shim)
+        tasks: list[asyncio.Task[None]] = [asyncio.create_task(self.usage.sample(self.processes))]
         try:
             await self._wait_until_serving(process, shim)
             self.clients = [
                 Client(self.port, self._next_submission, self._pause) for _ in range(CLIENT_COUNT)
             ]
-            tasks = [asyncio.create_task(client.run()) for client in self.clients]
+            tasks += [asyncio.create_task(client.run()) for client in self.clients]
+            if self.hostile:
+                tasks += [asyncio.create_task(self._attack()), asyncio.create_task(self._send_excess())]
             if self.rng.random() < 0.3:
                 tasks.append(asyncio.create_task(self._crowd()))
             process = await self._cause_trouble(process, shim, path)
@@ -195,6 +227,10 @@
             self.agent.members.append(
                 {**endpoint_row(name, destination, kind), "host_port": address, "size": 40.0}
             )
+        if self.hostile:
+            peer = await ExcessivePeer(b"HTTP/1.1 200 OK\r\n", SHORT_FIELDS, 1 << 17).start()
+            row = {**endpoint_row("hostile", HOSTILE_DESTINATION), "host_port": f"127.0.0.1:{peer.port}"}
+            self.agent.members.append(row)
         await self.agent.start()
         agent_proxy = await CopyingProxy(self.agent.port, copy_delay).start()
         self.agent_port = agent_proxy.port
@@ -240,8 +276,35 @@
             for writer in writers:
                 writer.close()
 
+    # Hostile clients and peers.
+
+    async def _attack(self) -> None:
+        """Play one attack after the other; some come together."""
+        fields = f"c={HOSTILE_CLASS},t=studio,d=8000,dest={HOSTILE_DESTINATION}"
+        while True:
+            names = self.hostile_rng.sample(HOSTILE_ATTACKS, self.hostile_rng.choice((1, 1, 2)))
+            connections = self.hostile_rng.choice(HOSTILE_CONNECTIONS)
+            seconds = self.hostile_rng.uniform(0.5, 3.0)
+            async with asyncio.TaskGroup() as group:
+                for name in names:
+                    group.create_task(attack(name, self.port, connections, seconds, fields))
+            await asyncio.sleep(self.hostile_rng.uniform(0, 0.5))
+
+    async def _send_excess(self) -> None:
+        """Have the agent send lines without an end on its watches."""
+        while True:
+            await asyncio.sleep(self.hostile_rng.uniform(1.0, 5.0))
+            for writer in self.agent.watches:
+                if not writer.is_closing():
+                    writer.write(b"%x\r\n%s\r\n" % (len(EXCESSIVE_LINE), EXCESSIVE_LINE))
+
     # Trouble.
 
+    async def _spawn(self, path: str, shim: Shim) -> Process:
+        process = await spawn(path, environment=shim.environment)
+        self.processes.append(process)
+        return process
+
     async def _cause_trouble(self, process: Process, shim: Shim, path: str) -> Process:
         ends_at = time.monotonic() + TRAFFIC_SECONDS
         while time.monotonic() < ends_at:
@@ -263,7 +326,7 @@
 
     def _toggle_drain(self) -> None:
         """Have the agent list an endpoint as draining, or as ready again."""
-        member = self.rng.choice(self.agent.members)
+        member = self.rng.choice(self.agent.members[: len(MEMBERS)])
         drains = member["phase"] == "Ready"
         member["phase"] = "Terminating" if drains else "Ready"
         self.agent.change(dict(member))
@@ -311,7 +374,7 @@
         await kill(process)
         await asyncio.sleep(RESTART_PAUSE_SECONDS)
         outage.spawned = time.monotonic()
-        process = await spawn(path, environment=shim.environment)
+        process = await self._spawn(path, shim)
         await self._wait_until_serving(process, shim)
         outage.ended = time.monotonic()
         return process
@@ -345,6 +408,8 @@
             if submission.accepted:
                 self._check_ending(submission, attempts)
             self._check_repeats(submission, attempts)
+        if self.usage.memory > MEMORY_MEGABYTES * BYTES_PER_MEGABYTE:
+            self.problems.append(f"memory: {self.usage.memory} bytes were used")
         self._check_retry_after()
         self._check_drains()
         for message, attempts in overlapping_attempts(list(self.endpoints.values())).items():
@@ -449,7 +514,8 @@
         accepted = sum(submission.accepted for client in soak.clients for submission in client.submissions)
         print(
             f"seed {seed}: {soak.message_count} submitted, {accepted} accepted, {soak.copies} copies,"
-            f" {len(soak.outages)} restarts, {len(problems)} problems",
+            f" {len(soak.outages)} restarts, hostile: {soak.hostile}, {soak.usage.memory // 1_000_000} MB,"
+            f" {len(problems)} problems",
             flush=True,
         )
 
