Try a message that surely was not executed again, rather than return it early

Cause: a pause is shortened to the time left only if that is above the preceding step of the backoff (1 s); 0.86 s were left. Change: if no attempt can have been executed and less than seven tenths of the message's time are over, the pause is shortened to what is left. What has no time left for a response is returned at once, as before. For 1 s it would fail: after 0.605 s no response could come in time, so this case is not in it.

--- a/honeyhitch/policy/engine.py
+++ b/honeyhitch/policy/engine.py
@@ -315,8 +315,8 @@
         """Schedule the next attempt, or give up.
 
         The pause is the Retry-After if there is one, else a backoff. A backoff is shortened to the time left
-        if the time left exceeds the preceding backoff step. An attempt that was not started is repeated
-        without a pause.
+        if the time left exceeds the preceding backoff step, or if it is too early to give the message up. An
+        attempt that was not started is repeated without a pause.
         """
         if event.not_started:
             self._enqueue(message)
@@ -329,7 +329,7 @@
         time_left = message.attempts_allowed_until() - int(2 * state.latency.mean) - self.now
         if event.retry_after:
             pause = max(event.retry_after, state.retry_after_until - self.now)
-        elif pause > time_left > shortest_pause:
+        elif pause > time_left > (0 if message.too_early_to_give_up(self.now) else shortest_pause):
             pause = time_left
         if pause > time_left or not message.may_attempt(self.now, self.max_attempts):
             self._give_up(message)
--- a/honeyhitch/policy/message.py
+++ b/honeyhitch/policy/message.py
@@ -14,6 +14,8 @@
     from honeyhitch.policy.destination import Destination
 
 LOW_PRIORITY_FACTOR = 1e-6  # applied to the weight, so that all other messages are sent first
+# A message that was surely not executed is not given up within this fraction of its time.
+FRACTION_TO_TRY = 0.7
 HALVING_RATE = 0.6931  # ln 2, to four digits
 
 
@@ -28,6 +30,7 @@
     """One accepted message with the state that the delivery rules use. Times are nanoseconds."""
 
     __slots__ = (
+        "accepted_at",
         "attempts",
         "call",
         "class_index",
@@ -64,6 +67,7 @@
         self.has_idempotency_key = idempotency is Idempotency.IDEMPOTENCY_KEY
         self.non_idempotent = idempotency is Idempotency.NON_IDEMPOTENT
         self.zone_bound = self.has_idempotency_key and scope is DeduplicationScope.ZONE
+        self.accepted_at = now  # or found in the journal
         self.deadline = now + event.time_left
         self.priority_weight = message_class.priority_weight * (
             LOW_PRIORITY_FACTOR if event.low_priority else 1
@@ -115,6 +119,11 @@
             return False
         return not (self.possible_executions and self.non_idempotent)
 
+    def too_early_to_give_up(self, now: int) -> bool:
+        """Return whether the message surely was not executed and most of its time is left."""
+        time_to_try = int(FRACTION_TO_TRY * (self.deadline - self.accepted_at))
+        return not self.possible_executions and now < self.accepted_at + time_to_try
+
     def may_reject(self) -> bool:
         """Return whether the message may be rejected, because submitting it again is harmless (rule 2)."""
         if not self.possible_executions or self.message_class.idempotency is Idempotency.IDEMPOTENT:
--- a/tests/test_policy_engine.py
+++ b/tests/test_policy_engine.py
@@ -466,3 +466,21 @@
     world.batch([world.attempt_ended("m", Outcome.RESET)], now=50 * MILLISECOND)
     world.advance_to(600 * MILLISECOND)
     assert len(world.sends("m")) == 2
+
+
+# Guards against a message that surely was not executed and is given up with most of its time left.
+@pytest.mark.parametrize("seconds", [2, 3, 5])
+def test_a_message_that_was_never_executed_is_not_given_up_before_seven_tenths_of_its_time(
+    seconds: int,
+) -> None:
+    world = World(settings(), ONE_ENDPOINT)
+    time_left = seconds * SECOND
+    world.batch([world.new_message("m", time_left=time_left)])
+    begin = world.now
+    while not world.messages["m"].concluded:
+        if world.messages["m"].attempts[-1].outcome is None:
+            world.batch([world.attempt_ended("m", Outcome.CONNECT_FAILED)])
+        world.advance_to(world.now + 5 * MILLISECOND)
+    assert len(world.messages["m"].attempts) <= 5
+    exhausted = len(world.messages["m"].attempts) == 5
+    assert exhausted or world.now - begin >= 7 * time_left // 10
