Log service.draining once new connections are left to the other process

Cause: the test stops the process with SIGSTOP when service.draining is logged; that came just before the process left new connections to the other one. Change: the event is logged after it, and a repetition of the two lines that do it is removed.

--- a/honeyhitch/service/run.py
+++ b/honeyhitch/service/run.py
@@ -34,7 +34,6 @@
         start(service)
         log.info("service.started", held=len(service.dispatcher.messages))
         await stop.received.wait()
-        log.info("service.draining", held=len(service.dispatcher.messages))
         await drain_and_stop(service)
         log.info("service.stopped", held=len(service.dispatcher.messages))
     finally:
--- a/honeyhitch/service/shutdown.py
+++ b/honeyhitch/service/shutdown.py
@@ -9,6 +9,7 @@
 from honeyhitch.service.service import Service
 from honeyhitch.time_units import SECOND
 
+log = logs.get_logger()
 # Seconds after SIGTERM. SIGKILL follows after 3.7 s at the earliest; the next process starts 0.6 s later.
 STOP_ACCEPTING_SECONDS = 0.6
 STOP_SENDING_SECONDS = 2.8
@@ -30,8 +31,7 @@
     service.handover.check_peer()
     if service.handover.peer_running:
         leave_new_connections_to_peer(service)
-    if service.handover.peer_running:
-        leave_new_connections_to_peer(service)
+    log.info("service.draining", held=len(service.dispatcher.messages))
     if await _hand_over(service, started_at):
         return
     await _drain(service, started_at)
