Break the circle of imports among six modules of policy

Need: message, call, destination, destination_state, endpoint_state and circuit_breaking imported each other, in part for types alone. Change: Call knows no endpoint (EndpointCall does), which messages may share a call is in call_terms.py, and a destination is generic in its messages. No decision changes.

--- a/honeyhitch/policy/attempt_learning.py
+++ b/honeyhitch/policy/attempt_learning.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from honeyhitch.policy.call import Call
+from honeyhitch.policy.endpoint_call import EndpointCall
 from honeyhitch.policy.events import AttemptEnded, Outcome
 from honeyhitch.policy.message import PendingMessage
 
 LOW_LIMIT_REMAINING = 0.15  # remaining fraction of the reported limit below which the rate is reduced
 
 
-def reflects_destination_health(event: AttemptEnded, call: Call) -> bool:
+def reflects_destination_health(event: AttemptEnded, call: EndpointCall) -> bool:
     """Return whether the outcome reflects the destination rather than only this attempt or connection."""
     if event.outcome in (Outcome.CANCELLED, Outcome.NOT_SENT) or event.connection_stale:
         return False
@@ -19,7 +19,7 @@
     return event.elapsed >= call.endpoint.state.latency.overdue_after()
 
 
-def reduce_messages_per_call(event: AttemptEnded, call: Call) -> None:
+def reduce_messages_per_call(event: AttemptEnded, call: EndpointCall) -> None:
     """Lower the endpoint's messages per call after a whole call failed: any message may be the cause."""
     whole_call_failed = (
         not call.pending_messages and not call.any_delivered and not event.outcome.proves_not_executed
@@ -28,7 +28,7 @@
         call.endpoint.state.max_messages_per_call = call.message_count / 2
 
 
-def learn_from_outcome(event: AttemptEnded, call: Call, message: PendingMessage, now: int) -> bool:
+def learn_from_outcome(event: AttemptEnded, call: EndpointCall, message: PendingMessage, now: int) -> bool:
     """Update the state of the endpoint that an attempt reached; return whether its destination recovered."""
     endpoint = call.endpoint
     state = endpoint.state
--- a/honeyhitch/policy/call.py
+++ b/honeyhitch/policy/call.py
@@ -2,26 +2,13 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
-from honeyhitch.policy.latency import LatencyEstimate
-from honeyhitch.policy.message import PendingMessage
-from honeyhitch.policy.settings import Settings
-
-if TYPE_CHECKING:
-    from honeyhitch.policy.endpoint_state import EndpointState
-
-TIMEOUT_LATENCY_FACTOR = 10  # times the mean latency, which covers the far tail of latencies
-NON_IDEMPOTENT_TIMEOUT_FACTOR = 2  # a timeout is final for such a message, so its attempt gets longer
-
 
 class Call:
     """One call in flight; its slot is released when the last of its messages has an outcome."""
 
-    __slots__ = ("any_delivered", "endpoint", "message_count", "pending_messages", "sent_at")
+    __slots__ = ("any_delivered", "message_count", "pending_messages", "sent_at")
 
-    def __init__(self, endpoint: EndpointState, sent_at: int) -> None:
-        self.endpoint = endpoint
+    def __init__(self, sent_at: int) -> None:
         self.sent_at = sent_at  # ns
         self.pending_messages = 1
         self.message_count = 1
@@ -31,23 +18,3 @@
         """Add one message to the counts of this call."""
         self.message_count = self.pending_messages + 1
         self.pending_messages = self.message_count
-
-
-def may_share_call(first: PendingMessage, other: PendingMessage, zone: int, now: int) -> bool:
-    """Return whether `other` may be sent in the same call as `first` to an endpoint in `zone`."""
-    if other.message_class is not first.message_class or other.low_priority is not first.low_priority:
-        return False
-    if first.non_idempotent and min(other.deadline, first.deadline) - now <= first.objective_duration:
-        return False  # the call's timeout would be cut to the shorter deadline, and would fail both messages
-    return other.required_zone() in (None, zone)
-
-
-def attempt_timeout(
-    message: PendingMessage, latency: LatencyEstimate, settings: Settings, time_left: int
-) -> int:
-    """Return the timeout of an attempt (ns): at most `time_left`, but at least 1."""
-    mean = latency.mean
-    timeout = int(max(TIMEOUT_LATENCY_FACTOR * mean, settings.connect_timeout + 2 * mean))
-    if message.non_idempotent:  # this longer timeout is bounded, too: hanging calls must not occupy the slots
-        timeout = max(NON_IDEMPOTENT_TIMEOUT_FACTOR * timeout, message.objective_duration)
-    return max(1, min(timeout, time_left))
--- a/honeyhitch/policy/destination.py
+++ b/honeyhitch/policy/destination.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import Generic, NamedTuple, Protocol, TypeVar
 
 from honeyhitch.policy.destination_state import DestinationState
 from honeyhitch.policy.endpoint_state import EndpointState
-from honeyhitch.policy.message import PendingMessage
 from honeyhitch.policy.message_queue import MessageQueue
 
 
@@ -18,7 +17,23 @@
     low_priority: bool
 
 
-class Destination:
+class DestinationMessage(Protocol):
+    """The attributes of a message that its destination uses."""
+
+    class_index: int
+    low_priority: bool
+    objective_at: int  # ns
+    deadline: int  # ns
+    queued: bool
+
+    def required_zone(self) -> int | None:
+        """Return the only zone in which the message may be sent, or None if any zone will do."""
+
+
+M = TypeVar("M", bound=DestinationMessage)
+
+
+class Destination(Generic[M]):
     """The endpoints, queues and calls of one destination. Times are nanoseconds."""
 
     __slots__ = (
@@ -33,17 +48,17 @@
     )
 
     def __init__(self) -> None:
-        self.queues: dict[QueueKey, MessageQueue[PendingMessage]] = {}
+        self.queues: dict[QueueKey, MessageQueue[M]] = {}
         self.endpoints: dict[str, EndpointState] = {}
         # The state of the endpoint added last; all endpoints share it unless limits are per endpoint.
         self.state: DestinationState | None = None
-        self.backing_off: dict[PendingMessage, None] = {}  # messages that wait for their next attempt
+        self.backing_off: dict[M, None] = {}  # messages that wait for their next attempt
         self.concurrent_calls = 0
         self.max_messages_per_call = 1
         self.next_check_at = 0
         self.reported_blocked_until = 0  # value of `blocked_until` when messages were last given up
 
-    def enqueue(self, message: PendingMessage, sequence: int) -> None:
+    def enqueue(self, message: M, sequence: int) -> None:
         """Queue a message that may be sent; `sequence` orders messages with the same latency objective."""
         key = QueueKey(message.class_index, message.required_zone(), message.low_priority)
         queue = self.queues.get(key)
--- a/honeyhitch/policy/endpoint_choice.py
+++ b/honeyhitch/policy/endpoint_choice.py
@@ -6,9 +6,8 @@
 from typing import NamedTuple
 
 from honeyhitch.policy.circuit_breaking import EJECTION_FAILURE_FRACTION
-from honeyhitch.policy.destination import Destination
 from honeyhitch.policy.endpoint_state import EndpointState
-from honeyhitch.policy.message import PendingMessage
+from honeyhitch.policy.message import MessageDestination, PendingMessage
 from honeyhitch.policy.settings import Settings
 from honeyhitch.time_units import NEVER
 
@@ -65,7 +64,9 @@
     return EndpointChoice(None, earliest_ready_at, None)
 
 
-def _slots_used_up(endpoint: EndpointState, destination: Destination, now: int, settings: Settings) -> bool:
+def _slots_used_up(
+    endpoint: EndpointState, destination: MessageDestination, now: int, settings: Settings
+) -> bool:
     """Return whether the destination uses its whole share of the slots (claims `dest_cap` and `isolates`)."""
     circuit = endpoint.state.circuit
     unhealthy = circuit.ejected or circuit.call_failures.failure_fraction(now) >= EJECTION_FAILURE_FRACTION
@@ -92,7 +93,7 @@
 
 
 def calls_needing_connections(
-    destination: Destination, endpoint: EndpointState, now: int, settings: Settings
+    destination: MessageDestination, endpoint: EndpointState, now: int, settings: Settings
 ) -> int:
     """Return for how many calls to open connections to this endpoint: 1 if it is ejected or rate-limited."""
     if endpoint.state.circuit.ejected or endpoint.state.rate.send_rate(now) < inf:
--- a/honeyhitch/policy/endpoint_list.py
+++ b/honeyhitch/policy/endpoint_list.py
@@ -6,10 +6,10 @@
 from random import Random
 
 from honeyhitch.policy.decaying_counter import DecayingCounter
-from honeyhitch.policy.destination import Destination
 from honeyhitch.policy.destination_state import DestinationState
 from honeyhitch.policy.endpoint_state import EndpointState
 from honeyhitch.policy.events import EndpointListing, EndpointListUpdate, EndpointStatus, UpdateMode
+from honeyhitch.policy.message import MessageDestination
 from honeyhitch.policy.settings import Settings
 from honeyhitch.time_units import MINUTE, SECOND
 
@@ -30,7 +30,7 @@
         self._settings = settings
         self._rng = rng
         self._connection_failures = [DecayingCounter(CONNECTION_FAILURES_DECAY_TIME) for _ in settings.kinds]
-        self.destinations: dict[int, Destination] = {}
+        self.destinations: dict[int, MessageDestination] = {}
         self._check_at_count = MIN_CHECKED_DESTINATIONS
 
     @property
@@ -38,7 +38,7 @@
         """Whether the number of destinations has doubled since unused ones were dropped."""
         return len(self.destinations) >= self._check_at_count
 
-    def drop_unused(self, in_use: Collection[Destination], now: int) -> None:
+    def drop_unused(self, in_use: Collection[MessageDestination], now: int) -> None:
         """Drop the destinations that are neither listed nor in use, and of which nothing recent is known.
 
         Otherwise each number that a client or discovery ever named would be kept. `now` is in nanoseconds.
@@ -48,11 +48,11 @@
                 del self.destinations[number]
         self._check_at_count = max(MIN_CHECKED_DESTINATIONS, 2 * len(self.destinations))
 
-    def destination(self, number: int) -> Destination:
+    def destination(self, number: int) -> MessageDestination:
         """Return the destination with this number; create it if there is none."""
         destination = self.destinations.get(number)
         if destination is None:
-            destination = self.destinations[number] = Destination()
+            destination = self.destinations[number] = MessageDestination()
         return destination
 
     def endpoints(self) -> Iterator[EndpointState]:
@@ -60,7 +60,7 @@
         for destination in self.destinations.values():
             yield from destination.endpoints.values()
 
-    def apply(self, update: EndpointListUpdate) -> list[Destination]:
+    def apply(self, update: EndpointListUpdate) -> list[MessageDestination]:
         """Apply an update from discovery; return the destination of each of its listings, in their order."""
         if update.mode in COMPLETE_LISTS:
             self._forget_unlisted({listing.endpoint for listing in update.listings})
@@ -71,7 +71,7 @@
             remaining = {name: state for name, state in destination.endpoints.items() if name in listed}
             destination.endpoints = remaining
 
-    def _apply_listing(self, listing: EndpointListing) -> Destination:
+    def _apply_listing(self, listing: EndpointListing) -> MessageDestination:
         """Apply one listing and return its destination.
 
         An endpoint that is draining or gone gets no new calls (rule 3); its calls in flight continue.
@@ -88,7 +88,7 @@
             del destination.endpoints[listing.endpoint]
         return destination
 
-    def _state_for(self, listing: EndpointListing, destination: Destination) -> DestinationState:
+    def _state_for(self, listing: EndpointListing, destination: MessageDestination) -> DestinationState:
         """Return the state for a new endpoint: a new one if limits are per endpoint, else the shared one."""
         if destination.state is None or self._settings.kind(listing.kind).limits_per_endpoint:
             kind_index = min(listing.kind, len(self._settings.kinds) - 1)
--- a/honeyhitch/policy/engine.py
+++ b/honeyhitch/policy/engine.py
@@ -35,8 +35,8 @@
     backoff_pause,
     shortest_useful_pause,
 )
-from honeyhitch.policy.call import Call, attempt_timeout, may_share_call
-from honeyhitch.policy.destination import Destination
+from honeyhitch.policy.call_terms import attempt_timeout, may_share_call
+from honeyhitch.policy.endpoint_call import EndpointCall
 from honeyhitch.policy.endpoint_choice import calls_needing_connections, choose_endpoint
 from honeyhitch.policy.endpoint_list import EndpointList
 from honeyhitch.policy.endpoint_state import EndpointState
@@ -54,7 +54,7 @@
     UpdateMode,
 )
 from honeyhitch.policy.idle_connections import IdleConnections
-from honeyhitch.policy.message import Execution, PendingMessage
+from honeyhitch.policy.message import Execution, MessageDestination, PendingMessage
 from honeyhitch.policy.ordering import ORDER_BLOCKING_OUTCOMES, OrderedQueue
 from honeyhitch.policy.settings import Settings
 from honeyhitch.policy.tenant_quotas import TenantQuotas
@@ -84,7 +84,9 @@
         self.endpoint_list = EndpointList(settings, self.rng)
         self.destinations = self.endpoint_list.destinations
         self.ordered_queues: dict[int, OrderedQueue] = {}
-        self.dispatchable: dict[Destination, None] = {}  # destinations that may have messages ready to send
+        self.dispatchable: dict[
+            MessageDestination, None
+        ] = {}  # destinations that may have messages ready to send
         self.idle_connections = IdleConnections(settings.instance_count, self.rng)
         self.scheduler = Scheduler()
         self.concurrent_calls = 0
@@ -171,7 +173,7 @@
             endpoint.state.circuit.call_failures.record(self.now, True)
             for class_index in range(len(self.settings.classes)):
                 endpoint.failures_by_class[class_index].record(self.now, True)
-            failed_connect = Call(endpoint, self.now - event.elapsed)
+            failed_connect = EndpointCall(endpoint, self.now - event.elapsed)
             endpoint.state.record_failure(self.now, failed_connect, rejected=False, retry_after=0)
 
     def _on_retry_after(self, event: RetryAfterReceived) -> None:
@@ -281,7 +283,7 @@
         else:
             self.scheduler.schedule(cutoff, self._expire, message)
 
-    def _give_up_blocked(self, blocked_until: int, destination: Destination | None = None) -> None:
+    def _give_up_blocked(self, blocked_until: int, destination: MessageDestination | None = None) -> None:
         """Give up the messages of one destination, or of all, that cannot be sent after `blocked_until`."""
         for message in list(self.messages.values()):
             affected = destination is None or message.destination is destination
@@ -311,7 +313,7 @@
             if message.ordering_key is not None:
                 self._advance_ordered(message.ordering_key)
 
-    def _retry(self, message: PendingMessage, event: AttemptEnded, call: Call) -> None:
+    def _retry(self, message: PendingMessage, event: AttemptEnded, call: EndpointCall) -> None:
         """Schedule the next attempt, or give up.
 
         The pause is the Retry-After if there is one, else a backoff. A backoff is shortened to the time left
@@ -341,7 +343,7 @@
         if message in message.destination.backing_off:
             self._enqueue(message)
 
-    def _learn_from_attempt(self, event: AttemptEnded, call: Call, message: PendingMessage) -> None:
+    def _learn_from_attempt(self, event: AttemptEnded, call: EndpointCall, message: PendingMessage) -> None:
         endpoint = call.endpoint
         if event.connection_limited or event.outcome is Outcome.CONNECT_FAILED:
             endpoint.state.connection_failures.record(self.now, True)
@@ -363,7 +365,7 @@
             self._send(candidate.message, candidate.endpoint)
             self._add_best_candidate(candidate.message.destination, candidates)
 
-    def _add_best_candidate(self, destination: Destination, candidates: list[SendCandidate]) -> None:
+    def _add_best_candidate(self, destination: MessageDestination, candidates: list[SendCandidate]) -> None:
         """Add the most valuable message that may be sent to a destination now, or schedule a later check."""
         now = self.now
         destination_candidates: list[SendCandidate] = []
@@ -389,7 +391,7 @@
         else:
             self._schedule_check(destination, check_at)
 
-    def _schedule_check(self, destination: Destination, check_at: int) -> None:
+    def _schedule_check(self, destination: MessageDestination, check_at: int) -> None:
         """Skip a destination until `check_at` or an event that concerns it, instead of checking each time."""
         del self.dispatchable[destination]
         blocked_until = destination.blocked_until()
@@ -401,14 +403,14 @@
             destination.next_check_at = check_at
             self.scheduler.schedule(check_at, self._mark_dispatchable, destination)
 
-    def _mark_dispatchable(self, destination: Destination) -> None:
+    def _mark_dispatchable(self, destination: MessageDestination) -> None:
         self.dispatchable[destination] = None
 
     def _send(self, message: PendingMessage, endpoint: EndpointState) -> None:
         """Start a call with this message, and with further messages where a call takes several."""
         destination = message.destination
         state = endpoint.state
-        call = Call(endpoint, self.now)
+        call = EndpointCall(endpoint, self.now)
         self._occupy_slot(call, destination)
         self._start_attempt(message, call)
         if state.circuit.ejected:  # a probe
@@ -422,7 +424,7 @@
                 call.add_message()
                 self._start_attempt(other, call)
 
-    def _occupy_slot(self, call: Call, destination: Destination) -> None:
+    def _occupy_slot(self, call: EndpointCall, destination: MessageDestination) -> None:
         endpoint = call.endpoint
         self.concurrent_calls += 1
         destination.concurrent_calls += 1
@@ -431,7 +433,7 @@
         endpoint.state.last_sent_at = self.now
         endpoint.state.calls_in_flight[call] = None
 
-    def _release_slot(self, call: Call, destination: Destination) -> None:
+    def _release_slot(self, call: EndpointCall, destination: MessageDestination) -> None:
         """Count one message of a call as ended; release the slot after the last one."""
         call.pending_messages -= 1
         if call.pending_messages == 0:
@@ -440,7 +442,7 @@
             call.endpoint.concurrent_calls -= 1
             del call.endpoint.state.calls_in_flight[call]
 
-    def _start_attempt(self, message: PendingMessage, call: Call) -> None:
+    def _start_attempt(self, message: PendingMessage, call: EndpointCall) -> None:
         endpoint = call.endpoint
         time_left = message.deadline - self.deadline_margin - self.now
         timeout = attempt_timeout(message, endpoint.state.latency, self.settings, time_left)
--- a/honeyhitch/policy/health.py
+++ b/honeyhitch/policy/health.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass
 
 from honeyhitch.policy.circuit_breaking import NON_IDEMPOTENT_FAILURE_FRACTION
-from honeyhitch.policy.destination import Destination
 from honeyhitch.policy.engine import DeliveryPolicy
+from honeyhitch.policy.message import MessageDestination
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,7 +25,7 @@
 
 def destination_health(policy: DeliveryPolicy, destination: int, now: int) -> DestinationHealth:
     """Return the health of a destination at `now` (ns); an unknown destination counts as not listed."""
-    known_destination = policy.destinations.get(destination) or Destination()
+    known_destination = policy.destinations.get(destination) or MessageDestination()
     listed = (endpoint for endpoint in known_destination.endpoints.values() if endpoint.listed)
     states = list({endpoint.state: None for endpoint in listed})  # without duplicates, in list order
     healthy_states = [
--- a/honeyhitch/policy/message.py
+++ b/honeyhitch/policy/message.py
@@ -3,16 +3,14 @@
 from __future__ import annotations
 
 from math import exp
-from typing import TYPE_CHECKING, NamedTuple
+from typing import NamedTuple, TypeAlias
 
+from honeyhitch.policy.destination import Destination
+from honeyhitch.policy.endpoint_call import EndpointCall
 from honeyhitch.policy.events import NewMessage
 from honeyhitch.policy.settings import DeduplicationScope, Idempotency, LateDecay, MessageClass
 from honeyhitch.time_units import NEVER
 
-if TYPE_CHECKING:
-    from honeyhitch.policy.call import Call
-    from honeyhitch.policy.destination import Destination
-
 LOW_PRIORITY_FACTOR = 1e-6  # applied to the weight, so that all other messages are sent first
 # A message that was surely not executed is not given up within this fraction of its time.
 FRACTION_TO_TRY = 0.7
@@ -54,7 +52,7 @@
     )
 
     def __init__(
-        self, event: NewMessage, message_class: MessageClass, destination: Destination, now: int
+        self, event: NewMessage, message_class: MessageClass, destination: MessageDestination, now: int
     ) -> None:
         idempotency = message_class.idempotency
         scope = message_class.deduplication_scope
@@ -73,7 +71,7 @@
             LOW_PRIORITY_FACTOR if event.low_priority else 1
         )
         self._set_objective(event, now)
-        self.call: Call | None = None  # at most one call carries the message at a time
+        self.call: EndpointCall | None = None  # at most one call carries the message at a time
         self.possible_executions: list[Execution] = []  # oldest first
         if event.first_possible_execution is not None:
             self.possible_executions.append(
@@ -145,3 +143,6 @@
             return self.priority_weight * max(min_fraction, remaining_fraction)
         late_duration = max(1, self.deadline - self.objective_at)
         return self.priority_weight * max(0.0, 1 - (1 - min_fraction) * lateness / late_duration)
+
+
+MessageDestination: TypeAlias = Destination[PendingMessage]
