Report what is held of the limits, and why connections and messages were refused

Change: the management call limits, and honeyhitch limits, report the plan, what each part holds, the counts of closed connections and refused requests and rejected messages by reason. The replies to status, stats and unknown calls stay as they are.

--- a/honeyhitch/cli/main.py
+++ b/honeyhitch/cli/main.py
@@ -16,6 +16,7 @@
 
 COMMAND_MODULES = {
     "fleet": "honeyhitch.cli.fleet",
+    "limits": "honeyhitch.cli.management",
     "stats": "honeyhitch.cli.management",
     "status": "honeyhitch.cli.management",
     "tls": "honeyhitch.cli.tls",
--- a/honeyhitch/cli/management.py
+++ b/honeyhitch/cli/management.py
@@ -110,6 +110,29 @@
             click.echo(f"{name}: {value}")
 
 
+@click.command()
+@management_options
+def limits(at: str | None, path: str | None, as_json: bool) -> None:
+    """Print what a dispatcher holds of its limits, and how often it closed or refused for which reason."""
+    figures = fetch_figures(at, path, "limits")
+    if as_json:
+        click.echo(json.dumps(figures))
+        return
+    for line in _format_tree(figures):
+        click.echo(line)
+
+
+def _format_tree(values: dict[str, Any], indent: str = "") -> list[str]:
+    """Return a line for each value, with nested values indented below their name."""
+    lines: list[str] = []
+    for name, value in values.items():
+        nested = isinstance(value, dict)
+        lines.append(f"{indent}{name}:" if nested else f"{indent}{name}: {value}")
+        if nested:
+            lines += _format_tree(value, indent + "  ")
+    return lines
+
+
 def _format_responses(responses: dict[str, dict[str, Any]]) -> list[str]:
     """Return the lines of a table with a row per message class and right-aligned cells."""
     rows: list[tuple[str, ...]] = [("class", *RESPONSE_COLUMNS)]
--- a/honeyhitch/dispatcher/admission.py
+++ b/honeyhitch/dispatcher/admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import replace
 
 from honeyhitch import logs
@@ -37,6 +38,7 @@
         self.recorded_rejections: set[str] = set()  # ids; some of them may have been answered
         self.max_message_bytes = UNLIMITED_BYTES  # memory of all held messages together
         self.submitters = Submitters()
+        self.rejections = Counter[str]()  # messages that were rejected at once, by reason
 
     def submit(self, message: Transaction) -> Admission:
         """Accept or reject a message immediately and return the decision.
@@ -119,6 +121,7 @@
 
     def _reject(self, message: Transaction, reason: str) -> Admission:
         log.info("message.rejected", message=message.id, reason=reason, key=reason)
+        self.rejections[reason] += 1
         self.context.metrics.message_rejected(message)
         if message.frontend == RESP_FRONTEND:
             self.rejected_until[message.id] = self.context.scheduler.now() + BUSY_RETRY_AFTER
--- a/honeyhitch/dispatcher/dispatcher.py
+++ b/honeyhitch/dispatcher/dispatcher.py
@@ -149,6 +149,11 @@
         """Pass on a change of the connections to an endpoint that takes calls only on open connections."""
         self.event_queue.enqueue(capacity)
 
+    @property
+    def rejections(self) -> dict[str, int]:
+        """How many messages were rejected at once, by the limit that did not allow them."""
+        return self.admission.rejections
+
     def limit_messages(self, max_bytes: int) -> None:
         """Accept no message while the held messages would take more than `max_bytes` of memory."""
         self.admission.max_message_bytes = max_bytes
--- a/honeyhitch/protocols/management.py
+++ b/honeyhitch/protocols/management.py
@@ -41,11 +41,14 @@
         state: Callable[[], DispatcherState],
         statistics: Callable[[], dict[str, Any]],
         fleet: FleetDescription | None = None,
+        limits: Callable[[], dict[str, Any]] = dict,
     ) -> None:
+        """Initialize; `limits` returns what the process holds of its limits."""
         super().__init__()
         self.state = state
         self.statistics = statistics
         self.fleet = fleet
+        self.limits = limits
 
     def receive(self, buffer: Buffer, _max_requests: int | None = None, _client_left: bool = False) -> bytes:
         """Return the reply, or no bytes while the command line is incomplete."""
@@ -64,6 +67,8 @@
             return self._status()
         if command == "stats":
             return _encode_statistics(self.statistics())
+        if command == "limits":
+            return _encode_statistics(self.limits())
         name, _, argument = command.partition(" ")
         if name in ("fleet", "owner"):
             if self.fleet is None:
--- a/honeyhitch/service/listeners.py
+++ b/honeyhitch/service/listeners.py
@@ -18,6 +18,7 @@
 from honeyhitch.protocols.server_session import ServerSession
 from honeyhitch.protocols.transaction_parser import TransactionParser
 from honeyhitch.service.descriptors import MONITORING_CONNECTIONS
+from honeyhitch.service.limit_report import limit_report
 from honeyhitch.service.service import Service
 from honeyhitch.service.status import dispatcher_state, service_state
 from honeyhitch.transports import sockets
@@ -83,7 +84,9 @@
         return service_state(service)
 
     def create_session() -> ManagementSession:
-        return ManagementSession(state, dispatcher.metrics_snapshot, service.fleet)
+        return ManagementSession(
+            state, dispatcher.metrics_snapshot, service.fleet, lambda: limit_report(service)
+        )
 
     if address is not None:
         _listen(service, Listener("management", address, create_session, single_request=True))
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -7,6 +7,7 @@
 import random
 import re
 from pathlib import Path
+from typing import Any
 
 import pytest
 from click.testing import CliRunner
@@ -24,10 +25,14 @@
 from honeyhitch.service.descriptors import MONITORING_CONNECTIONS, descriptor_budget
 from honeyhitch.service.run import run
 
+from .agent import Agent
+from .polling import poll_until
 from .program import Peer, free_port, run_async_test, running_program, write_config_files
 from .rig import DispatcherRig, endpoint_row
 from .world import SECOND
 
+PARTIAL_BODY_BYTES = 20_000
+
 
 def test_each_end_is_counted_once_under_its_outcome(tmp_path: Path) -> None:
     rig = DispatcherRig(tmp_path, max_messages=4)
@@ -251,3 +256,39 @@
     assert cut == answered([bytes([byte]) for byte in whole])
     figures = line.strip() == b"stats" and len(line) < MAX_LINE_BYTES
     assert cut == b'{"active":0}\r\n.\r\n' if figures else re.fullmatch(rb"(\+OK|-ERR) [ -~]*\r\n", cut)
+
+
+def test_limits_report_what_is_held_and_what_was_refused_why(tmp_path: Path) -> None:
+    async def work() -> None:
+        management = free_port()
+        agent = await Agent([endpoint_row("refuses", 1)]).start()
+        arguments = ["limits", "--at", f"127.0.0.1:{management}", "--json"]
+
+        async def report() -> dict[str, Any]:
+            result = await asyncio.to_thread(CliRunner().invoke, main, arguments)
+            content: dict[str, Any] = json.loads(result.output)
+            return content
+
+        async def holds_request() -> bool:
+            return bool((await report())["memory"]["requests"]["used"] >= PARTIAL_BODY_BYTES)
+
+        async with running_program(
+            tmp_path,
+            agent.port,
+            agent.members,
+            management=f"127.0.0.1:{management}",
+            limits={"memory_mb": 96, "sockets": 128},
+        ) as port:
+            _, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(b"*2\r\n$4\r\nPING\r\n$65536\r\n" + bytes(PARTIAL_BODY_BYTES))
+            await poll_until(holds_request)
+            content = await report()
+            memory = content["memory"]
+            assert memory["limit"] == 96_000_000
+            assert memory["requests"]["used"] <= memory["requests"]["limit"]
+            assert memory["clients"]["used"] >= 1
+            assert content["sockets"]["limit"] == 128
+            assert content["rejected"] == {}
+            writer.close()
+
+    run_async_test(work())
