--- a/tests/test_resource_limits.py
+++ b/tests/test_resource_limits.py
@@ -25,7 +25,16 @@
 ATTACK_SECONDS = 3.0
 CROWD = 600  # connections
 TOGETHER = 110  # connections of each attack where all are played at once
-CROWDS = ("stall", "drip", "many-fields", "many-arguments", "http-head", "unread-replies", "silent")
+CROWDS = (
+    "stall",
+    "drip",
+    "many-fields",
+    "many-arguments",
+    "http-head",
+    "unread-replies",
+    "silent",
+    "pipeline-and-close",
+)
 FLOODS = ("pings", "unsound", "new-names", "empty-lines")
 LEAST_MEMORY_MB = 40  # the lowest limit, in tens, that a process does not report as too low
 KILL_AFTER_SECONDS = 3.7  # after SIGTERM (protocol page)
