Move the lingering close out of the client server, and use the field's terms

Unused memory is returned to the system only when the process has grown since it was last returned; a wait for a slot is at least 1 ms.

--- a/honeyhitch/cli/main.py
+++ b/honeyhitch/cli/main.py
@@ -73,7 +73,7 @@
     click.echo(f"name {config.name}, listens on {config.listen}, discovery at {config.discovery}")
     click.echo(
         f"journal in {config.state}, at most {config.limits.disk_bytes} bytes;"
-        f" {config.limits.sockets} sockets"
+        f" {config.limits.sockets} sockets; {config.limits.memory_bytes} bytes of memory"
     )
     click.echo(f"{config.settings}")
 
--- a/honeyhitch/dispatcher/admission.py
+++ b/honeyhitch/dispatcher/admission.py
@@ -9,7 +9,7 @@
 from honeyhitch.dispatcher.context import DispatcherContext
 from honeyhitch.dispatcher.delivery import Admission
 from honeyhitch.dispatcher.endings import Endings
-from honeyhitch.dispatcher.fair_share import Room, Submitters, may_take_room
+from honeyhitch.dispatcher.fair_share import Room, Submitters, stays_within_share
 from honeyhitch.dispatcher.ports import ArrivalDecision
 from honeyhitch.journal.journal import JournalFullError
 from honeyhitch.journal.state import estimated_bytes
@@ -89,9 +89,9 @@
 
     def _is_full(self) -> bool:
         """Return whether the limit on messages is reached."""
-        return self._free_places() <= 0
+        return self._free_message_count() <= 0
 
-    def _free_places(self) -> int:
+    def _free_message_count(self) -> int:
         """Return how many messages may be held besides; rejections that wait for their answers take none."""
         held = self.context.messages.by_id
         max_messages = self.context.settings.max_messages
@@ -108,14 +108,14 @@
         several_submitters = self.submitters.several(now)
         memory_in_use = message_memory(context.journal.live_bytes, len(held))
         rooms = {
-            "full": Room(self._free_places(), context.settings.max_messages, lambda _: 1),
+            "full": Room(self._free_message_count(), context.settings.max_messages, lambda _: 1),
             "memory": Room(self.max_message_bytes - memory_in_use, self.max_message_bytes, _memory_size),
             "journal": Room(context.journal.free_message_bytes, context.journal.max_bytes, estimated_bytes),
         }
         for reason, room in rooms.items():
             if room.free < room.size(message):
                 return reason
-            if several_submitters and not may_take_room(room, message, held.values()):
+            if several_submitters and not stays_within_share(room, message, held.values()):
                 return "fair-share"
         return ""
 
--- a/honeyhitch/dispatcher/fair_share.py
+++ b/honeyhitch/dispatcher/fair_share.py
@@ -54,9 +54,9 @@
         return now - self.changed_at < ALONE_AFTER
 
 
-def may_take_room(room: Room, message: Transaction, held: Iterable[Transaction]) -> bool:
+def stays_within_share(room: Room, message: Transaction, held: Iterable[Transaction]) -> bool:
     """Return whether the submitter of a message stays within its part of a room if the message is held."""
     if message.submitter == NO_SUBMITTER or not room.is_scarce(message):
         return True
-    taken = sum(room.size(other) for other in held if other.submitter == message.submitter)
-    return taken + room.size(message) <= FREE_ROOM_FACTOR * room.free
+    occupied = sum(room.size(other) for other in held if other.submitter == message.submitter)
+    return occupied + room.size(message) <= FREE_ROOM_FACTOR * room.free
--- a/honeyhitch/endpoints/pool.py
+++ b/honeyhitch/endpoints/pool.py
@@ -166,8 +166,8 @@
             log.info("endpoint.superseded", member=endpoint_id, address=address, key=endpoint_id)
         if not superseded:
             return endpoints
-        kept = [endpoint for endpoint in endpoints if endpoint.id not in superseded]
-        return kept + [
+        remaining = [endpoint for endpoint in endpoints if endpoint.id not in superseded]
+        return remaining + [
             replace(self.endpoints[endpoint_id], status=EndpointStatus.GONE)
             for endpoint_id in sorted(superseded & self.endpoints.keys())
         ]
--- a/honeyhitch/memory/budget.py
+++ b/honeyhitch/memory/budget.py
@@ -20,7 +20,7 @@
         self.limit = limit
         self.used = 0
         self.peak = 0
-        self.refusals = 0  # requests for bytes that could not be granted
+        self.rejections = 0  # requests for bytes that could not be granted
         self.reclaim: Callable[[int], None] = lambda _: None
 
     @property
@@ -33,7 +33,7 @@
         if self.used + count > self.limit:
             self.reclaim(self.used + count - self.limit)
         if self.used + count > self.limit:
-            self.refusals += 1
+            self.rejections += 1
             return False
         self.used += count
         self.peak = max(self.peak, self.used)
--- a/honeyhitch/policy/message.py
+++ b/honeyhitch/policy/message.py
@@ -13,7 +13,7 @@
 
 LOW_PRIORITY_FACTOR = 1e-6  # applied to the weight, so that all other messages are sent first
 # A message that was surely not executed is not given up within this fraction of its time.
-FRACTION_TO_TRY = 0.7
+MIN_ATTEMPT_PERIOD_FRACTION = 0.7
 HALVING_RATE = 0.6931  # ln 2, to four digits
 
 
@@ -119,8 +119,8 @@
 
     def too_early_to_give_up(self, now: int) -> bool:
         """Return whether the message surely was not executed and most of its time is left."""
-        time_to_try = int(FRACTION_TO_TRY * (self.deadline - self.accepted_at))
-        return not self.possible_executions and now < self.accepted_at + time_to_try
+        attempt_period = int(MIN_ATTEMPT_PERIOD_FRACTION * (self.deadline - self.accepted_at))
+        return not self.possible_executions and now < self.accepted_at + attempt_period
 
     def may_reject(self) -> bool:
         """Return whether the message may be rejected, because submitting it again is harmless (rule 2)."""
--- a/honeyhitch/protocols/http1.py
+++ b/honeyhitch/protocols/http1.py
@@ -13,7 +13,7 @@
 MAX_HEAD_BYTES = 16_384  # bytes of the headers of a response, interim responses included
 MAX_HEADER_VALUE_BYTES = 1024  # bytes of a header value that is kept
 # The headers that a user of this module reads; the others are not kept.
-KEPT_HEADERS = frozenset(
+RELEVANT_HEADERS = frozenset(
     {"connection", "content-length", "retry-after", "transfer-encoding", "x-no-slot", "x-pressure"}
 )
 MAX_STATUS_LINE_BYTES = 64  # leading bytes of a response in which the status code is searched
@@ -44,7 +44,7 @@
     """One complete response."""
 
     status: int = 0
-    headers: dict[str, str] = field(default_factory=dict)  # those of KEPT_HEADERS
+    headers: dict[str, str] = field(default_factory=dict)  # those of RELEVANT_HEADERS
     body: bytes = b""
     has_trailing_data: bool = False  # more bytes followed, although no further request was sent
 
@@ -141,10 +141,10 @@
             self.response.status = self.parser.get_status_code()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store one header field of KEPT_HEADERS."""
-        kept_name = name.decode("latin-1").lower()
-        if not self.complete and kept_name in KEPT_HEADERS:
-            self.response.headers[kept_name] = value[:MAX_HEADER_VALUE_BYTES].decode("latin-1")
+        """Store one header field of RELEVANT_HEADERS."""
+        lower_name = name.decode("latin-1").lower()
+        if not self.complete and lower_name in RELEVANT_HEADERS:
+            self.response.headers[lower_name] = value[:MAX_HEADER_VALUE_BYTES].decode("latin-1")
 
     def on_headers_complete(self) -> None:
         """Store status and body framing after the headers. Raise HttpError if Content-Length is too large."""
--- a/honeyhitch/protocols/resp.py
+++ b/honeyhitch/protocols/resp.py
@@ -224,14 +224,14 @@
         message is not accepted: its client may have closed its connection, and may submit the message again.
         """
         self.client_left = client_left
-        most_replies = min(MAX_REPLIES_PER_TURN, max_requests or MAX_REPLIES_PER_TURN)
+        max_replies = min(MAX_REPLIES_PER_TURN, max_requests or MAX_REPLIES_PER_TURN)
         reply_bytes = 0
         replies: list[bytes] = []
         self.has_more_requests = False
         self.has_partial_request = False
         self.forward = None
         while not self.closing:
-            if len(replies) >= most_replies or reply_bytes >= MAX_REPLY_BYTES_PER_TURN:
+            if len(replies) >= max_replies or reply_bytes >= MAX_REPLY_BYTES_PER_TURN:
                 self.has_more_requests = len(buffer) > 0
                 break
             try:
@@ -288,7 +288,7 @@
         if FORWARDED_BY_FIELD in fields and fields.get(OWNER_FIELD, self.instance) != self.instance:
             return MISDIRECTED_REPLY
         if self.client_left:
-            self.refused_requests += 1
+            self.rejected_requests += 1
             return busy_reply(OVERLOAD_RETRY_AFTER)
         if self.router is not None:
             route = self.router.route(transaction, FORWARDED_BY_FIELD in fields)
--- a/honeyhitch/protocols/server_session.py
+++ b/honeyhitch/protocols/server_session.py
@@ -25,7 +25,7 @@
         # A transaction that another instance of the fleet has to answer. The reply of that instance must be
         # sent before any further request is handled.
         self.forward: Transaction | None = None
-        self.refused_requests = 0  # complete requests that were refused because their client had left
+        self.rejected_requests = 0  # complete requests that were rejected because their client had left
 
     @property
     def pending_bytes(self) -> int:
--- a/honeyhitch/service/limit_report.py
+++ b/honeyhitch/service/limit_report.py
@@ -1,4 +1,4 @@
-"""Reports what a service holds of its limits, and why connections were closed and requests refused."""
+"""Reports what a service holds of its limits, and why connections were closed and requests rejected."""
 
 from __future__ import annotations
 
@@ -18,9 +18,9 @@
             "limit": service.config.limits.sockets,
             "clients": clients.open_sockets if clients is not None else 0,
         },
-        "closed": dict(clients.closed_for) if clients is not None else {},
-        "refused": dict(clients.refused_for) if clients is not None else {},
-        "rejected": dict(service.dispatcher.rejections),
+        "closed_connections": dict(clients.closed_for) if clients is not None else {},
+        "rejected_requests": dict(clients.rejected_requests) if clients is not None else {},
+        "rejected_messages": dict(service.dispatcher.rejections),
     }
 
 
@@ -40,7 +40,7 @@
             "used": requests.used,
             "limit": requests.limit,
             "peak": requests.peak,
-            "refused": requests.refusals,
+            "rejected": requests.rejections,
         },
         "messages": {
             "used": message_memory(service.journal.live_bytes, len(held)),
--- a/honeyhitch/service/memory_limits.py
+++ b/honeyhitch/service/memory_limits.py
@@ -62,6 +62,8 @@
         """Return unused memory to the system while the process has grown, until cancelled."""
         while True:
             await asyncio.sleep(CHECK_SECONDS)
-            if resident_bytes() - self._checked_bytes > RETURN_BYTES:
+            resident = resident_bytes()
+            if resident - self._checked_bytes > RETURN_BYTES:
                 return_free_memory()
-            self._checked_bytes = min(resident_bytes(), max(self._checked_bytes, self.process_bytes))
+                self._checked_bytes = resident_bytes()
+            self._checked_bytes = min(self._checked_bytes, resident)
--- a/honeyhitch/service/service.py
+++ b/honeyhitch/service/service.py
@@ -32,7 +32,7 @@
     from honeyhitch.service.fleet import FleetService
     from honeyhitch.transports.control import ControlServer
 
-CLOSING_DIVISOR = 16  # a part of the clients' descriptors, for refused clients that may read the reply
+CLOSING_DIVISOR = 16  # of the clients' descriptors, for rejected clients that may read the last reply
 DISCOVERY_SEED = 0xD15C  # mixed into the dispatcher's seed to make a separate random stream
 
 
@@ -117,7 +117,7 @@
     def limit_clients(self, server: ClientServer) -> None:
         """Apply the limits on descriptors and memory to the server to which clients submit messages."""
         closing = self.max_clients // CLOSING_DIVISOR
-        server.max_closing = closing
+        server.lingering.max_connections = closing
         server.set_max_clients(min(self.max_clients - closing, self.memory.plan.max_clients))
 
     def _follow_wall_clock_if_unused(self) -> None:
--- a/honeyhitch/transports/client_server.py
+++ b/honeyhitch/transports/client_server.py
@@ -2,8 +2,8 @@
 
 A new connection that sends nothing, and a connection with an incomplete request, are closed after a timeout.
 When all slots are taken, the connection that has been unused for longest is closed to free a slot for the
-next client; if all are in use, an incomplete request is refused. When incomplete requests take more memory
-than allowed, the one that has the least claim to go on is refused. A client whose request is refused is told.
+next client; if all are in use, an incomplete request is rejected. When incomplete requests take more memory
+than allowed, the one that has the least claim to go on is rejected. Its client gets a reply that says so.
 """
 
 from __future__ import annotations
@@ -22,8 +22,9 @@
 from honeyhitch.protocols.server_session import ServerSession
 from honeyhitch.transports import sockets
 from honeyhitch.transports.clients import IDLE_CLIENT_SECONDS, Client, ClientTable
+from honeyhitch.transports.lingering_close import LingeringClose, shut_down
+from honeyhitch.transports.request_scheduler import RequestScheduler
 from honeyhitch.transports.tasks import Tasks
-from honeyhitch.transports.turns import RequestTurns
 
 log = logs.get_logger()
 LISTEN_BACKLOG = 1024  # maximum number of connections that wait to be accepted
@@ -39,18 +40,16 @@
 NEW_CLIENT_SECONDS = 0.3
 SWEEP_INTERVAL_SECONDS = 0.25  # between checks for timeouts
 SLOT_POLL_SECONDS = 0.01  # between checks for a free slot while all slots are taken
+MIN_SLOT_POLL_SECONDS = 0.001  # the same while many connections wait
 ACCEPTS_PER_ITERATION = 32  # connections accepted before other connections are served
-# A request that is incomplete for less time is not refused for another client's slot.
+# A request that is incomplete for less time is not rejected for another client's slot.
 MIN_REQUEST_SECONDS = 0.25
 # In which a connection should be accepted. A client waits for 0.4 s for its reply (protocol page).
 ACCEPT_TARGET_SECONDS = 0.1
 # Larger than any command of a client, so that one request at a time fits.
 RECEIVE_BUFFER_BYTES = 81_920
 DEFAULT_REQUEST_BYTES = 1 << 26  # of incomplete requests together, where no limit on memory is given
-CLOSING_SECONDS = 0.5  # in which a client may read why its request was refused
-MAX_DISCARDED_BYTES = 131_072  # of a refused client, before its connection is closed
 FORWARDED_COPIES = 2  # of the body of a message while another instance is asked
-DEFAULT_MAX_CLOSING = 8  # connections on which clients may still read that
 REQUEST_TIMEOUT_REPLY = b"-ERR request: not whole in time\r\n"
 
 
@@ -76,23 +75,20 @@
         """
         self.create_session = create_session
         self.max_clients = max_clients
-        self.max_closing = DEFAULT_MAX_CLOSING
         self.tasks = tasks
         self.loop = tasks.loop
         self.single_request = single_request
         self.forward = forward
         self.budget = budget or MemoryBudget(DEFAULT_REQUEST_BYTES)
-        self.budget.reclaim = self._refuse_incomplete_requests
-        self.turns = RequestTurns(tasks.loop)
+        self.budget.reclaim = self._reject_incomplete_requests
+        self.scheduler = RequestScheduler(tasks.loop)
         self.table = ClientTable(single_request)
         self.clients = self.table.all
-        self.closing_clients: dict[
-            Client, None
-        ] = {}  # refused ones that may read the reply, the oldest first
+        self.lingering = LingeringClose(tasks.loop)
         self.open_sockets = 0  # of clients, closing ones included
         self.reading: Client | None = None  # whose bytes are being received
         self.closed_for = Counter[str]()  # connections by the reason for which this server closed them
-        self.refused_for = Counter[str]()  # requests that were refused before they were handled, by reason
+        self.rejected_requests = Counter[str]()  # before they were handled, by reason
         self.draining = False
         self.listens_second = False  # a process that shares the address has listened there before
         self.awaiting_slot = False  # an accepted connection is waiting for a slot
@@ -162,20 +158,25 @@
         """
         self.awaiting_slot = True
         while True:
-            longest_hold = self._longest_hold()
+            max_slot_time = self._max_slot_time()
             if (
                 len(self.clients) < self.max_clients
-                or self.free_slot(min(IDLE_CLIENT_SECONDS, longest_hold))
-                or self._refuse_for_slot(min(MIN_REQUEST_SECONDS, longest_hold))
+                or self.free_slot(min(IDLE_CLIENT_SECONDS, max_slot_time))
+                or self._reject_for_slot(min(MIN_REQUEST_SECONDS, max_slot_time))
             ):
                 break
-            await asyncio.sleep(min(SLOT_POLL_SECONDS, longest_hold))
-        while self.open_sockets >= self.max_clients + self.max_closing and self.closing_clients:
-            self._shut_down_closing()
+            await asyncio.sleep(max(MIN_SLOT_POLL_SECONDS, min(SLOT_POLL_SECONDS, max_slot_time)))
+        while self._has_excess_sockets():
+            self.lingering.close_oldest()
             await asyncio.sleep(0)  # lets the tasks of closed connections close their sockets
         self.awaiting_slot = False
 
-    def _longest_hold(self) -> float:
+    def _has_excess_sockets(self) -> bool:
+        """Return whether closing connections take descriptors that clients need."""
+        max_sockets = self.max_clients + self.lingering.max_connections
+        return self.open_sockets >= max_sockets and bool(self.lingering.clients)
+
+    def _max_slot_time(self) -> float:
         """Return for how many seconds a client may hold its slot without a complete request.
 
         The more connections wait for each slot, the shorter it is, so that each of them gets one in time.
@@ -194,8 +195,8 @@
         self._close_client(client, "slot-needed")
         return True
 
-    def _refuse_for_slot(self, min_age: float) -> bool:
-        """Refuse an incomplete request for its client's slot; return false if none may be refused yet.
+    def _reject_for_slot(self, min_age: float) -> bool:
+        """Reject an incomplete request for its client's slot; return false if none may be rejected yet.
 
         The request must have begun `min_age` seconds ago.
         """
@@ -205,14 +206,16 @@
         self._close_client(client, "slot-needed", client.session.overload_reply)
         return True
 
-    def _refuse_incomplete_requests(self, count: int) -> None:
-        """Refuse incomplete requests that hold at least `count` bytes, if there are as many.
+    def _reject_incomplete_requests(self, count: int) -> None:
+        """Reject incomplete requests that hold at least `count` bytes, if there are as many.
 
-        None is refused for the sake of a client that has less claim to go on.
+        None is rejected for the sake of a client that has less claim to go on.
         """
         target = self.budget.used - count
         while self.budget.used > target:
-            client = self.table.incomplete_client(self.loop.time(), holds_memory=True, reading=self.reading)
+            client = self.table.incomplete_client(
+                self.loop.time(), only_with_memory=True, reading=self.reading
+            )
             if client is None or client is self.reading:
                 return
             self._close_client(client, "memory-needed", client.session.overload_reply)
@@ -232,13 +235,7 @@
                 pending = client.sending or client.has_partial_request or not client.answered
                 if client.state_since < oldest_allowed and pending:
                     self._time_out(client)
-            self._end_closing(self.loop.time() - CLOSING_SECONDS)
-
-    def _end_closing(self, closed_before: float) -> None:
-        """Shut down the refused clients that have had their time to read the reply."""
-        for client in [other for other in self.closing_clients if other.state_since < closed_before]:
-            del self.closing_clients[client]
-            self._shut_down(client)
+            self.lingering.close_expired()
 
     def _time_out(self, client: Client) -> None:
         if client.sending:
@@ -265,33 +262,10 @@
         client.closed = True
         if not client.sending:
             client.release()
-        if reply and self.max_closing:
-            self._send_last_reply(client, reply)
+        if reply and self.lingering.max_connections:
+            self.lingering.close(client, reply)
         else:
-            self._shut_down(client)
-
-    def _send_last_reply(self, client: Client, reply: bytes) -> None:
-        """Send a reply and leave the client some time to read it.
-
-        If the connection were closed while the client still sends, the reply could be lost with it.
-        """
-        with contextlib.suppress(OSError):
-            client.sock.send(reply)
-            client.sock.shutdown(socket.SHUT_WR)
-        client.state_since = self.loop.time()
-        self.closing_clients[client] = None
-        if len(self.closing_clients) > self.max_closing:
-            self._shut_down_closing()
-
-    def _shut_down_closing(self) -> None:
-        """Shut down the refused client that has had the most time to read its reply."""
-        oldest = next(iter(self.closing_clients))
-        del self.closing_clients[oldest]
-        self._shut_down(oldest)
-
-    def _shut_down(self, client: Client) -> None:
-        with contextlib.suppress(OSError):
-            client.sock.shutdown(socket.SHUT_RDWR)  # the client's task reads the end and closes the socket
+            shut_down(client)
 
     async def _serve(self, client: Client) -> None:
         session = client.session
@@ -300,8 +274,8 @@
                 await self.loop.sock_sendall(client.sock, session.greeting)
             await self._answer_requests(client, session)
         except MemoryLimitError as error:
-            self._refuse(client, "memory-needed", error)
-            await self._discard_input(client)
+            self._reject(client, "memory-needed", error)
+            await self.lingering.discard_input(client)
         except (OSError, BufferOverflowError) as error:
             # The client closed the connection, or a request exceeded the size of the buffer.
             name = type(error).__name__
@@ -315,15 +289,15 @@
             )
         finally:
             self.table.remove(client)
-            self.closing_clients.pop(client, None)
+            self.lingering.clients.pop(client, None)
             client.release()
             client.sock.close()
             self.open_sockets -= 1
 
-    def _refuse(self, client: Client, reason: str, error: MemoryLimitError) -> None:
-        """Refuse the request that a client is sending."""
-        log.info("request.refused", client_port=client.port, reason=reason, error=str(error), key=reason)
-        self.refused_for[reason] += 1
+    def _reject(self, client: Client, reason: str, error: MemoryLimitError) -> None:
+        """Reject the request that a client is sending."""
+        log.info("request.rejected", client_port=client.port, reason=reason, error=str(error), key=reason)
+        self.rejected_requests[reason] += 1
         self._close_client(client, reason, client.session.overload_reply)
 
     async def _answer_requests(self, client: Client, session: ServerSession) -> None:
@@ -331,9 +305,9 @@
             if not session.has_more_requests and not await self._read(client):
                 return
             if client.closed:
-                await self._discard_input(client)
+                await self.lingering.discard_input(client)
                 return
-            await self._wait_for_turn(client)
+            await self._wait_until_scheduled(client)
             if client.closed:
                 return
             replies = self._receive(client, session)
@@ -348,11 +322,11 @@
             if self.draining and client.between_requests:
                 return
 
-    async def _wait_for_turn(self, client: Client) -> None:
+    async def _wait_until_scheduled(self, client: Client) -> None:
         """Wait until the requests of a client may be handled; its connection is not closed meanwhile."""
         client.ready = True
         self.table.update(client)
-        await self.turns.wait()
+        await self.scheduler.wait()
         client.ready = False
 
     async def _read(self, client: Client) -> int:
@@ -372,33 +346,19 @@
 
     def _receive(self, client: Client, session: ServerSession) -> bytes:
         """Have complete requests answered, and return the replies."""
-        refused_before = session.refused_requests
+        rejected_before = session.rejected_requests
         client_left = sockets.has_peer_left(client.sock)
-        replies = session.receive(client.buffer, self.turns.requests_per_turn, client_left)
+        replies = session.receive(client.buffer, self.scheduler.requests_per_slice, client_left)
         client.count_session_bytes()
         if excess := self.budget.excess:
             self.reading = client
             self.budget.reclaim(excess)
             self.reading = None
-        if refused := session.refused_requests - refused_before:
-            log.info("client.left", client_port=client.port, refused=refused, key="client.left")
-            self.refused_for["client-left"] += refused
+        if rejected := session.rejected_requests - rejected_before:
+            log.info("client.left", client_port=client.port, rejected=rejected, key="client.left")
+            self.rejected_requests["client-left"] += rejected
         return replies
 
-    async def _discard_input(self, client: Client) -> None:
-        """Read and drop what a refused client still sends, until it ends the connection or sends too much.
-
-        After CLOSING_SECONDS the connection is shut down, and ends as well.
-        """
-        left = MAX_DISCARDED_BYTES
-        with contextlib.suppress(OSError):
-            while left > 0:
-                await sockets.wait_readable(self.loop, client.sock)
-                received = len(client.sock.recv(left))
-                if not received:
-                    return
-                left -= received
-
     def _on_partial_request(self, client: Client) -> None:
         """Start the timeout of a request at its first bytes.
 
--- a/honeyhitch/transports/clients.py
+++ b/honeyhitch/transports/clients.py
@@ -135,19 +135,21 @@
         return None
 
     def incomplete_client(
-        self, now: float, min_age: float = 0.0, holds_memory: bool = False, reading: Client | None = None
+        self, now: float, min_age: float = 0.0, only_with_memory: bool = False, reading: Client | None = None
     ) -> Client | None:
         """Return the client with an incomplete request that has the least claim to go on, or None.
 
         Of the clients whose requests began first, that is the one that has sent nothing for longest, if it is
         stalled, and otherwise the first. Only requests that began `min_age` seconds ago count, and with
-        `holds_memory` only clients whose memory is counted, and the one that is `reading`.
+        `only_with_memory` only clients whose memory is counted, and the one that is `reading`.
         """
         candidates: list[Client] = []
         for client in self.incomplete:
             if client.state_since > now - min_age or len(candidates) == MAX_CANDIDATES:
                 break
-            if client is reading or (client.request_incomplete and (client.account.held or not holds_memory)):
+            if client is reading or (
+                client.request_incomplete and (client.account.held or not only_with_memory)
+            ):
                 candidates.append(client)
         if not candidates:
             return None
--- a/tests/test_fair_share.py
+++ b/tests/test_fair_share.py
@@ -6,7 +6,13 @@
 
 import pytest
 
-from honeyhitch.dispatcher.fair_share import ALONE_AFTER, FREE_ROOM_FACTOR, Room, Submitters, may_take_room
+from honeyhitch.dispatcher.fair_share import (
+    ALONE_AFTER,
+    FREE_ROOM_FACTOR,
+    Room,
+    Submitters,
+    stays_within_share,
+)
 from honeyhitch.journal.transactions import NO_SUBMITTER, Transaction
 from honeyhitch.time_units import SECOND
 
@@ -34,7 +40,9 @@
         room = Room(total - sum(map(size, held)), total, size)
         candidates = [message(submitter, BODY) for submitter in submitters]
         accepted = [
-            other for other in candidates if room.free >= size(other) and may_take_room(room, other, held)
+            other
+            for other in candidates
+            if room.free >= size(other) and stays_within_share(room, other, held)
         ]
         if not accepted:
             return held
@@ -50,7 +58,7 @@
     held = fill([1], total, size)
     free = total - one * len(held)
     assert free >= total // (FREE_ROOM_FACTOR + 1) - one
-    assert may_take_room(Room(free, total, size), message(2, BODY), held)
+    assert stays_within_share(Room(free, total, size), message(2, BODY), held)
 
 
 def test_several_submitters_share_the_room_evenly_and_leave_little_free() -> None:
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -288,7 +288,7 @@
             assert memory["requests"]["used"] <= memory["requests"]["limit"]
             assert memory["clients"]["used"] >= 1
             assert content["sockets"]["limit"] == 128
-            assert content["rejected"] == {}
+            assert content["rejected_messages"] == {}
             writer.close()
 
     run_async_test(work())
--- a/tests/test_memory_plan.py
+++ b/tests/test_memory_plan.py
@@ -74,6 +74,6 @@
     assert (other.held, account.held) == (50, 50)
     with pytest.raises(MemoryLimitError):
         account.grow(101)
-    assert (budget.used, budget.refusals) == (50, 1)
+    assert (budget.used, budget.rejections) == (50, 1)
     budget.set_limit(20)
     assert budget.excess == 30
--- a/tests/test_request_turns.py
+++ b/tests/test_request_scheduler.py
@@ -5,7 +5,11 @@
 import asyncio
 from collections import Counter
 
-from honeyhitch.transports.turns import MAX_REQUESTS_PER_TURN, TURNS_PER_ITERATION, RequestTurns
+from honeyhitch.transports.request_scheduler import (
+    MAX_REQUESTS_PER_SLICE,
+    SLICES_PER_ITERATION,
+    RequestScheduler,
+)
 
 from .program import run_async_test
 
@@ -13,15 +17,15 @@
 
 
 # Guards against a connection that waits for ever while others that came later have their requests handled.
-def test_connections_take_turns_in_the_order_in_which_they_ask() -> None:
+def test_connections_are_served_in_the_order_in_which_they_ask() -> None:
     async def work() -> None:
-        turns = RequestTurns(asyncio.get_running_loop())
+        scheduler = RequestScheduler(asyncio.get_running_loop())
         taken = Counter[int]()
-        assert turns.requests_per_turn == MAX_REQUESTS_PER_TURN
+        assert scheduler.requests_per_slice == MAX_REQUESTS_PER_SLICE
 
         async def connection(number: int) -> None:
             while True:
-                await turns.wait()
+                await scheduler.wait()
                 taken[number] += 1
                 await asyncio.sleep(0)  # as for reading and sending
 
@@ -29,8 +33,8 @@
         for _ in range(10 * CONNECTIONS):
             before = taken.total()
             await asyncio.sleep(0)
-            assert taken.total() - before <= 2 * TURNS_PER_ITERATION
-        assert turns.requests_per_turn == 1
+            assert taken.total() - before <= 2 * SLICES_PER_ITERATION
+        assert scheduler.requests_per_slice == 1
         assert max(taken.values()) - min(taken.values()) <= 1
         for task in tasks:
             task.cancel()
@@ -39,12 +43,12 @@
     run_async_test(work())
 
 
-def test_a_connection_that_ends_while_it_waits_takes_no_turn() -> None:
+def test_a_connection_that_ends_while_it_waits_takes_no_slice() -> None:
     async def work() -> None:
-        turns = RequestTurns(asyncio.get_running_loop())
-        for _ in range(TURNS_PER_ITERATION):
-            await turns.wait()
-        ended, other = (asyncio.create_task(turns.wait()) for _ in range(2))
+        scheduler = RequestScheduler(asyncio.get_running_loop())
+        for _ in range(SLICES_PER_ITERATION):
+            await scheduler.wait()
+        ended, other = (asyncio.create_task(scheduler.wait()) for _ in range(2))
         await asyncio.sleep(0)
         ended.cancel()
         await other
