--- a/honeyhitch/transports/client_server.py
+++ b/honeyhitch/transports/client_server.py
@@ -21,7 +21,7 @@
 from honeyhitch.protocols.buffer import Buffer, BufferOverflowError
 from honeyhitch.protocols.server_session import ServerSession
 from honeyhitch.transports import sockets
-from honeyhitch.transports.clients import IDLE_CLIENT_SECONDS, Client, ClientTable
+from honeyhitch.transports.clients import Client, ClientTable
 from honeyhitch.transports.lingering_close import LingeringClose, shut_down
 from honeyhitch.transports.request_scheduler import RequestScheduler
 from honeyhitch.transports.tasks import Tasks
@@ -161,7 +161,7 @@
             max_slot_time = self._max_slot_time()
             if (
                 len(self.clients) < self.max_clients
-                or self.free_slot(min(IDLE_CLIENT_SECONDS, max_slot_time))
+                or self.free_slot()
                 or self._reject_for_slot(min(MIN_REQUEST_SECONDS, max_slot_time))
             ):
                 break
@@ -177,19 +177,16 @@
         return self.open_sockets >= max_sockets and bool(self.lingering.clients)
 
     def _max_slot_time(self) -> float:
-        """Return for how many seconds a client may hold its slot without a complete request.
+        """Return for how many seconds a client may hold its slot with an incomplete request.
 
         The more connections wait for each slot, the shorter it is, so that each of them gets one in time.
         """
         waiting = 1 + sockets.waiting_connections(self.listener)
         return ACCEPT_TARGET_SECONDS * self.max_clients / waiting
 
-    def free_slot(self, min_idle: float = IDLE_CLIENT_SECONDS) -> bool:
-        """Close the connection that has been unused for longest; return false if none may be closed.
-
-        A client that has sent nothing yet must have been connected for `min_idle` seconds.
-        """
-        client = self.table.unused_client(self.loop.time(), min_idle)
+    def free_slot(self) -> bool:
+        """Close the connection that has been unused for longest; return false if none may be closed."""
+        client = self.table.unused_client(self.loop.time())
         if client is None:
             return False
         self._close_client(client, "slot-needed")
--- a/honeyhitch/transports/clients.py
+++ b/honeyhitch/transports/clients.py
@@ -123,15 +123,16 @@
             del self.all[client]
             self.all[client] = None
 
-    def unused_client(self, now: float, min_idle: float = IDLE_CLIENT_SECONDS) -> Client | None:
+    def unused_client(self, now: float) -> Client | None:
         """Return the connection that has been unused for longest and may be closed, or None.
 
-        A client that has sent nothing yet must have been connected for `min_idle` seconds. The connection of
+        A client that has sent nothing yet must have been connected for
+        IDLE_CLIENT_SECONDS. The connection of
         a client that was answered may be closed at any time, because the client sends its next request on a
         new connection. If such a connection had to be unused for a minimum time first, many new clients at
         once would get no slot.
         """
-        idle_before = now - min_idle
+        idle_before = now - IDLE_CLIENT_SECONDS
         for client in self.all if self.single_request else self.unused:
             counts_as_idle = client.state_since < idle_before and (
                 client.idle or (self.single_request and not client.sending)
