Review case 9: a partner that was shut and closed connections is pushed over when it returns

Rule: failback. All calls to a cold partner within the span of the settings have to stay within what it bears then.

Events: the partner is shut for 10 s and answers 503 with `Connection: close`, no wait and no report. The dispatchers take this for a limit on connections and learn nothing of the outage; when the partner opens, they send all that they hold.

The stand-ins end their processes also if a case is told to end.

--- a/review/second/cold.py
+++ b/review/second/cold.py
@@ -40,6 +40,8 @@
         self.sender: Callable[[str], int] = lambda _message: 0  # the dispatcher that has a message
         self.refused_in_outage: Counter[int] = Counter()  # calls by dispatcher
         self.fall = ""
+        self.on_fall: Callable[[], None] = lambda: None
+        self.delivered: set[str] = set()  # messages
         self.highest = ""
         self.highest_share = 0.0
 
@@ -70,6 +72,7 @@
             return self.refusal(0.0)
         self.busy_until += 1 / rate
         await asyncio.sleep(wait + SERVICE_SECONDS)
+        self.delivered.add(call.message)
         return Answer()
 
     def _count(self, call: Call) -> None:
@@ -88,6 +91,7 @@
         told = sum(knew for _, knew in self.recent)
         if len(self.recent) > budget and told > TOLD_SHARE * len(self.recent) and not self.fall:
             self.fall = text
+            self.on_fall()
             self.record.add("partner falls:", text)
 
     def budget(self, at: float) -> float:
--- a/review/second/rig.py
+++ b/review/second/rig.py
@@ -201,13 +201,17 @@
     record.add("trouble" if trouble() else "no trouble")
 
     async def bounded(folder: Path) -> list[str]:
+        task = asyncio.current_task()
+        assert task is not None
+        # Ends the processes of the case also if the case itself is told to end.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         async with asyncio.timeout(CASE_SECONDS):
             return await play(folder, record)
 
     try:
         with tempfile.TemporaryDirectory() as folder:
             faults = asyncio.run(bounded(Path(folder)))
-    except Exception as error:  # whatever it is, the case has shown nothing
+    except (Exception, asyncio.CancelledError) as error:  # whatever it is, the case has shown nothing
         record.add("could not run:", repr(error))
         print("could not run:", repr(error))
         sys.exit(NOT_RUN)
