--- a/review/second/rig.py
+++ b/review/second/rig.py
@@ -21,7 +21,7 @@
 ROOT = Path(__file__).parent.parent.parent
 HOST = "127.0.0.1"
 SECOND = 1_000_000_000
-HELD, BROKEN, NOT_RUN = 0, 1, 2
+HELD, NOT_RUN, BROKEN = 0, 2, 10  # run.sh ends with 1 for BROKEN, and with 2 for any other end
 ANSWER_SECONDS = 0.4  # a client waits this long for its answer (protocol page)
 CASE_SECONDS = 110.0
 
@@ -196,7 +196,7 @@
 
 
 def run_case(case_file: str, play: Play) -> None:
-    """Play a case; exit with 1 if it returns faults, 0 if it returns none, 2 if it could not run."""
+    """Play a case; exit with BROKEN if it returns faults, HELD if not, NOT_RUN if it could not run."""
     record = Record(Path(case_file).parent / "record.txt")
     record.add("trouble" if trouble() else "no trouble")
 
