--- a/review/7/case.py
+++ b/review/7/case.py
@@ -93,6 +93,7 @@
         if trouble():
             _move(dispatcher, second)
             dispatcher.signal(process, signal.SIGHUP)
+            first.move_away()
         agent = second if trouble() else first
         taken_over_at = await _replace_endpoint(agent, rows[REPLACED], record, started_at)
         await traffic
--- a/review/second/platform.py
+++ b/review/second/platform.py
@@ -13,6 +13,7 @@
 from review.second.rig import HOST, Record
 
 HEARTBEAT_SECONDS = 2.0
+MOVED_SECONDS = 1.5  # until an agent that has moved closes its connections
 ZONE = "kumamoto-hq"
 
 
@@ -46,13 +47,25 @@
         self.notices: dict[str, tuple[float, dict[str, Any]]] = {}
         self.on_notice: Callable[[dict[str, Any]], None] = lambda _: None
         self.port = 0
+        self.server: asyncio.Server | None = None
+        self.writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> Agent:
         """Listen on a free port."""
-        server = await asyncio.start_server(self._serve, HOST, 0)
-        self.port = server.sockets[0].getsockname()[1]
+        self.server = await asyncio.start_server(self._serve, HOST, 0)
+        self.port = self.server.sockets[0].getsockname()[1]
         return self
 
+    def move_away(self) -> None:
+        """Accept no new connection, and close those that are open after 1.5 s."""
+        assert self.server is not None
+        self.server.close()
+        asyncio.get_running_loop().call_later(MOVED_SECONDS, self._close_connections)
+
+    def _close_connections(self) -> None:
+        for writer in list(self.writers):
+            writer.close()
+
     def listed(self) -> dict[str, Any]:
         """Return the complete list."""
         return {"revision": self.revision, "complete": True, "members": self.members}
@@ -76,6 +89,7 @@
                 self._write_chunk(writer, text)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.add(writer)
         with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -90,6 +104,7 @@
                     self._told("the list")
                     text = json.dumps(self.listed(), indent=self.indent).encode()
                     writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(text), text))
+        self.writers.discard(writer)
         writer.close()
 
     def _take_notices(self, body: bytes) -> None:
