Take lists of any layout, and apply what fits of one that exceeds the memory

Cause: a list was held as text, and its text was limited to 1/24 of the list's part of the memory, some 0.6 MB at 96 MB, whatever number of endpoints the same plan allowed. 3,200 endpoints have 0.9 MB if they are indented. What exceeded a limit was refused as a whole, with the drains in it. The same held for the number of endpoints: in an upgrade at 96 MB each process had room for 2,251, so that every change of a list of 3,200 that was in use was refused (`PoolError: members: 3200 endpoints, the memory allows 2251`).

Change: lists and changes are parsed row by row in every mode, and a collector keeps compact rows. Of what does not fit only new endpoints are left out; drains, removals and known endpoints are applied, and an endpoint at a taken-over address is gone. The complete list is requested again once there is room. An endpoint takes 2,000 instead of 2,800 bytes of the plan (compact `known`, counters created on use). Holders of one address are found in constant time: a list of 6,500 endpoints at one address delayed a reply by 2.46 s.

Two recorded errors of a watch have new texts.

--- a/honeyhitch/cli/tls.py
+++ b/honeyhitch/cli/tls.py
@@ -96,7 +96,7 @@
         return []
     pool = EndpointPool(config.settings)
     try:
-        pool.update(config.known)
+        pool.apply_known(config.known)
     except PoolError as error:
         raise click.ClickException(f"known: {error}") from error
     targets = list[Target]()
--- a/honeyhitch/config/file.py
+++ b/honeyhitch/config/file.py
@@ -13,6 +13,7 @@
 from honeyhitch.config.deployment import Address, ConfigError, OperatorSettings, ResourceLimits
 from honeyhitch.config.instance import SettingsReader
 from honeyhitch.config.operator import read as read_operator
+from honeyhitch.endpoints.list_rows import KnownList
 from honeyhitch.policy.settings import Settings
 
 # Each key also has an environment variable.
@@ -40,7 +41,7 @@
     state: Path  # the state directory
     seed: int
     limits: ResourceLimits
-    known: dict[str, Any]  # endpoints to use until discovery answers, as a list in discovery's form
+    known: KnownList  # endpoints to use until discovery answers
     settings: Settings
     operator: OperatorSettings
     file_values: dict[str, Any]  # values of INSTANCE_KEYS in the file when the process started
@@ -163,13 +164,13 @@
     return replace(settings, max_concurrent_calls=min(settings.max_concurrent_calls, available // 2))
 
 
-def _read_known(document: dict[str, Any]) -> dict[str, Any]:
-    known = document.get("known") or {"revision": 0, "complete": True, "members": []}
+def _read_known(document: dict[str, Any]) -> KnownList:
+    known = document.get("known") or {"revision": 0, "members": []}
     if not isinstance(known, dict):
         raise ConfigError(
             f"known: expected an object that lists endpoints in discovery's form, got {type(known).__name__}"
         )
-    return known
+    return KnownList.parse(known)
 
 
 def _parse_addresses(values: dict[str, Any]) -> dict[str, Address]:
--- a/honeyhitch/dispatcher/admission.py
+++ b/honeyhitch/dispatcher/admission.py
@@ -57,6 +57,8 @@
             return Admission(True)
         if not context.accepting:
             return self._reject(message, "not-accepting")
+        if context.pool.lacks_endpoints(message.destination):
+            return self._reject(message, "endpoints-left-out")
         if reason := self._lacks_room(message):
             return self._reject(message, reason)
         message.accepted_at = context.scheduler.now()
--- a/honeyhitch/endpoints/address_holders.py
+++ b/honeyhitch/endpoints/address_holders.py
@@ -16,30 +16,44 @@
     """
 
     def __init__(self) -> None:
-        self.by_address: dict[str, tuple[PoolEndpoint, ...]] = {}
+        self._only: dict[str, PoolEndpoint] = {}  # by address, where one endpoint holds it
+        self._several: dict[str, dict[str, PoolEndpoint]] = {}  # by address and id, where several hold it
 
     def replace_all(self, endpoints: Iterable[PoolEndpoint]) -> None:
         """Hold these endpoints and no others."""
-        self.by_address = {}
+        self._only = {}
+        self._several = {}
         for endpoint in endpoints:
             self.add(endpoint)
 
     def add(self, endpoint: PoolEndpoint) -> None:
         """Hold an endpoint at its address."""
-        others = (other for other in self.at(endpoint.address) if other.id != endpoint.id)
-        self.by_address[endpoint.address] = (*others, endpoint)
+        address = endpoint.address
+        if address in self._several:
+            self._several[address][endpoint.id] = endpoint
+            return
+        other = self._only.get(address, endpoint)
+        if other.id == endpoint.id:
+            self._only[address] = endpoint
+        else:
+            del self._only[address]
+            self._several[address] = {other.id: other, endpoint.id: endpoint}
 
     def remove(self, endpoint: PoolEndpoint) -> None:
         """Hold an endpoint at its address no longer."""
-        others = tuple(other for other in self.at(endpoint.address) if other.id != endpoint.id)
-        if others:
-            self.by_address[endpoint.address] = others
-        else:
-            self.by_address.pop(endpoint.address, None)
+        several = self._several.get(endpoint.address)
+        if several is not None:
+            several.pop(endpoint.id, None)
+            if not several:
+                del self._several[endpoint.address]
+        elif (only := self._only.get(endpoint.address)) is not None and only.id == endpoint.id:
+            del self._only[endpoint.address]
 
-    def at(self, address: str) -> tuple[PoolEndpoint, ...]:
+    def at(self, address: str) -> Iterable[PoolEndpoint]:
         """Return the endpoints at an address."""
-        return self.by_address.get(address, ())
+        if address in self._several:
+            return self._several[address].values()
+        return (self._only[address],) if address in self._only else ()
 
 
 def latest_starts(endpoints: Iterable[PoolEndpoint]) -> dict[str, int]:
--- a/honeyhitch/endpoints/list_rows.py
+++ b/honeyhitch/endpoints/list_rows.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 from dataclasses import dataclass, replace
 from math import inf
 from typing import Any
@@ -13,8 +14,10 @@
 MAX_PORT_DIGITS = 5
 DEFAULT_LISTED_RATE = 1.0  # calls per second
 NO_DESTINATION = -1
+MISSING = object()  # the value of a required field that a row lacks
+READY_PHASE = "Ready"
 STATUS_BY_PHASE = {
-    "Ready": EndpointStatus.READY,
+    READY_PHASE: EndpointStatus.READY,
     "Terminating": EndpointStatus.DRAINING,
     "Gone": EndpointStatus.GONE,
 }
@@ -27,22 +30,56 @@
 
 
 @dataclass(frozen=True, slots=True)
-class EndpointList:
-    """One complete list or one change, with unparsed rows."""
+class ListedRow:
+    """The fields of one row that the pool uses, as decoded from JSON and not checked yet."""
+
+    id: object
+    address: object
+    zone: object
+    kind: object
+    destination: object
+    phase: str
+    listed_rate: object
+    started_at_ms: object
 
-    rows: list[Row]
-    revision: int
-    complete: bool
+    @classmethod
+    def from_json(cls, row: Row) -> ListedRow:
+        """Return the fields of a row. Values that many rows share are kept once."""
+        return cls(
+            id=row.get("id", MISSING),
+            address=row.get("host_port"),
+            zone=_shared(row.get("locality")),
+            kind=_shared(row.get("flavor")),
+            destination=row.get("cell"),
+            phase=sys.intern(str(row.get("phase", READY_PHASE))),
+            listed_rate=row.get("size", DEFAULT_LISTED_RATE),
+            started_at_ms=row.get("up_since_ms"),
+        )
+
+
+INVALID_ROW = ListedRow(MISSING, None, None, None, None, READY_PHASE, None, None)
+
+
+@dataclass(frozen=True, slots=True)
+class KnownList:
+    """The complete list with which a process starts, whose rows are not checked yet."""
+
+    revision: object
+    rows: tuple[ListedRow, ...]
 
     @classmethod
-    def parse(cls, received: dict[str, Any]) -> EndpointList:
-        """Parse the outer fields; raise KeyError, TypeError, ValueError or OverflowError if invalid."""
-        return cls(received["members"], int(received["revision"]), bool(received.get("complete", False)))
+    def parse(cls, received: dict[str, Any]) -> KnownList:
+        """Return a list in discovery's form. A row that is no object becomes one that the pool rejects."""
+        members = received.get("members")
+        rows = members if isinstance(members, list) else [None]
+        return cls(
+            received.get("revision"),
+            tuple(ListedRow.from_json(row) if isinstance(row, dict) else INVALID_ROW for row in rows),
+        )
 
 
-def row_id(row: Row) -> str:
-    """Return the id of a row's endpoint; raise KeyError or TypeError if it is not a row."""
-    return str(row["id"])
+def _shared(value: object) -> object:
+    return sys.intern(value) if type(value) is str else value
 
 
 def row_destination(row: Row) -> int | None:
@@ -51,11 +88,6 @@
     return destination if isinstance(destination, int) else None
 
 
-def row_is_known(row: Row, endpoints: dict[str, PoolEndpoint]) -> bool:
-    """Return whether a row is about one of `endpoints`; raise KeyError or TypeError for an invalid row."""
-    return row["id"] in endpoints
-
-
 class RowParser:
     """Parses rows with the operator's names of kinds and zones.
 
@@ -66,50 +98,51 @@
         self.kinds = kinds
         self.zones = zones
 
-    def parse(self, row: Row, known_endpoint: PoolEndpoint | None) -> PoolEndpoint:
+    def parse(self, row: ListedRow, known_endpoint: PoolEndpoint | None) -> PoolEndpoint:
         """Return the endpoint of a row; a missing destination or address is taken from `known_endpoint`.
 
         `known_endpoint` is the present endpoint with the same id, if there is one. Raise a PoolError that
-        names an invalid field, and KeyError, TypeError, ValueError or OverflowError if it is not a row.
+        names an invalid or missing field, and TypeError, ValueError or OverflowError for another value.
         """
-        status = STATUS_BY_PHASE.get(str(row.get("phase", "Ready")), EndpointStatus.READY)
+        if row.id is MISSING:
+            raise PoolError("id: missing")
+        status = STATUS_BY_PHASE.get(row.phase, EndpointStatus.READY)
         if status is EndpointStatus.GONE and known_endpoint is not None:
             return replace(known_endpoint, status=status)
         return PoolEndpoint(
-            id=row_id(row),
+            id=str(row.id),
             destination=_parse_destination(row, known_endpoint),
             address=_parse_address(row, known_endpoint, status),
             listed_rate=_parse_listed_rate(row),
-            kind=_index_of(self.kinds, row.get("flavor")),
-            zone=_index_of(self.zones, row.get("locality")),
+            kind=_index_of(self.kinds, row.kind),
+            zone=_index_of(self.zones, row.zone),
             status=status,
             started_at_ms=_parse_start(row),
         )
 
 
-def _parse_start(row: Row) -> int:
+def _parse_start(row: ListedRow) -> int:
     """Return when the process of an endpoint started; 0, long ago, for a missing or unusable time."""
-    started_at_ms = row.get("up_since_ms")
+    started_at_ms = row.started_at_ms
     return max(0, started_at_ms) if isinstance(started_at_ms, int) else 0
 
 
-def _parse_destination(row: Row, known_endpoint: PoolEndpoint | None) -> int:
-    destination = row.get("cell")
-    if destination is not None:
-        return int(destination)
+def _parse_destination(row: ListedRow, known_endpoint: PoolEndpoint | None) -> int:
+    if row.destination is not None:
+        return int(row.destination)  # type: ignore[call-overload, no-any-return]
     return known_endpoint.destination if known_endpoint is not None else NO_DESTINATION
 
 
-def _parse_address(row: Row, known_endpoint: PoolEndpoint | None, status: EndpointStatus) -> str:
-    address = str(row.get("host_port") or (known_endpoint.address if known_endpoint is not None else ""))
+def _parse_address(row: ListedRow, known_endpoint: PoolEndpoint | None, status: EndpointStatus) -> str:
+    address = str(row.address or (known_endpoint.address if known_endpoint is not None else ""))
     host, _, port = address.rpartition(":")
     if status is not EndpointStatus.GONE and not (host and _is_port(port)):
         raise PoolError(f"host_port: expected HOST:PORT, got {address!r}")
     return address
 
 
-def _parse_listed_rate(row: Row) -> float:
-    listed_rate = float(row.get("size", DEFAULT_LISTED_RATE))
+def _parse_listed_rate(row: ListedRow) -> float:
+    listed_rate = float(row.listed_rate)  # type: ignore[arg-type]
     if not 0 <= listed_rate < inf:  # also false for NaN, which would make every rate computed from it NaN
         raise PoolError(f"size: expected a number of 0 or more, got {listed_rate}")
     return listed_rate
--- a/honeyhitch/endpoints/pool.py
+++ b/honeyhitch/endpoints/pool.py
@@ -10,19 +10,21 @@
 from honeyhitch.endpoints.address_holders import AddressHolders, latest_starts
 from honeyhitch.endpoints.endpoint import PoolEndpoint
 from honeyhitch.endpoints.list_rows import (
-    EndpointList,
+    MISSING,
+    KnownList,
+    ListedRow,
     PoolError,
     Row,
     RowParser,
     row_destination,
-    row_id,
-    row_is_known,
 )
+from honeyhitch.endpoints.row_collector import EndpointRows, LeftOutEndpoints
 from honeyhitch.policy.events import EndpointListing, EndpointListUpdate, EndpointStatus, UpdateMode
 from honeyhitch.policy.settings import Settings
 
 log = logs.get_logger()
 UNLIMITED_ENDPOINTS = 1 << 30
+KEPT_ROWS_FACTOR = 2  # rows of new endpoints that are kept on arrival, of which the pool chooses
 MAX_FORMER_DESTINATIONS = 10_000  # without an endpoint now; beyond, they are not known any more
 
 
@@ -43,12 +45,18 @@
         # The fraction of a listed rate that this instance may use, from 0 to 1; None is the whole rate.
         self.quota_fraction: Callable[[int], float] | None = None
         self.max_endpoints = UNLIMITED_ENDPOINTS
+        self.left_out = LeftOutEndpoints()  # since the latest complete list
         self._holders = AddressHolders()
         self._parser = RowParser(self.kinds, self.zones)
 
+    def lacks_endpoints(self, destination: int) -> bool:
+        """Return whether endpoints of a destination are listed, and the pool had no room for any of them."""
+        return destination in self.left_out.destinations
+
     def has_destination(self, destination: int) -> bool:
         """Return whether the destination was ever listed; true as long as no destination was listed."""
-        return destination in self.destinations or not self.destinations
+        listed = destination in self.destinations or self.lacks_endpoints(destination)
+        return listed or not self.destinations
 
     def pin(self, endpoint: PoolEndpoint) -> None:
         """Add an endpoint that the operator configured; a complete list from discovery does not remove it."""
@@ -56,63 +64,141 @@
         self.endpoints[endpoint.id] = endpoint
         self.destinations.add(endpoint.destination)
 
+    def limit_endpoints(self, max_endpoints: int) -> None:
+        """Add no endpoint beyond this number. Endpoints that are in the pool already stay."""
+        self.max_endpoints = max(max_endpoints, len(self.endpoints))
+
+    @property
+    def has_room_for_left_out(self) -> bool:
+        """Whether listed endpoints were left out, of which some would fit now."""
+        return bool(self.left_out.count) and len(self.endpoints) < self.max_endpoints
+
+    def new_rows(self) -> EndpointRows:
+        """Return the collector for the rows of the next list or change."""
+        return EndpointRows(
+            self.accepts_row, lambda row_id: row_id in self.endpoints, KEPT_ROWS_FACTOR * self.max_endpoints
+        )
+
     def update(self, received: dict[str, Any], cached: bool = False) -> EndpointListUpdate:
+        """Apply one list or change in discovery's form, as `apply` does."""
+        rows = self.new_rows()
+        try:
+            for row in received["members"]:
+                rows.add(row)
+        except (KeyError, TypeError, AttributeError) as error:
+            raise PoolError(f"members: {type(error).__name__}: {error}") from error
+        return self.apply(received, rows, cached)
+
+    def apply_known(self, known: KnownList) -> EndpointListUpdate:
+        """Apply the complete list with which the process starts, as `apply` does."""
+        rows = self.new_rows()
+        for row in known.rows:
+            rows.add_listed(row)
+        return self.apply({"revision": known.revision, "complete": True}, rows, cached=True)
+
+    def apply(self, fields: dict[str, Any], rows: EndpointRows, cached: bool = False) -> EndpointListUpdate:
         """Apply one complete list or one change from discovery, and return the update for the policy.
 
-        Raise PoolError and change nothing if it is invalid, if it is a change older than the last one, or if
-        more than `max_endpoints` would be listed.
+        `fields` are those of the list beside its rows. Endpoints that would exceed `max_endpoints` are left
+        out, and everything else of the update is applied. Raise PoolError and change nothing if the update is
+        invalid, or if it is a change older than the last one.
         """
         try:
-            endpoint_list = EndpointList.parse(received)
+            revision = int(fields["revision"])
+            complete = bool(fields.get("complete", False))
             parsed_endpoints = [
-                self._parse_row(row)
-                for row in endpoint_list.rows
-                if self.accepts_row(row, endpoint_list.complete)
+                self._parse_row(row) for row in rows.rows.values() if self._accepts_listed(row, complete)
             ]
         except (KeyError, TypeError, ValueError, OverflowError) as error:
             raise PoolError(f"members: {type(error).__name__}: {error}") from error
-        if endpoint_list.revision < self.revision and not endpoint_list.complete:
+        if revision < self.revision and not complete:
             # An outdated change would restore endpoints that were removed since. An agent whose revisions
             # restart has to send a complete list.
-            raise PoolError(
-                f"revision: expected a change of {self.revision} or later, got {endpoint_list.revision}"
-            )
-        self._check_size(endpoint_list, parsed_endpoints)
+            raise PoolError(f"revision: expected a change of {self.revision} or later, got {revision}")
         endpoints = [
             endpoint
             for endpoint in parsed_endpoints
             if endpoint.status is not EndpointStatus.GONE or endpoint.id in self.endpoints
         ]
-        endpoints = self._without_superseded(endpoints, endpoint_list.complete)
+        endpoints = self._without_superseded(endpoints, complete)
+        endpoints = self._within_room(endpoints, rows.left_out, complete)
         listings = tuple(
             self._listing(endpoint) for endpoint in [*self._moved_endpoints(endpoints), *endpoints]
         )
-        self.revision = endpoint_list.revision
-        self._apply(endpoints, listings, endpoint_list.complete)
-        if not endpoint_list.complete:
+        self.revision = revision
+        self._replace_endpoints(endpoints, listings, complete)
+        if not complete:
             return EndpointListUpdate(UpdateMode.CHANGES, listings)
         listings += tuple(self._listing(endpoint) for endpoint in self.pinned.values())
         return EndpointListUpdate(UpdateMode.CACHED if cached else UpdateMode.FULL, listings)
 
-    def _check_size(self, endpoint_list: EndpointList, kept: list[PoolEndpoint]) -> None:
-        listed = {endpoint.id for endpoint in kept if endpoint.status is not EndpointStatus.GONE}
-        if not endpoint_list.complete:
-            listed |= self.endpoints.keys()
-        if len(listed) > self.max_endpoints:
-            raise PoolError(f"members: {len(listed)} endpoints, the memory allows {self.max_endpoints}")
+    def _within_room(
+        self, endpoints: list[PoolEndpoint], not_kept: LeftOutEndpoints, complete: bool
+    ) -> list[PoolEndpoint]:
+        """Return the endpoints of an update without new ones that exceed `max_endpoints`.
 
-    def accepts_row(self, row: Row, complete: bool = False) -> bool:
-        """Return whether a row is applied.
+        `not_kept` are endpoints of the update that were left out while it was received.
+        """
+        gone_ids = {endpoint.id for endpoint in endpoints if endpoint.status is EndpointStatus.GONE}
+        if complete:
+            self.left_out = LeftOutEndpoints()
+            kept = self.pinned.keys() | (
+                {endpoint.id for endpoint in endpoints} & self.endpoints.keys() - gone_ids
+            )
+        else:
+            kept = self.endpoints.keys() - gone_ids
+        self.left_out.merge(not_kept)
+        new_endpoints = [endpoint for endpoint in endpoints if endpoint.id not in self.endpoints]
+        room = max(0, self.max_endpoints - len(kept))
+        dropped_ids = self._leave_out(new_endpoints, room, kept)
+        if not_kept.count or dropped_ids:
+            log.warning(
+                "list.endpoints-left-out",
+                listed=len(kept) + len(new_endpoints) + not_kept.count,
+                left_out=self.left_out.count,
+                max_endpoints=self.max_endpoints,
+                key="endpoints",
+            )
+        return [endpoint for endpoint in endpoints if endpoint.id not in dropped_ids]
+
+    def _leave_out(self, new_endpoints: list[PoolEndpoint], room: int, kept: set[str]) -> set[str]:
+        """Count the new endpoints that exceed the room as left out, and return their ids.
+
+        The first endpoint of each destination comes before further ones, and those that drain come last.
+        """
+        if len(new_endpoints) <= room:
+            return set()
+        served = {self.endpoints[endpoint_id].destination for endpoint_id in kept}
+
+        def precedence(endpoint: PoolEndpoint) -> int:
+            if endpoint.status is EndpointStatus.DRAINING:
+                return 2
+            if endpoint.destination in served:
+                return 1
+            served.add(endpoint.destination)
+            return 0
+
+        ordered = sorted(new_endpoints, key=precedence)
+        for endpoint in ordered[room:]:
+            self.left_out.add(endpoint.destination)
+        return {endpoint.id for endpoint in ordered[room:]}
+
+    def accepts_row(self, row: Row) -> bool:
+        """Return whether a row may be applied.
 
         A row is applied if its destination is accepted, or if it is a change of an endpoint in the pool.
         """
-        if self.accepts_destination is None:
+        if self.accepts_destination is None or str(row.get("id")) in self.endpoints:
             return True
-        is_known = row_is_known(row, self.endpoints)
         destination = row_destination(row)
-        if destination is not None and self.accepts_destination(destination):
+        # A row without an id is kept, too, so that its list is rejected.
+        return "id" not in row or (destination is not None and self.accepts_destination(destination))
+
+    def _accepts_listed(self, row: ListedRow, complete: bool) -> bool:
+        """Return whether a kept row is applied; a complete list says anew which destinations are needed."""
+        if self.accepts_destination is None or not complete or row.id is MISSING:
             return True
-        return is_known and not complete
+        return isinstance(row.destination, int) and self.accepts_destination(row.destination)
 
     def changed_listings(self, quota_changed: Callable[[int], bool]) -> EndpointListUpdate:
         """Return an update with the endpoints of the destinations whose quota has changed."""
@@ -123,12 +209,13 @@
         )
         return EndpointListUpdate(UpdateMode.CHANGES, listings)
 
-    def _parse_row(self, row: Row) -> PoolEndpoint:
-        known_endpoint = self.endpoints.get(row_id(row))
+    def _parse_row(self, row: ListedRow) -> PoolEndpoint:
+        """Return the endpoint of a row: the object that is in the pool already if nothing has changed."""
+        known_endpoint = self.endpoints.get(str(row.id))
         endpoint = self._parser.parse(row, known_endpoint)
         if endpoint.status is not EndpointStatus.GONE or known_endpoint is None:
             endpoint.transport = self.transport_of(endpoint)
-        return endpoint
+        return known_endpoint if known_endpoint is not None and endpoint == known_endpoint else endpoint
 
     def _moved_endpoints(self, endpoints: list[PoolEndpoint]) -> list[PoolEndpoint]:
         """Return the endpoints that changed their destination, marked as gone from the previous one."""
@@ -172,7 +259,7 @@
             for endpoint_id in sorted(superseded & self.endpoints.keys())
         ]
 
-    def _apply(
+    def _replace_endpoints(
         self, endpoints: list[PoolEndpoint], listings: tuple[EndpointListing, ...], complete: bool
     ) -> None:
         if complete:  # endpoints that a complete list omits are removed
@@ -194,6 +281,8 @@
                 self.endpoints.pop(endpoint.id, None)
                 self._holders.remove(endpoint)
         self.destinations.update(listing.destination for listing in listings)
+        if self.left_out.destinations:
+            self.left_out.destinations -= {endpoint.destination for endpoint in self.endpoints.values()}
         if len(self.destinations) > MAX_FORMER_DESTINATIONS + len(self.endpoints):
             self.destinations = {endpoint.destination for endpoint in self.endpoints.values()}
 
--- a/honeyhitch/memory/plan.py
+++ b/honeyhitch/memory/plan.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 
 # Fractions of the working memory. The rest covers fragmentation and values that exist for one event only.
-LIST_FRACTION = 0.42
+LIST_FRACTION = 0.45
 CLIENT_FRACTION = 0.21
 REQUEST_FRACTION = 0.08
 MESSAGE_FRACTION = 0.08
@@ -25,8 +25,9 @@
 MESSAGE_BYTES = 2_048  # a held message, besides its body
 BODY_COPIES = 2  # of a held message: its own, and the one that a call writes
 SESSION_BYTES = 8_192  # a TLS session with the certificates of its partner
-LISTED_ENDPOINT_BYTES = 2_800  # one endpoint of the list, with what is learned of it
-LIST_EXPANSION = 24  # bytes of memory per byte of a list while it is parsed
+LISTED_ENDPOINT_BYTES = 2_000  # one endpoint of the list, with what is learned of it, and its row on arrival
+INSTANCE_BYTES = 2_000  # one instance of a fleet's view, and its row on arrival
+MIN_INSTANCES = 1_000  # of a view; without a complete one an instance owns no partition
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,9 +69,9 @@
         return max(1, int(self.working * LIST_FRACTION) // LISTED_ENDPOINT_BYTES)
 
     @property
-    def list_bytes(self) -> int:
-        """The bytes of one list that is parsed."""
-        return int(self.working * LIST_FRACTION) // LIST_EXPANSION
+    def max_instances(self) -> int:
+        """The number of instances in the view of a fleet."""
+        return max(MIN_INSTANCES, int(self.working * LIST_FRACTION) // INSTANCE_BYTES)
 
 
 def message_memory(stored_bytes: int, count: int) -> int:
--- a/honeyhitch/policy/attempt_learning.py
+++ b/honeyhitch/policy/attempt_learning.py
@@ -44,7 +44,7 @@
     # The messages of a call together have the weight of one outcome, or less if none of them was delivered.
     if not rejected:
         weight = 1 / (call.message_count if call.any_delivered else call.message_count**2)
-        endpoint.failures_by_class[message.class_index].record(now, not delivered, weight)
+        endpoint.record_class_outcome(now, message.class_index, not delivered, weight)
         state.circuit.call_failures.record(now, not delivered, weight)
     if delivered:
         return state.record_success(now, call, event.elapsed)
--- a/honeyhitch/policy/decaying_counter.py
+++ b/honeyhitch/policy/decaying_counter.py
@@ -14,6 +14,8 @@
     Times are nanoseconds; `decay_time` is the time in which an outcome's weight falls to 1/e.
     """
 
+    __slots__ = ("decay_time", "failures", "successes", "updated_at")
+
     def __init__(self, decay_time: int) -> None:
         self.failures = 0.0
         self.successes = 0.0
--- a/honeyhitch/policy/endpoint_choice.py
+++ b/honeyhitch/policy/endpoint_choice.py
@@ -86,7 +86,7 @@
     """Return the sort key of an endpoint: failure rank, load, and time since its last use."""
     crosses_zones = settings.cross_zone_cost > 0 and endpoint.zone != settings.zone
     used_last = endpoint.name == message.last_endpoint
-    failure_fraction = endpoint.failures_by_class[message.class_index].failure_fraction(now)
+    failure_fraction = endpoint.class_failure_fraction(now, message.class_index)
     load = endpoint.concurrent_calls + crosses_zones + used_last
     # The endpoint used last is the most likely to have an open connection.
     return int(FAILURE_RANKS * failure_fraction), load, -endpoint.last_used_at
--- a/honeyhitch/policy/endpoint_state.py
+++ b/honeyhitch/policy/endpoint_state.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
 from random import Random
 
 from honeyhitch.policy.backoff import BACKOFF_STEPS
@@ -20,11 +19,11 @@
     """One endpoint of a destination. Times are nanoseconds."""
 
     __slots__ = (
+        "_failures_by_class",
         "capacity",
         "concurrent_calls",
         "connect_blocked_until",
         "connection_limit_failures",
-        "failures_by_class",
         "last_used_at",
         "listed",
         "name",
@@ -43,10 +42,22 @@
         self.capacity = 0 if listing.requires_open_connection else UNLIMITED_CAPACITY
         self.connect_blocked_until = 0
         self.connection_limit_failures = 0  # consecutive connects rejected at the endpoint's connection limit
-        # Counted by class: an endpoint may fail messages of one class only.
-        self.failures_by_class = defaultdict[int, DecayingCounter](
-            lambda: DecayingCounter(CLASS_FAILURES_DECAY_TIME)
-        )
+        # By class: an endpoint may fail messages of one class only. Created with the first outcome.
+        self._failures_by_class: dict[int, DecayingCounter] | None = None
+
+    def record_class_outcome(self, now: int, class_index: int, failed: bool, weight: float = 1.0) -> None:
+        """Count an outcome of a message of one class."""
+        if self._failures_by_class is None:
+            self._failures_by_class = {}
+        counter = self._failures_by_class.get(class_index)
+        if counter is None:
+            counter = self._failures_by_class[class_index] = DecayingCounter(CLASS_FAILURES_DECAY_TIME)
+        counter.record(now, failed, weight)
+
+    def class_failure_fraction(self, now: int, class_index: int) -> float:
+        """Return the recent fraction of failures among the outcomes of one class, 0 to 1."""
+        counter = self._failures_by_class.get(class_index) if self._failures_by_class else None
+        return counter.failure_fraction(now) if counter is not None else 0.0
 
     def back_off_connecting(self, now: int, instance_count: int, rng: Random) -> None:
         """Open no connection for a jittered pause because the endpoint has reached its connection limit."""
--- a/honeyhitch/policy/engine.py
+++ b/honeyhitch/policy/engine.py
@@ -172,7 +172,7 @@
             endpoint.state.connection_failures.record(self.now, True)
             endpoint.state.circuit.call_failures.record(self.now, True)
             for class_index in range(len(self.settings.classes)):
-                endpoint.failures_by_class[class_index].record(self.now, True)
+                endpoint.record_class_outcome(self.now, class_index, True)
             failed_connect = EndpointCall(endpoint, self.now - event.elapsed)
             endpoint.state.record_failure(self.now, failed_connect, rejected=False, retry_after=0)
 
--- a/honeyhitch/protocols/http1.py
+++ b/honeyhitch/protocols/http1.py
@@ -113,7 +113,7 @@
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if not self.complete:
-                raise HttpError(f"response: malformed: {error}") from error
+                raise HttpError(f"response: malformed: {error.__context__ or error}") from error
             self.response.has_trailing_data = True
         return self.response if self.complete else None
 
--- a/honeyhitch/protocols/list_parser.py
+++ b/honeyhitch/protocols/list_parser.py
@@ -1,8 +1,9 @@
-"""Incremental parser of discovery's JSON lists, which keeps only the required rows.
+"""Incremental parser of discovery's JSON lists and changes.
 
-A row is an element of the `members` array. The list of a large deployment contains every destination, so it
-is neither held in memory as a whole nor parsed in one iteration of the event loop. The standard library's
-JSON decoder decodes each row once it is complete.
+A row is an element of the `members` array. The list of a large deployment contains every destination, and it
+may be indented, so its text is neither held in memory as a whole nor parsed in one iteration of the event
+loop. The standard library's JSON decoder decodes each row once it is complete, and a collector keeps what it
+needs of the row.
 """
 
 from __future__ import annotations
@@ -11,12 +12,16 @@
 import json
 import re
 from collections.abc import Callable
-from typing import Any
+from dataclasses import dataclass
+from typing import Any, Generic, Protocol, TypeVar
 
 MEMBERS_START = re.compile(r'"members"\s*:\s*\[')
+# A heartbeat: it never comes within an object.
+EMPTY_LINE = re.compile(r"\n[ \t\r]*\n")
 ROW_SEPARATORS = " \t\r\n,"
 MAX_FRAGMENT_LENGTH = 1 << 16  # characters of one row, or of the text before or after the rows
-MAX_KEPT_ROWS = 100_000  # rows of one list
+MAX_LIST_LENGTH = 1 << 27  # characters of one list, so that a list without an end is an error
+MAX_ROWS = 100_000  # rows of one list that a RowList keeps
 MAX_QUOTED_LENGTH = 80  # characters of malformed input that are quoted in an error
 
 
@@ -24,85 +29,166 @@
     """The input is not a list in discovery's JSON form, or exceeds a limit."""
 
 
-class ListParser:
-    """Parses a stream of lists, and keeps the rows for which `keep_row` returns true.
+class RowCollector(Protocol):
+    """Receives the rows of one list or change, in their order."""
 
-    `keep_row` is called with each row as decoded from JSON.
-    """
+    def add(self, row: dict[str, Any]) -> None:
+        """Keep what is needed of a row as decoded from JSON. Raise ValueError if it cannot be used."""
 
-    def __init__(self, keep_row: Callable[[dict[str, Any]], bool], max_rows: int = MAX_KEPT_ROWS) -> None:
-        """Keep at most `max_rows` rows of a list."""
-        self.keep_row = keep_row
+
+C = TypeVar("C", bound=RowCollector)
+
+
+@dataclass(frozen=True, slots=True)
+class ParsedList(Generic[C]):
+    """One list or change: its fields without the rows, and the collector that received them."""
+
+    fields: dict[str, Any]
+    collector: C
+
+
+class RowList:
+    """A collector that keeps all rows as they are, at most `max_rows` of them."""
+
+    def __init__(self, max_rows: int = MAX_ROWS) -> None:
         self.max_rows = max_rows
+        self.rows: list[dict[str, Any]] = []
+
+    def add(self, row: dict[str, Any]) -> None:
+        """Keep a row. Raise ListError if there are too many."""
+        if len(self.rows) >= self.max_rows:
+            raise ListError(f"more than {self.max_rows} members")
+        self.rows.append(row)
+
+
+class ListParser(Generic[C]):
+    """Parses a stream of lists and changes. `new_collector` returns the collector of the next one."""
+
+    def __init__(self, new_collector: Callable[[], C]) -> None:
+        self.new_collector = new_collector
         self._decoder = json.JSONDecoder()
         self._utf8 = codecs.getincrementaldecoder("utf-8")()
         self._text = ""  # decoded from UTF-8 and not parsed yet
         self._head: str | None = None  # text of the current list before its first row
         self._rows_complete = False
-        self._rows: list[dict[str, Any]] = []
+        self._list_length = 0  # characters of the current list
+        self._collector = new_collector()
 
     @property
     def unparsed_length(self) -> int:
         """The number of characters that are buffered until more of the list is received."""
         return len(self._text)
 
-    def feed(self, data: bytes) -> list[dict[str, Any]]:
-        """Parse received bytes and return the lists that they complete.
+    @property
+    def in_list(self) -> bool:
+        """Whether a list or change has begun and is not complete."""
+        return self._head is not None or bool(self._text.strip())
+
+    def feed(self, data: bytes) -> list[ParsedList[C]]:
+        """Parse received bytes and return the lists and changes that they complete.
 
         Raise ListError for a malformed list and for one that exceeds a limit; the parser cannot be used
         afterwards.
         """
         try:
-            self._text += self._utf8.decode(data)
+            text = self._utf8.decode(data)
         except UnicodeDecodeError as error:
-            raise ListError(f"list: not UTF-8: {error}") from error
-        lists: list[dict[str, Any]] = []
+            raise ListError(f"not UTF-8: {error}") from error
+        self._text += text
+        self._list_length += len(text)
+        lists: list[ParsedList[C]] = []
         while (complete := self._parse_list()) is not None:
             lists.append(complete)
-        if len(self._text) > MAX_FRAGMENT_LENGTH:
-            raise ListError(
-                f"list: one part is longer than {MAX_FRAGMENT_LENGTH} characters: {self._quoted()}"
-            )
+        self._check_unparsed()
         return lists
 
+    def _check_unparsed(self) -> None:
+        """Raise ListError if the rest of the current list is not to be expected."""
+        if len(self._text) > MAX_FRAGMENT_LENGTH:
+            raise ListError(f"one part is longer than {MAX_FRAGMENT_LENGTH} characters: {self._quoted()}")
+        if self._list_length > MAX_LIST_LENGTH:
+            raise ListError(f"longer than {MAX_LIST_LENGTH} characters")
+        if self.in_list:
+            self._reject_empty_line(self._text)
+
+    @staticmethod
+    def _reject_empty_line(text: str, start: int = 0, end: int | None = None) -> None:
+        """Raise ListError if a part of a list contains an empty line: only a heartbeat is one."""
+        end = len(text) if end is None else end
+        if EMPTY_LINE.search(text, start, end) is not None:
+            quoted = text[start:end][:MAX_QUOTED_LENGTH]
+            raise ListError(f"expected the rest of an object, got an empty line: {quoted!r}")
+
     def _quoted(self) -> str:
         return repr(self._text[:MAX_QUOTED_LENGTH])
 
-    def _parse_list(self) -> dict[str, Any] | None:
+    def _parse_list(self) -> ParsedList[C] | None:
         if self._head is None:
+            self._text = self._text.lstrip()
+            self._list_length = len(self._text)
+            if not self._text:
+                return None
             self._head = self._parse_head()
         if self._head is None:
+            self._check_lacks_rows()
             return None
         if not self._rows_complete and not self._parse_rows():
             return None
         return self._parse_tail(self._head)
 
     def _parse_head(self) -> str | None:
-        self._text = self._text.lstrip()
-        if self._text and self._text[0] != "{":
-            raise ListError(f"list: expected an object, got {self._quoted()}")
+        """Return the text of an object up to its first row, or None while it is incomplete or has no rows."""
+        if self._text[0] != "{":
+            raise ListError(f"expected an object, got {self._text[0]!r}")
         start = MEMBERS_START.search(self._text)
         if start is None:
             return None
         head = self._text[: start.end()]
+        try:
+            json.loads(head + "]}")
+        except (ValueError, RecursionError):
+            return None  # `members` is part of an inner object, or of the next object
+        self._reject_empty_line(head)
         self._text = self._text[start.end() :]
-        self._rows = []
+        self._collector = self.new_collector()
         self._rows_complete = False
         return head
 
+    def _check_lacks_rows(self) -> None:
+        """Raise ListError if an object is complete, although no array of rows has begun."""
+        if self._decode(self._text, 0) is not None:
+            raise ListError(f"members: expected an array in the object {self._quoted()}")
+
+    def _decode(self, text: str, position: int) -> tuple[Any, int] | None:
+        """Return the JSON value at a position and the position behind it, or None if it is incomplete.
+
+        A malformed value counts as incomplete; its text accumulates up to MAX_FRAGMENT_LENGTH.
+        """
+        try:
+            return self._decoder.raw_decode(text, position)
+        except ValueError:
+            return None
+        except RecursionError as error:
+            raise ListError(f"nested too deeply: {self._quoted()}") from error
+
     def _parse_rows(self) -> bool:
         """Parse the rows that are complete; return whether the end of the array is reached."""
         text = self._text
         position = 0
         while True:
+            start = position
             while position < len(text) and text[position] in ROW_SEPARATORS:
                 position += 1
-            if position == len(text) or text[position] == "]":
+            self._reject_empty_line(text, start, position)
+            if position == len(text):
+                position = start  # the separators may be the beginning of an empty line
+                break
+            if text[position] == "]":
+                break
+            decoded = self._decode(text, position)
+            if decoded is None:
                 break
-            try:
-                row, position = self._decoder.raw_decode(text, position)
-            except ValueError:
-                break  # incomplete, or malformed: malformed text accumulates up to MAX_FRAGMENT_LENGTH
+            row, position = decoded
             self._add_row(row)
         self._text = text[position:]
         self._rows_complete = self._text.startswith("]")
@@ -111,21 +197,25 @@
     def _add_row(self, row: object) -> None:
         if not isinstance(row, dict):
             quoted = str(row)[:MAX_QUOTED_LENGTH]
-            raise ListError(f"list: members: expected an object, got {quoted!r}")
-        if self.keep_row(row):
-            self._rows.append(row)
-        if len(self._rows) > self.max_rows:
-            raise ListError(f"list: more than {self.max_rows} members have to be kept")
+            raise ListError(f"members: expected an object, got {quoted!r}")
+        try:
+            self._collector.add(row)
+        except ListError:
+            raise
+        except ValueError as error:
+            raise ListError(f"members: {error}") from error
 
-    def _parse_tail(self, head: str) -> dict[str, Any] | None:
+    def _parse_tail(self, head: str) -> ParsedList[C] | None:
         """Return the list, or None while the text after its rows is incomplete.
 
         The text before and after the rows is decoded as one object with an empty `members` array.
         """
-        try:
-            fields, end = self._decoder.raw_decode(head + self._text)
-        except ValueError:
+        decoded = self._decode(head + self._text, 0)
+        if decoded is None:
             return None
+        fields, end = decoded
+        self._reject_empty_line(self._text, 0, end - len(head))
         self._text = self._text[end - len(head) :]
         self._head = None
-        return {**fields, "members": self._rows}
+        del fields["members"]
+        return ParsedList(fields, self._collector)
--- a/honeyhitch/service/features/fleet.py
+++ b/honeyhitch/service/features/fleet.py
@@ -38,5 +38,5 @@
         Random(config.seed ^ FLEET_SEED),
         service.discovery.refetch,
     )
-    service.discovery.reads_partial_lists = True
+    service.discovery.long_lists = True
     service.background_tasks += [service.fleet.watch, service.fleet.watch_expiry]
--- a/honeyhitch/service/fleet.py
+++ b/honeyhitch/service/fleet.py
@@ -17,10 +17,12 @@
 from honeyhitch.journal.transactions import Transaction
 from honeyhitch.partitioning.fleet import ClockError, Fleet
 from honeyhitch.partitioning.settings import FleetSettings
+from honeyhitch.partitioning.view import MAX_INSTANCES
 from honeyhitch.protocols.discovery_backoff import WatchBackoff
+from honeyhitch.protocols.list_parser import ParsedList, RowList
 from honeyhitch.protocols.resp import Route, busy_reply
 from honeyhitch.time_units import MILLISECOND, SECOND
-from honeyhitch.transports.list_watch import ListLimits, ListWatch
+from honeyhitch.transports.list_watch import ListWatch
 from honeyhitch.transports.peers import Forwarder, PeerConnections
 
 log = logs.get_logger()
@@ -75,7 +77,7 @@
         self.forwarder.owner_name = self._name_at
         self._named_view = self.fleet.view  # the view from which `_names` was made
         self._names: dict[str, str] = {}  # of the instances, by address
-        self.list_limits = ListLimits()  # of the view
+        self.max_instances = MAX_INSTANCES  # of the view
         self.lost_partitions = set[int]()  # partitions without a quota whose messages are still held
         self._quota_fractions: dict[int, float] = {}  # by partition, as last applied to the dispatcher
         self._saved_at = 0
@@ -197,14 +199,17 @@
             self.loop,
             backoff,
             self._revision,
-            self.apply_update,
-            limits=lambda: self.list_limits,
+            lambda: RowList(self.max_instances),
+            self._apply_received,
         )
         await watch.run()
 
     def _revision(self) -> int:
         return self.fleet.view.revision
 
+    def _apply_received(self, update: ParsedList[RowList]) -> None:
+        self.apply_update({**update.fields, "members": update.collector.rows})
+
     def apply_update(self, update: dict[str, Any]) -> None:
         """Apply a list, change or heartbeat in discovery's form. Raise FleetViewError if it is faulty."""
         previous_view = self.fleet.view
--- a/honeyhitch/service/limit_report.py
+++ b/honeyhitch/service/limit_report.py
@@ -29,6 +29,7 @@
     requests = service.memory.requests
     held = service.dispatcher.messages
     clients = service.clients
+    pool = service.dispatcher.pool
     return {
         "limit": service.memory.limit,
         "required": plan.required,
@@ -47,5 +48,9 @@
             "limit": plan.message_bytes,
         },
         "clients": {"used": len(clients.clients) if clients is not None else 0, "limit": plan.max_clients},
-        "endpoints": {"used": len(service.dispatcher.pool.endpoints), "limit": plan.max_endpoints},
+        "endpoints": {
+            "used": len(pool.endpoints),
+            "limit": pool.max_endpoints,
+            "left_out": pool.left_out.count,
+        },
     }
--- a/honeyhitch/service/memory_limits.py
+++ b/honeyhitch/service/memory_limits.py
@@ -24,6 +24,7 @@
         """Measure the memory of this process, which must not serve anyone yet."""
         self.limit = config.limits.memory_bytes
         self.upgradable = not unshareable_features(config)
+        return_free_memory()  # of the configuration, whose list of endpoints may be long
         self.process_bytes = resident_bytes()
         self.plan = plan_memory(self.limit, self.process_bytes, upgradable=self.upgradable)
         self.requests = MemoryBudget(self.plan.request_bytes)
--- a/honeyhitch/service/reload.py
+++ b/honeyhitch/service/reload.py
@@ -17,7 +17,6 @@
     "state",
     "seed",
     "limits",
-    "known",
     "settings",
     "operator",
 )
@@ -43,6 +42,7 @@
     _apply_resend_rules(service, config)
     _warn_of_restart(service.config, config)
     in_force = {setting: getattr(service.config, setting) for setting in RESTART_REQUIRED}
+    in_force["known"] = service.config.known  # was used at the start
     service.config = replace(config, **in_force)
 
 
--- a/honeyhitch/service/service.py
+++ b/honeyhitch/service/service.py
@@ -96,9 +96,9 @@
             divide(processes)
         plan = self.memory.divide(processes)
         self.dispatcher.limit_messages(plan.message_bytes)
-        self.discovery.limit_lists(plan.list_bytes, plan.max_endpoints)
+        self.discovery.limit_endpoints(plan.max_endpoints)
         if self.fleet is not None:
-            self.fleet.list_limits = self.discovery.list_limits
+            self.fleet.max_instances = plan.max_instances
         if not peer_running:
             for server in self.shared_servers:
                 server.listens_second = False
--- a/honeyhitch/service/start.py
+++ b/honeyhitch/service/start.py
@@ -50,7 +50,7 @@
     """Use the endpoints of the configuration file until discovery sends its first list."""
     dispatcher = service.dispatcher
     try:
-        dispatcher.apply_list_update(dispatcher.pool.update(service.config.known, cached=True))
+        dispatcher.apply_list_update(dispatcher.pool.apply_known(service.config.known))
     except PoolError as error:
         log.warning("list.known-rejected", error=str(error))
 
--- a/honeyhitch/transports/discovery.py
+++ b/honeyhitch/transports/discovery.py
@@ -5,28 +5,32 @@
 import asyncio
 from http import HTTPStatus
 from random import Random
-from typing import Any
 
 from honeyhitch import logs
 from honeyhitch.dispatcher.dispatcher import Dispatcher
+from honeyhitch.endpoints.row_collector import EndpointRows
 from honeyhitch.journal.transactions import Transaction
 from honeyhitch.protocols import http1, notices
 from honeyhitch.protocols.buffer import Buffer
-from honeyhitch.protocols.discovery import MAX_LIST_BYTES
 from honeyhitch.protocols.discovery_backoff import WatchBackoff
+from honeyhitch.protocols.list_parser import ParsedList
 from honeyhitch.time_units import SECOND
 from honeyhitch.transports import sockets
-from honeyhitch.transports.list_watch import ListLimits, ListWatch, send_request
+from honeyhitch.transports.list_watch import ListWatch, send_request
 from honeyhitch.transports.tasks import Tasks
 
 log = logs.get_logger()
+# The pause before the complete list is requested again because endpoints that were left out would fit now. It
+# doubles with each such request that leaves endpoints out again.
+MIN_REFETCH_SECONDS = 1.0
+MAX_REFETCH_SECONDS = 60.0
 
 
 class Discovery:
     """The client of the agent at one address (HOST:PORT).
 
-    `pending_notices` holds the transactions whose notices the agent has not confirmed yet. With
-    `reads_partial_lists`, lists are parsed incrementally, and only the rows that the pool needs are kept.
+    `pending_notices` holds the transactions whose notices the agent has not confirmed yet. With `long_lists`,
+    the agent may take any time to send a complete list, of which the pool needs only a part.
     """
 
     def __init__(self, address: str, dispatcher: Dispatcher, tasks: Tasks, rng: Random) -> None:
@@ -39,13 +43,14 @@
         self.pending_notices: list[Transaction] = []
         self.notice_added = asyncio.Event()
         self.running_tasks: list[asyncio.Task[None]] = []  # the task for notices, then the task for the watch
-        self.reads_partial_lists = False
-        self.list_limits = ListLimits()
+        self.long_lists = False
+        self.refetch_pause = MIN_REFETCH_SECONDS
+        self.refetch_timer: asyncio.TimerHandle | None = None
 
-    def limit_lists(self, max_bytes: int, max_endpoints: int) -> None:
-        """Refuse lists of more bytes, and updates after which more endpoints would be listed."""
-        self.list_limits = ListLimits(min(MAX_LIST_BYTES, max_bytes), max_endpoints)
-        self.dispatcher.pool.max_endpoints = max_endpoints
+    def limit_endpoints(self, max_endpoints: int) -> None:
+        """Keep at most this number of listed endpoints, and request those again that would fit now."""
+        self.dispatcher.pool.limit_endpoints(max_endpoints)
+        self._refetch_left_out()
 
     def start(self, watch: bool = True) -> None:
         """Start to send notices and to watch; without `watch`, watching starts with `refetch`."""
@@ -81,27 +86,34 @@
             address_changed=self.address_changed,
             drain_grace=settings.drain_grace / SECOND,
         )
-        keep_row = self._keep_row if self.reads_partial_lists else None
         watch = ListWatch(
             self.address,
             self.loop,
             backoff,
             lambda: pool.revision,
+            pool.new_rows,
             self._apply_update,
-            keep_row,
-            lambda: self.list_limits,
+            self.long_lists,
         )
         await watch.run()
 
-    def _keep_row(self, row: dict[str, Any]) -> bool:
-        """Return whether the pool needs a row.
-
-        A row without an id is kept, too, so that the list is rejected as it would be without filtering.
-        """
-        return "id" not in row or self.dispatcher.pool.accepts_row(row)
-
-    def _apply_update(self, update: dict[str, Any]) -> None:
-        self.dispatcher.apply_list_update(self.dispatcher.pool.update(update))
+    def _apply_update(self, update: ParsedList[EndpointRows]) -> None:
+        pool = self.dispatcher.pool
+        self.dispatcher.apply_list_update(pool.apply(update.fields, update.collector))
+        if not pool.left_out.count:
+            self.refetch_pause = MIN_REFETCH_SECONDS
+        self._refetch_left_out()
+
+    def _refetch_left_out(self) -> None:
+        """Request the complete list after a pause if the pool has room for endpoints that it left out."""
+        if self.refetch_timer is None and self.dispatcher.pool.has_room_for_left_out:
+            self.refetch_timer = self.loop.call_later(self.refetch_pause, self._refetch_if_room)
+            self.refetch_pause = min(2 * self.refetch_pause, MAX_REFETCH_SECONDS)
+
+    def _refetch_if_room(self) -> None:
+        self.refetch_timer = None
+        if self.dispatcher.pool.has_room_for_left_out:
+            self.refetch()
 
     def answer(self, transaction: Transaction) -> None:
         """Send the agent a notice of the final answer, as the frontend for clients that use RESP."""
--- a/honeyhitch/transports/list_watch.py
+++ b/honeyhitch/transports/list_watch.py
@@ -6,21 +6,19 @@
 import socket
 from collections.abc import Callable
 from http import HTTPStatus
-from typing import Any, NamedTuple
+from typing import Generic, TypeVar
 
 from honeyhitch import logs
 from honeyhitch.protocols import http1
 from honeyhitch.protocols.buffer import Buffer
 from honeyhitch.protocols.discovery import (
-    MAX_LIST_BYTES,
     WatchError,
     WatchParser,
     encode_list_request,
     encode_watch_request,
-    parse_complete_list,
 )
 from honeyhitch.protocols.discovery_backoff import WatchBackoff
-from honeyhitch.protocols.list_parser import MAX_KEPT_ROWS
+from honeyhitch.protocols.list_parser import ParsedList, RowCollector
 from honeyhitch.transports import sockets
 
 log = logs.get_logger()
@@ -29,20 +27,16 @@
 CLOSED_BEFORE_RESPONSE = "expected a complete response, but the agent closed the connection"
 
 
-class ListLimits(NamedTuple):
-    """The limits of a list: of its bytes if it is parsed as a whole, otherwise of the rows that are kept."""
+C = TypeVar("C", bound=RowCollector)
 
-    max_bytes: int = MAX_LIST_BYTES
-    max_rows: int = MAX_KEPT_ROWS
 
-
-class ListWatch:
+class ListWatch(Generic[C]):
     """Requests lists and changes from the agent at one address (HOST:PORT), and applies each on arrival.
 
-    `on_update` is called with each list or change in discovery's format, and raises an exception if the
-    update cannot be used. `revision` returns the revision of the update that was applied last. With
-    `keep_row`, only the rows of a list for which it returns true are kept. `limits` returns the limits of a
-    list that are in force.
+    `new_collector` returns the collector for the rows of the next list or change. `on_update` is called with
+    each of them once it is complete, and raises an exception if it cannot be used. `revision` returns the
+    revision of the update that was applied last. With `long_lists`, a complete list may take any time as long
+    as bytes arrive; otherwise all of it must be received within one response timeout.
     """
 
     def __init__(
@@ -51,17 +45,17 @@
         loop: asyncio.AbstractEventLoop,
         backoff: WatchBackoff,
         revision: Callable[[], int],
-        on_update: Callable[[dict[str, Any]], None],
-        keep_row: Callable[[dict[str, Any]], bool] | None = None,
-        limits: Callable[[], ListLimits] = lambda: ListLimits(),
+        new_collector: Callable[[], C],
+        on_update: Callable[[ParsedList[C]], None],
+        long_lists: bool = False,
     ) -> None:
         self.address = address
         self.loop = loop
         self.backoff = backoff
         self.revision = revision
+        self.new_collector = new_collector
         self.on_update = on_update
-        self.keep_row = keep_row
-        self.limits = limits
+        self.long_lists = long_lists
 
     async def run(self) -> None:
         """Watch until cancelled; updates that were applied stay in use while the agent sends nothing."""
@@ -90,7 +84,7 @@
 
     async def _watch(self) -> None:
         """Run one watch. Raise an exception when it breaks, ends, or receives nothing in time."""
-        parser = WatchParser(self.keep_row, *self.limits())
+        parser = WatchParser(self.new_collector)
         buffer = Buffer()
         self.backoff.watch_opened()
         deadline = self._read_deadline()
@@ -119,7 +113,7 @@
     async def _receive(
         self, sock: socket.socket, buffer: Buffer, deadline: float, closed_reason: str
     ) -> bytes:
-        """Read once and return the bytes.
+        """Read once and return the bytes of a watch.
 
         Raise TimeoutError at `deadline` on the loop's clock, and ConnectionResetError with `closed_reason` at
         the end of the connection.
@@ -133,26 +127,25 @@
 
     async def _fetch_complete_list(
         self, sock: socket.socket, buffer: Buffer, deadline: float
-    ) -> dict[str, Any]:
+    ) -> ParsedList[C]:
         """Request and return the complete list.
 
-        Raise TimeoutError if the response is late, OSError if the connection breaks, and HttpError or
-        WatchError if the response is not a valid list.
-
-        Without `keep_row` the whole response must be received by `deadline`. A list that is parsed
-        incrementally must begin by `deadline`, and each read must receive bytes within the read timeout.
+        Raise TimeoutError if the response is late, OSError if the connection breaks, and WatchError if the
+        response is not a valid list.
         """
-        request = encode_list_request(self.address)
-        if self.keep_row is None:
-            async with asyncio.timeout_at(deadline):
-                response = await send_request(self.loop, sock, buffer, request, self.limits().max_bytes)
-                return parse_complete_list(response)
-        parser = WatchParser(self.keep_row, *self.limits())
-        lists: list[dict[str, Any]] = []
-        await self.loop.sock_sendall(sock, request)
+        parser = WatchParser(self.new_collector)
+        lists: list[ParsedList[C]] = []
+        await self.loop.sock_sendall(sock, encode_list_request(self.address))
         while not parser.complete:
-            lists += parser.feed(await self._receive(sock, buffer, deadline, CLOSED_BEFORE_RESPONSE))
-            deadline = self._read_deadline()
+            async with asyncio.timeout_at(deadline):
+                count = await sockets.read(self.loop, sock, buffer)
+            if count:
+                lists += parser.feed(buffer.consume_all())
+            elif not parser.connection_closed():
+                raise ConnectionResetError(CLOSED_BEFORE_RESPONSE)
+            if self.long_lists:
+                deadline = self._read_deadline()
+        self.backoff.data_received()
         if len(lists) != 1:
             raise WatchError(f"list of {self.address}: expected one object, got {len(lists)}")
         return lists[0]
