--- a/honeyhitch/dispatcher/dispatcher.py
+++ b/honeyhitch/dispatcher/dispatcher.py
@@ -168,6 +168,13 @@
         """Resume messages that a process left; they are in the journal, and no other process resumes them."""
         self.recovery.take_over(pending, dead_letters)
 
+    def conclude_without_room(self, message: Transaction) -> bool:
+        """End a message of another process that the journal has no room for and whose time is up.
+
+        Return false and send nothing if the journal cannot even record the ending.
+        """
+        return self.endings.conclude_without_room(message)
+
     def stop_deciding(self, pause: int) -> None:
         """Run the last round, which ends messages that cannot wait `pause` nanoseconds for a decision."""
         self.recovery.stop_deciding(pause)
--- a/honeyhitch/dispatcher/endings.py
+++ b/honeyhitch/dispatcher/endings.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from honeyhitch import logs
 from honeyhitch.dispatcher.context import DispatcherContext
+from honeyhitch.journal.journal import JournalFullError
+from honeyhitch.journal.settings_names import UNKNOWN
 from honeyhitch.journal.transactions import RESEND_FRONTEND, RESP_FRONTEND, Ending, Transaction
 from honeyhitch.policy.events import MessageWithdrawn
 from honeyhitch.time_units import MILLISECOND
@@ -61,16 +65,7 @@
         )
         context.metrics.message_concluded(message, ending)
         if ending is not Ending.DELIVERED:
-            log.info(
-                "message.ended",
-                message=message.id,
-                ending=ending.value,
-                destination=message.destination,
-                attempts=message.attempt_count,
-                left_ms=(message.deadline - context.scheduler.now()) // MILLISECOND,
-                retry_after_ms=retry_after // MILLISECOND,
-                key=message.id,
-            )
+            self._log_ending(message, ending, retry_after)
         if is_dead_letter or not unanswered:
             context.journal.record_decision(message, ending, retry_after, is_dead_letter)
         if unanswered:
@@ -93,6 +88,44 @@
         self.context.journal.record_decision(message, ending, retry_after=0)
         self._answer_once_recorded(message)
 
+    def conclude_without_room(self, message: Transaction) -> bool:
+        """End a message of another process that the journal has no room for and whose time is up.
+
+        Only its ending is recorded. Return false and send nothing if the journal cannot take that record.
+        """
+        ending = Ending.REJECTED if self._may_reject(message) else Ending.FAILED
+        ended = replace(message, body=b"", ending=ending)
+        try:
+            self.context.journal.record_rejected(ended)
+        except JournalFullError as error:
+            log.warning("journal.full", record="ending", error=str(error))
+            return False
+        if message.class_index != UNKNOWN:
+            self.context.metrics.message_concluded(ended, ending)
+        self._log_ending(ended, ending, 0)
+        self.answer(ended)
+        return True
+
+    def _may_reject(self, message: Transaction) -> bool:
+        """Return whether submitting a message again is harmless."""
+        if message.first_possible_execution() is None:
+            return True
+        if message.class_index == UNKNOWN:
+            return False
+        return self.context.settings.classes[message.class_index].may_reject_executed
+
+    def _log_ending(self, message: Transaction, ending: Ending, retry_after: int) -> None:
+        log.info(
+            "message.ended",
+            message=message.id,
+            ending=ending.value,
+            destination=message.destination,
+            attempts=message.attempt_count,
+            left_ms=(message.deadline - self.context.scheduler.now()) // MILLISECOND,
+            retry_after_ms=retry_after // MILLISECOND,
+            key=message.id,
+        )
+
     def _answer_once_recorded(self, message: Transaction) -> None:
         """Have the answer sent, after a failing disk has taken the decision or at the message's deadline.
 
--- a/honeyhitch/journal/journal.py
+++ b/honeyhitch/journal/journal.py
@@ -218,16 +218,16 @@
 
         The other process owns the messages as soon as the record is written. Raise JournalFullError, and keep
         the messages that were not recorded, if there is no space. The first hand-over compacts the file
-        beforehand. From then on the file only grows, so that the other process need not reserve space for a
+        beforehand. From then on the file only grows, so that neither process need reserve space for a
         compaction of it.
         """
         if self.calls_in_flight is None:
             self.compact()
+        self.record_calls_in_flight(calls_in_flight)
         for start in range(0, len(transactions), MAX_IDS_PER_RECORD):
             batch = {message.id: message for message in transactions[start : start + MAX_IDS_PER_RECORD]}
             self.append(MessagesHandedOver(list(batch)))
             self.handed_over |= batch
-        self.record_calls_in_flight(calls_in_flight)
 
     def record_calls_in_flight(self, count: int | None) -> None:
         """Record the number of calls in flight in a process that hands over; None if it does not."""
@@ -325,7 +325,8 @@
         if self.size > max(COMPACT_FRACTION * self.max_bytes, 2 * self.live_bytes):
             self._compact_if_worthwhile(0)
         # The old and the new file exist at the same time during a compaction, so both must always fit.
-        reserved = self.live_bytes + self.peer_bytes + 2 * record_bytes + SPARE_BLOCKS * DISK_BLOCK_BYTES
+        compacted_bytes = self.live_bytes if self.calls_in_flight is None else 0
+        reserved = compacted_bytes + self.peer_bytes + 2 * record_bytes + SPARE_BLOCKS * DISK_BLOCK_BYTES
         excess = reserved - disk_fraction * self.max_bytes
         if self.size + excess > 0:
             self._compact_if_worthwhile(self.size + excess)
--- a/honeyhitch/policy/message.py
+++ b/honeyhitch/policy/message.py
@@ -124,9 +124,7 @@
 
     def may_reject(self) -> bool:
         """Return whether the message may be rejected, because submitting it again is harmless (rule 2)."""
-        if not self.possible_executions or self.message_class.idempotency is Idempotency.IDEMPOTENT:
-            return True
-        return self.has_idempotency_key and not self.zone_bound
+        return not self.possible_executions or self.message_class.may_reject_executed
 
     def required_zone(self) -> int | None:
         """Return the only zone where the idempotency key is known (rule 2), or None if any zone will do."""
--- a/honeyhitch/policy/settings.py
+++ b/honeyhitch/policy/settings.py
@@ -72,6 +72,13 @@
     objective_work_factor: float = 0.0  # multiple of a message's expected work that is added to its objective
     name: str = ""
 
+    @property
+    def may_reject_executed(self) -> bool:
+        """Whether submitting a message again is harmless even if it may have been executed (rule 2)."""
+        if self.idempotency is Idempotency.IDEMPOTENCY_KEY:
+            return self.deduplication_scope is not DeduplicationScope.ZONE
+        return self.idempotency is Idempotency.IDEMPOTENT
+
     def __post_init__(self) -> None:
         """Check the values."""
         _require(self.deadline > 0, "classes.deadline", "must be above 0")
--- a/honeyhitch/service/handover.py
+++ b/honeyhitch/service/handover.py
@@ -107,7 +107,10 @@
         self.on_change(running, None)
 
     def _receive_messages(self) -> None:
-        """Record the messages that the peer hands over in this process's journal, then resume them."""
+        """Record the messages that the peer hands over in this process's journal, then resume them.
+
+        Those that the journal has no room for are tried again with each check, and end at their deadlines.
+        """
         if self.follower.calls_in_flight != self.peer_calls_in_flight:
             self.peer_calls_in_flight = self.follower.calls_in_flight
             self.on_change(True, self.peer_calls_in_flight)
@@ -118,14 +121,20 @@
                 try:
                     self.journal.record_accepted(copy)
                 except JournalFullError as error:  # space is freed as messages of this process end
-                    log.warning("handover.journal-full", error=str(error))
-                    break
-                received.append(copy)
+                    log.warning("handover.journal-full", error=str(error), key="messages")
+                    if not self._end_if_due(copy):
+                        continue
+                else:
+                    received.append(copy)
             self.follower.handed_over.pop(message_id, None)
         if received:
             log.info("handover.messages-received", messages=len(received))
             self.dispatcher.take_over(received, [])
 
+    def _end_if_due(self, message: Transaction) -> bool:
+        """End a message that cannot be received if its time is up; return whether it has ended."""
+        return self.journal.clock() >= message.deadline and self.dispatcher.conclude_without_room(message)
+
     def _returned_messages(self) -> dict[str, Transaction]:
         """Return messages handed over to the peer that the peer never accepted, once it hands over itself.
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import json
 import os
 import socket
@@ -21,13 +22,14 @@
 from honeyhitch.journal.records import JournalOwner
 from honeyhitch.journal.transactions import Ending, Transaction
 from honeyhitch.policy.events import Outcome
+from honeyhitch.policy.settings import Idempotency
 from honeyhitch.service.handover import ProcessHandover
 from honeyhitch.service.run import run
 from honeyhitch.transports import sockets
 
 from .polling import poll_condition
 from .program import Peer, run_async_test, running_program, write_config_files
-from .rig import START, DispatcherRig, VirtualTime, endpoint_row
+from .rig import STANDARD_CLASS, START, DispatcherRig, VirtualTime, endpoint_row
 from .world import SECOND as S
 
 RETENTION = 20 * S
@@ -283,6 +285,78 @@
     assert not old.held()
 
 
+def submit_large(process: Process, name: str, left: int = 20 * S) -> bool:
+    """Submit a message with a body of 60,000 bytes for a destination without endpoints."""
+    message = Transaction(name, 0, 3, START + left, bytes(60_000), key=f"k-{name}")
+    return process.dispatcher.submit(message).accepted
+
+
+# Guards against messages that neither process sends or ends, because a larger one before them does not fit.
+def test_messages_behind_one_that_does_not_fit_are_received(tmp_path: Path) -> None:
+    time, disk = VirtualTime(), 500_000
+    old = Process(tmp_path, time, max_journal_bytes=disk, max_messages=1000)
+    accepted = [f"large-{number}" for number in range(10) if submit_large(old, f"large-{number}")]
+    assert len(accepted) > 2
+    new = Process(tmp_path, time, max_journal_bytes=disk, max_messages=1000)
+    assert old.submit("small")
+    new.handover.retry_after_events()  # as in a round
+    old.dispatcher.hand_over()
+    new.handover.check_peer()
+    assert not new.held() >= set(accepted), "the journals have no room for all of them twice"
+    assert "small" in new.held()
+    assert [message.id for call in new.advance(0.1) for message in call.messages] == ["small"]
+
+
+# Guards against messages that count as lost, as no process ends them while the old one waits for its calls.
+@pytest.mark.parametrize("killed", [False, True])
+@pytest.mark.parametrize("attempted", [False, True])
+def test_a_message_that_does_not_fit_until_its_deadline_is_ended(
+    tmp_path: Path, killed: bool, attempted: bool
+) -> None:
+    time = VirtualTime()
+    # A message that was attempted may only be rejected if a second execution does no harm.
+    idempotency = Idempotency.NON_IDEMPOTENT if attempted else Idempotency.IDEMPOTENT
+    classes = (dataclasses.replace(STANDARD_CLASS, idempotency=idempotency),)
+    arguments: dict[str, Any] = {"max_journal_bytes": 500_000, "max_messages": 1000, "classes": classes}
+    old = Process(tmp_path, time, **arguments)
+    accepted = [f"large-{number}" for number in range(10) if submit_large(old, f"large-{number}", 3 * S)]
+    for message in old.dispatcher.messages.by_id.values():
+        if attempted:
+            old.journal.record_attempt(message, START, 0)
+    new = Process(tmp_path, time, **arguments)
+    new.handover.retry_after_events()
+    old.dispatcher.hand_over()
+    new.handover.check_peer()
+    left_out = set(accepted) - new.held()
+    assert left_out
+    new.advance(3.02)
+    new.handover.check_peer()
+    new.advance(0.1)
+    expected = Ending.FAILED if attempted else Ending.REJECTED
+    endings = {message.id: message.ending for message in new.answers}
+    assert {name: endings.get(name) for name in left_out} == dict.fromkeys(left_out, expected)
+    assert len(new.answers) == len(accepted), "each message has one answer"
+    if killed:
+        new.kill()
+        new = Process(tmp_path, time, **arguments)
+    old.kill()
+    new.handover.check_peer()
+    assert not new.held()
+    new.advance(1)
+    assert not new.answers or not killed, "no message is answered again"
+
+
+def test_a_process_that_hands_over_reserves_no_room_for_a_compaction(tmp_path: Path) -> None:
+    time, disk = VirtualTime(), 500_000
+    old = Process(tmp_path, time, max_journal_bytes=disk, max_messages=1000)
+    while submit_large(old, f"large-{len(old.held())}"):
+        pass
+    old.journal.peer_bytes = disk // 3
+    old.dispatcher.hand_over()
+    assert not old.held(), "the hand-over itself can be recorded"
+    assert sum(file.stat().st_size for file in tmp_path.iterdir()) < disk
+
+
 def test_the_old_process_takes_over_from_a_new_one_that_was_killed(tmp_path: Path) -> None:
     time = VirtualTime()
     old = Process(tmp_path, time)
