--- a/honeyhitch/journal/journal.py
+++ b/honeyhitch/journal/journal.py
@@ -210,8 +210,8 @@
 
     def record_retry_after(self, destination: int, endpoint: str, until: int) -> None:
         """Record a Retry-After from an endpoint; the other process of a hand-over observes it as well."""
-        self.retry_after_until[destination, endpoint] = until
-        self._append_or_postpone(RetryAfterNoted(destination, endpoint, until))
+        if self._extend_retry_after(destination, endpoint, until):
+            self._append_or_postpone(RetryAfterNoted(destination, endpoint, until))
 
     def hand_over(self, transactions: list[Transaction], calls_in_flight: int) -> None:
         """Record that the other process resumes these messages, and how many calls are in flight here.
--- a/honeyhitch/journal/merge.py
+++ b/honeyhitch/journal/merge.py
@@ -48,7 +48,8 @@
             self._add_message(transaction)
         for transaction in new_dead_letters:
             self._add_pending_dead_letter(transaction)
-        self.retry_after_until = peer_state.retry_after_until | self.retry_after_until
+        for (destination, endpoint), until in peer_state.retry_after_until.items():
+            self._extend_retry_after(destination, endpoint, until)
         own_messages.concluded = peer_state.messages.concluded | own_messages.concluded
         own_messages.delivered_keys = peer_state.messages.delivered_keys | own_messages.delivered_keys
         return new_messages + returned_messages, new_dead_letters
--- a/honeyhitch/journal/state.py
+++ b/honeyhitch/journal/state.py
@@ -61,7 +61,7 @@
         self.live_bytes = 0  # estimated bytes of the records that compaction would keep
         self.dead_letter_bytes = 0  # the part of `live_bytes` of messages that only wait for the store
         self.message_bytes: dict[str, int] = {}  # estimated bytes by message id
-        # End of the last Retry-After, by destination and endpoint.
+        # End of the Retry-After that ends last, by destination and endpoint.
         self.retry_after_until: dict[tuple[int, str], int] = {}
         # Messages in this journal that the other process of a hand-over resumes.
         self.handed_over: dict[str, Transaction] = {}
@@ -149,7 +149,7 @@
         self._remove_dead_letter(record.message, record.ended_at)
 
     def _apply_retry_after(self, record: RetryAfterNoted) -> None:
-        self.retry_after_until[record.destination, record.endpoint] = record.until
+        self._extend_retry_after(record.destination, record.endpoint, record.until)
 
     def _apply_owner(self, record: JournalOwner) -> None:
         self.name = record.name
@@ -197,6 +197,16 @@
 
     # Methods shared with the writer of a journal.
 
+    def _extend_retry_after(self, destination: int, endpoint: str, until: int) -> bool:
+        """Keep the end of a Retry-After unless a later one is known; return whether it is kept.
+
+        A Retry-After that is received later does not shorten one that is in force.
+        """
+        if self.retry_after_until.get((destination, endpoint), 0) >= until:
+            return False
+        self.retry_after_until[destination, endpoint] = until
+        return True
+
     def _add_message(self, message: Transaction) -> None:
         self.live_bytes -= self.message_bytes.get(message.id, 0)  # a message that was handed over may return
         self.handed_over.pop(message.id, None)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -357,6 +357,24 @@
     assert sum(file.stat().st_size for file in tmp_path.iterdir()) < disk
 
 
+# Guards against a later, shorter wait that replaces the one in force, in the journal or in a merge of two.
+@pytest.mark.parametrize("killed", [False, True])
+def test_the_longest_of_several_waits_holds_in_the_other_process(tmp_path: Path, killed: bool) -> None:
+    time = VirtualTime()
+    old, new = Process(tmp_path, time), Process(tmp_path, time)
+    endpoint = old.dispatcher.pool.endpoints["s-1"]
+    old.dispatcher.retry_after_received(endpoint, 3 * S)
+    old.dispatcher.retry_after_received(endpoint, 1 * S)
+    new.dispatcher.retry_after_received(new.dispatcher.pool.endpoints["s-1"], 2 * S)
+    if killed:
+        old.kill()
+    new.handover.check_peer()
+    new.submit("a")
+    assert not new.advance(2.9)
+    assert new.journal.retry_after_until.get((1, "s-1")) == START + (3 if killed else 2) * S
+    assert new.advance(0.2)
+
+
 def test_the_old_process_takes_over_from_a_new_one_that_was_killed(tmp_path: Path) -> None:
     time = VirtualTime()
     old = Process(tmp_path, time)
