--- a/honeyhitch/journal/journal.py
+++ b/honeyhitch/journal/journal.py
@@ -84,6 +84,7 @@
         self.compaction_overhead = 0  # bytes by which the last compacted file exceeded `live_bytes`
         self.postponed: deque[Record] = deque()  # records that could not be written yet, oldest first
         self.on_postponed: Callable[[], None] = lambda: None  # called when a record could not be written
+        self._hands_over = False  # from the first hand-over on the file is not compacted
         self.clock = clock
         self.detailed = detailed
         with contextlib.suppress(OSError):  # left by an interrupted compaction; the old file is complete
@@ -223,20 +224,23 @@
         """
         if self.calls_in_flight is None:
             self.compact()
-        self.record_calls_in_flight(calls_in_flight)
+        self._hands_over = True
         for start in range(0, len(transactions), MAX_IDS_PER_RECORD):
             batch = {message.id: message for message in transactions[start : start + MAX_IDS_PER_RECORD]}
             self.append(MessagesHandedOver(list(batch)))
             self.handed_over |= batch
+        self.record_calls_in_flight(calls_in_flight)
 
     def record_calls_in_flight(self, count: int | None) -> None:
         """Record the number of calls in flight in a process that hands over; None if it does not."""
+        self._hands_over = count is not None
         if count != self.calls_in_flight:
             self.calls_in_flight = count
             self._append_or_postpone(CallsInFlight(count))
 
     def reclaim(self) -> None:
         """Record that this process owns all handed-over messages again, as the other process has ended."""
+        self._hands_over = False
         if self.handed_over or self.calls_in_flight is not None:
             self.handed_over = {}
             self.calls_in_flight = None
@@ -325,7 +329,7 @@
         if self.size > max(COMPACT_FRACTION * self.max_bytes, 2 * self.live_bytes):
             self._compact_if_worthwhile(0)
         # The old and the new file exist at the same time during a compaction, so both must always fit.
-        compacted_bytes = self.live_bytes if self.calls_in_flight is None else 0
+        compacted_bytes = 0 if self._hands_over else self.live_bytes
         reserved = compacted_bytes + self.peer_bytes + 2 * record_bytes + SPARE_BLOCKS * DISK_BLOCK_BYTES
         excess = reserved - disk_fraction * self.max_bytes
         if self.size + excess > 0:
@@ -341,7 +345,7 @@
         Without the second condition, a full journal would be compacted for each message that it rejects.
         """
         gain = self.size - self.live_bytes - self.compaction_overhead
-        if self.calls_in_flight is None and gain >= max(required_bytes, MIN_COMPACTION_GAIN * self.size):
+        if not self._hands_over and gain >= max(required_bytes, MIN_COMPACTION_GAIN * self.size):
             self.compact()
 
     def compact(self) -> None:
