Remember keys that may have been executed, also if their message was not delivered

The first call ran, its answer was lost, and the message was handed back; its copy came inside the window, waited for the partner and was sent after the window.

Only delivered keys are answered as delivered, as before.

--- a/honeyhitch/dispatcher/admission.py
+++ b/honeyhitch/dispatcher/admission.py
@@ -145,7 +145,7 @@
         if message.frontend == RESP_FRONTEND or not self.context.has_idempotency_key(message):
             return False
         now = self.context.scheduler.now()
-        return self.context.messages.first_execution_of_key(message, now) is not None
+        return self.context.messages.is_key_delivered(message, now)
 
     def submit_resend(self, message: Transaction) -> bool:
         """Write a resend to the journal and return whether it was accepted.
--- a/honeyhitch/dispatcher/endings.py
+++ b/honeyhitch/dispatcher/endings.py
@@ -162,7 +162,7 @@
             coordinator = context.resend_coordinator
             return coordinator is not None and coordinator.settles_dead_letter(message)
         if message.key:  # no dead letter is kept if a message with the same key was delivered meanwhile
-            return context.messages.first_execution_of_key(message, context.scheduler.now()) is None
+            return not context.messages.is_key_delivered(message, context.scheduler.now())
         return True
 
     def dead_letter_stored(self, message: Transaction) -> None:
--- a/honeyhitch/dispatcher/rounds.py
+++ b/honeyhitch/dispatcher/rounds.py
@@ -102,7 +102,7 @@
     def _first_execution(self, message: Transaction, now: int) -> Execution | None:
         """Return the earliest execution that this message may repeat, or None.
 
-        It may be an execution of this message, of a delivered message with its key, or of a resend.
+        It may be an execution of this message, of an ended message with its key, or of a resend.
         """
         first_execution = message.first_possible_execution()
         if first_execution is None and self.context.has_idempotency_key(message):
--- a/honeyhitch/journal/journal.py
+++ b/honeyhitch/journal/journal.py
@@ -369,9 +369,11 @@
             yield NamesRecorded(self.current_names)
         concluded = list(self.messages.concluded.items())
         delivered_keys = list(self.messages.delivered_keys.items())
-        for start in range(0, max(len(concluded), len(delivered_keys)), MAX_IDS_PER_RECORD):
-            end = start + MAX_IDS_PER_RECORD
-            yield EndedMessages(dict(concluded[start:end]), dict(delivered_keys[start:end]))
+        attempted_keys = list(self.messages.attempted_keys.items())
+        longest = max(len(concluded), len(delivered_keys), len(attempted_keys))
+        for start in range(0, longest, MAX_IDS_PER_RECORD):
+            part = slice(start, start + MAX_IDS_PER_RECORD)
+            yield EndedMessages(dict(concluded[part]), dict(delivered_keys[part]), dict(attempted_keys[part]))
         for message in self.messages.by_id.values():
             yield MessageRecord(message, self.detailed)
         for message in self.messages.pending_dead_letters.values():
--- a/honeyhitch/journal/merge.py
+++ b/honeyhitch/journal/merge.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from honeyhitch.journal.state import JournalState
-from honeyhitch.journal.transactions import DeliveredKey, Transaction
+from honeyhitch.journal.transactions import RememberedKey, Transaction
 
 
 @dataclass(frozen=True, slots=True)
@@ -14,7 +14,8 @@
 
     by_id: dict[str, Transaction]
     concluded: dict[str, int]
-    delivered_keys: dict[str, DeliveredKey]
+    delivered_keys: dict[str, RememberedKey]
+    attempted_keys: dict[str, RememberedKey]
     pending_dead_letters: dict[tuple[str, int], Transaction]
     handed_over: dict[str, Transaction]
     calls_in_flight: int | None
@@ -51,7 +52,12 @@
         for (destination, endpoint), until in peer_state.retry_after_until.items():
             self._extend_retry_after(destination, endpoint, until)
         own_messages.concluded = peer_state.messages.concluded | own_messages.concluded
-        own_messages.delivered_keys = peer_state.messages.delivered_keys | own_messages.delivered_keys
+        own_messages.delivered_keys = _earliest(
+            peer_state.messages.delivered_keys, own_messages.delivered_keys
+        )
+        own_messages.attempted_keys = _earliest(
+            peer_state.messages.attempted_keys, own_messages.attempted_keys
+        )
         return new_messages + returned_messages, new_dead_letters
 
     def _settle_handed_over(self, peer_state: JournalState) -> list[Transaction]:
@@ -73,6 +79,7 @@
             by_id=dict(self.messages.by_id),
             concluded=dict(self.messages.concluded),
             delivered_keys=dict(self.messages.delivered_keys),
+            attempted_keys=dict(self.messages.attempted_keys),
             pending_dead_letters=dict(self.messages.pending_dead_letters),
             handed_over=self.handed_over,
             calls_in_flight=self.calls_in_flight,
@@ -86,9 +93,21 @@
         self.messages.by_id = saved.by_id
         self.messages.concluded = saved.concluded
         self.messages.delivered_keys = saved.delivered_keys
+        self.messages.attempted_keys = saved.attempted_keys
         self.messages.pending_dead_letters = saved.pending_dead_letters
         self.handed_over = saved.handed_over
         self.calls_in_flight = saved.calls_in_flight
         self.live_bytes = saved.live_bytes
         self.dead_letter_bytes = saved.dead_letter_bytes
         self.message_bytes = saved.message_bytes
+
+
+def _earliest(
+    keys: dict[str, RememberedKey], other_keys: dict[str, RememberedKey]
+) -> dict[str, RememberedKey]:
+    """Return the keys of both, each with its earliest execution and its latest retention."""
+    merged = keys | other_keys
+    for key in keys.keys() & other_keys.keys():
+        until = max(keys[key].remembered_until, other_keys[key].remembered_until)
+        merged[key] = min(keys[key], other_keys[key])._replace(remembered_until=until)
+    return merged
--- a/honeyhitch/journal/record_codec.py
+++ b/honeyhitch/journal/record_codec.py
@@ -32,7 +32,7 @@
     RetryAfterNoted,
 )
 from honeyhitch.journal.settings_names import SettingsNames
-from honeyhitch.journal.transactions import Attempt, DeliveredKey, Ending, PossibleExecution, Transaction
+from honeyhitch.journal.transactions import Attempt, Ending, PossibleExecution, RememberedKey, Transaction
 
 RECORD_HEADER = struct.Struct("<II")  # length and checksum of the data after it
 FIELDS_LENGTH = struct.Struct("<I")  # length of the JSON in a record; the body follows the JSON
@@ -291,11 +291,18 @@
 
 
 def _encode_ended_messages(record: EndedMessages) -> Fields:
-    return {"t": "past", "ended": record.concluded, "keys": record.delivered_keys}
+    fields: Fields = {"t": "past", "ended": record.concluded, "keys": record.delivered_keys}
+    if record.attempted_keys:  # earlier versions ignore them
+        fields["tried"] = record.attempted_keys
+    return fields
 
 
 def _decode_ended_messages(fields: Fields, _: bytes) -> EndedMessages:
-    return EndedMessages(fields["ended"], {key: DeliveredKey(*row) for key, row in fields["keys"].items()})
+    return EndedMessages(fields["ended"], _decode_keys(fields["keys"]), _decode_keys(fields.get("tried", {})))
+
+
+def _decode_keys(rows: dict[str, list[int]]) -> dict[str, RememberedKey]:
+    return {key: RememberedKey(*row) for key, row in rows.items()}
 
 
 _ENCODERS: dict[type, Callable[[Any], Fields]] = {
--- a/honeyhitch/journal/records.py
+++ b/honeyhitch/journal/records.py
@@ -7,10 +7,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from honeyhitch.journal.settings_names import SettingsNames
-from honeyhitch.journal.transactions import Attempt, DeliveredKey, Ending, Transaction
+from honeyhitch.journal.transactions import Attempt, Ending, RememberedKey, Transaction
 
 
 @dataclass(slots=True)
@@ -125,7 +125,8 @@
     """Ids and keys of ended messages, remembered to detect duplicates."""
 
     concluded: dict[str, int]  # end of the retention by message id
-    delivered_keys: dict[str, DeliveredKey]
+    delivered_keys: dict[str, RememberedKey]
+    attempted_keys: dict[str, RememberedKey] = field(default_factory=dict)  # of undelivered messages
 
 
 Record = (
--- a/honeyhitch/journal/state.py
+++ b/honeyhitch/journal/state.py
@@ -27,7 +27,7 @@
     RetryAfterNoted,
 )
 from honeyhitch.journal.settings_names import IndexTranslation, SettingsNames
-from honeyhitch.journal.transactions import DeliveredKey, Ending, MessageTable, Transaction
+from honeyhitch.journal.transactions import Ending, MessageTable, RememberedKey, Transaction
 
 ESTIMATED_OVERHEAD_BYTES = 512  # size of a message's records, excluding its body
 
@@ -75,7 +75,7 @@
     def is_empty(self) -> bool:
         """Whether no message is held and no id or key is remembered."""
         messages = self.messages
-        remembered = messages.concluded or messages.delivered_keys
+        remembered = messages.concluded or messages.delivered_keys or messages.attempted_keys
         return not (messages.by_id or messages.pending_dead_letters or remembered)
 
     def has_accepted(self, message_id: str) -> bool:
@@ -174,9 +174,12 @@
 
     def _apply_ended_messages(self, record: EndedMessages) -> None:
         self.messages.concluded.update(record.concluded)
-        for key, delivered in record.delivered_keys.items():
-            zone = self.translation.zone(delivered.zone)
-            self.messages.delivered_keys[key] = delivered._replace(zone=zone)
+        self.messages.delivered_keys |= self._translated(record.delivered_keys)
+        self.messages.attempted_keys |= self._translated(record.attempted_keys)
+
+    def _translated(self, keys: dict[str, RememberedKey]) -> dict[str, RememberedKey]:
+        """Return keys with the zones of the current settings."""
+        return {key: value._replace(zone=self.translation.zone(value.zone)) for key, value in keys.items()}
 
     _HANDLERS: ClassVar[dict[type, Callable[[Any, Any], None]]] = {
         MessageRecord: _apply_message,
@@ -249,13 +252,4 @@
     def _remember(self, message: Transaction, ending: Ending, ended_at: int) -> None:
         remembered_until = ended_at + self.retention(message)
         self.messages.concluded[message.id] = remembered_until
-        first_execution = message.first_possible_execution()
-        if ending is Ending.DELIVERED and message.key and first_execution is not None:
-            # The first attempt of a copy is later, but the deduplication window starts at the earliest
-            # execution of any message with this key.
-            first_execution = min(
-                first_execution, self.messages.first_execution_of_key(message, ended_at) or first_execution
-            )
-            self.messages.delivered_keys[self.messages.scoped_key(message)] = DeliveredKey(
-                *first_execution, remembered_until
-            )
+        self.messages.remember_key(message, ending, ended_at, remembered_until)
--- a/honeyhitch/journal/transactions.py
+++ b/honeyhitch/journal/transactions.py
@@ -35,8 +35,8 @@
     zone: int
 
 
-class DeliveredKey(NamedTuple):
-    """The first execution of a delivered idempotency key, and the end of its retention."""
+class RememberedKey(NamedTuple):
+    """The first possible execution of an ended message's idempotency key, and the end of its retention."""
 
     first_executed_at: int  # Unix time in nanoseconds
     zone: int
@@ -115,7 +115,9 @@
         # Dead letters that were answered but are not in the store yet, by id and time of the ending.
         self.pending_dead_letters: dict[tuple[str, int], Transaction] = {}
         self.concluded: dict[str, int] = {}  # end of the retention by id
-        self.delivered_keys: dict[str, DeliveredKey] = {}
+        self.delivered_keys: dict[str, RememberedKey] = {}
+        # Keys of messages that may have been executed and ended undelivered.
+        self.attempted_keys: dict[str, RememberedKey] = {}
         self.max_remembered = max_remembered  # maximum number of ids, and also of keys
 
     def __len__(self) -> int:
@@ -128,11 +130,33 @@
         return f"{transaction.destination} {transaction.key}"
 
     def first_execution_of_key(self, transaction: Transaction, now: int) -> Execution | None:
-        """Return the first execution of this message's key, if a delivery of the key is still remembered."""
-        delivered = self.delivered_keys.get(self.scoped_key(transaction))
-        if delivered is None or delivered.remembered_until <= now:
-            return None
-        return Execution(delivered.first_executed_at, delivered.zone)
+        """Return the first possible execution of this message's key by ended messages, or None."""
+        executions = (
+            _execution(keys.get(self.scoped_key(transaction)), now)
+            for keys in (self.delivered_keys, self.attempted_keys)
+        )
+        return min((execution for execution in executions if execution is not None), default=None)
+
+    def is_key_delivered(self, transaction: Transaction, now: int) -> bool:
+        """Return whether a delivery of this message's key is still remembered."""
+        return _execution(self.delivered_keys.get(self.scoped_key(transaction)), now) is not None
+
+    def remember_key(self, transaction: Transaction, ending: Ending, now: int, until: int) -> None:
+        """Remember the key of a message that ends, if it may have been executed.
+
+        The first attempt of a copy is later, but the deduplication window starts at the earliest execution of
+        any message with this key.
+        """
+        first_execution = transaction.first_possible_execution()
+        if not transaction.key or first_execution is None:
+            return
+        key = self.scoped_key(transaction)
+        earlier = self.first_execution_of_key(transaction, now) or first_execution
+        remembered = RememberedKey(*min(first_execution, earlier), until)
+        if ending is Ending.DELIVERED:
+            self.delivered_keys[key] = remembered
+        else:
+            self.attempted_keys[key] = remembered
 
     def drop_expired(self, now: int) -> None:
         """Drop ids and keys whose retention is over, and the excess beyond `max_remembered`.
@@ -146,9 +170,16 @@
             for message_id, until in self.concluded.items()
             if until > now and until >= cutoff
         }
-        remembered = [
-            (key, delivered_key)
-            for key, delivered_key in self.delivered_keys.items()
-            if delivered_key.remembered_until > now
-        ]
-        self.delivered_keys = dict(remembered[-self.max_remembered :])
+        self.delivered_keys = self._unexpired(self.delivered_keys, now)
+        self.attempted_keys = self._unexpired(self.attempted_keys, now)
+
+    def _unexpired(self, keys: dict[str, RememberedKey], now: int) -> dict[str, RememberedKey]:
+        remembered = [(key, value) for key, value in keys.items() if value.remembered_until > now]
+        return dict(remembered[-self.max_remembered :])
+
+
+def _execution(remembered: RememberedKey | None, now: int) -> Execution | None:
+    """Return the first execution of a key unless its retention is over."""
+    if remembered is None or remembered.remembered_until <= now:
+        return None
+    return Execution(remembered.first_executed_at, remembered.zone)
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -147,6 +147,47 @@
     assert all(answer.ending is Ending.REJECTED for answer in rig.answers)
 
 
+# Guards against a key that is executed twice: its message was rejected after an attempt that may have been
+# executed, and comes again inside the window, but can be sent only after it.
+@pytest.mark.parametrize("restarted", [False, True])
+@pytest.mark.parametrize("resubmissions", [1, 2])
+def test_a_copy_of_a_rejected_message_is_not_sent_after_the_window_of_the_first_one(
+    tmp_path: Path, restarted: bool, resubmissions: int
+) -> None:
+    rig = DispatcherRig(tmp_path)
+    rig.submit("a", key="k")
+    (first,) = rig.advance(0.1)
+    rig.end(first, Outcome.RESET)
+    (second,) = rig.advance(1)
+    rig.end(second, Outcome.REJECTED, retry_after=5 * SECOND)  # until the window is over
+    rig.advance(0.1)
+    assert [answer.ending for answer in rig.answers] == [Ending.REJECTED]
+    if restarted:
+        rig.journal.compact()
+        rig.journal.close()
+        rig = DispatcherRig(tmp_path, rig.time)
+        rig.dispatcher.retry_after_received(rig.dispatcher.pool.endpoints["s-1"], 5 * SECOND)
+    for number in range(resubmissions):
+        assert rig.submit(f"copy-{number}", key="k", recovered_from_journal=True)
+        rig.advance(1)
+    later = [call for call in rig.advance(20) if call.sent_at > first.sent_at + 5 * SECOND]
+    assert not later
+    assert not rig.dispatcher.messages.by_id
+
+
+def test_a_copy_of_a_rejected_message_is_sent_inside_the_window_of_the_first_one(tmp_path: Path) -> None:
+    rig = DispatcherRig(tmp_path)
+    rig.submit("a", key="k", left=2 * SECOND)
+    (first,) = rig.advance(0.1)
+    rig.end(first, Outcome.RESET)
+    (second,) = rig.advance(1)
+    rig.end(second, Outcome.REJECTED, retry_after=2 * SECOND)
+    rig.advance(0.1)
+    rig.submit("copy", key="k")
+    (call,) = rig.advance(2.5)
+    assert call.sent_at <= first.sent_at + 5 * SECOND
+
+
 def test_a_restart_repeats_an_unconfirmed_answer_and_nothing_else(tmp_path: Path) -> None:
     rig = DispatcherRig(tmp_path)
     rig.confirms_answers = False
--- a/tests/test_journal_stored_form.py
+++ b/tests/test_journal_stored_form.py
@@ -170,7 +170,7 @@
     ("detailed", detailed),
     ("handed-over", handed_over),
     ("reclaimed", reclaimed),
-    ("compacted", compacted),
+    ("attempted-keys", compacted),  # "compacted" is what versions wrote that did not keep such keys
     ("taken-over", taken_over),
 ]
 
@@ -202,6 +202,7 @@
         },
         "concluded": table.concluded,
         "delivered keys": table.delivered_keys,
+        "attempted keys": table.attempted_keys,
         "handed over": list(state.handed_over),
         "calls in flight": state.calls_in_flight,
         "retry after": state.retry_after_until,
@@ -314,6 +315,14 @@
     assert state.calls_in_flight == 2
 
 
+def test_keys_of_messages_that_may_have_been_executed_are_kept() -> None:
+    assert not follow_journal(FIXTURES / "compacted").messages.attempted_keys
+    assert follow_journal(FIXTURES / "attempted-keys").messages.attempted_keys == {
+        "3 k-ended-0": (900, 0, 1_500),
+        "3 k-b": (906, 1, 1_500),
+    }
+
+
 def test_a_torn_tail_is_cut_and_the_journal_is_continued(tmp_path: Path) -> None:
     shutil.copyfile(FIXTURES / "torn", tmp_path / "journal")
     journal = open_journal(tmp_path)
