Eject a partner that closes every connection with 503, so that it returns slowly

Cause: such a rejection is taken for the connection limit, from which nothing is learned of rate or health (policy/engine.py, _learn_from_attempt).

Change: such rejections count as failures in a row. After six of them, and no success for the rejecting period, the destination is ejected, which means probes and a slow start. The rate is not lowered. Three in a row ejected a partner that accepts every third connection, so that was not kept.

--- a/honeyhitch/policy/destination_state.py
+++ b/honeyhitch/policy/destination_state.py
@@ -14,6 +14,8 @@
 
 NON_IDEMPOTENT_RECHECK_PAUSE = SECOND  # until a held non-idempotent message is considered again
 MAX_MESSAGES_PER_CALL = 1024  # while no call fails as a whole
+# Consecutive rejections of connections that eject. At a connection limit some connections are accepted.
+EJECTION_CONNECTION_REJECTIONS = 6
 MESSAGES_PER_CALL_GROWTH = 0.5  # fraction by which the limit grows with each successful call
 
 
@@ -85,6 +87,17 @@
         self.max_messages_per_call = min(MAX_MESSAGES_PER_CALL, raised_limit)
         return self.circuit.record_success(now, call)
 
+    def record_connection_limit(self, now: int, call: Call) -> None:
+        """Record that an endpoint rejected a connection, as at its connection limit.
+
+        Such rejections say nothing about the rate limit, and few of them nothing about health. A partner that
+        is down rejects in the same way, so it is ejected once nothing but them has come for some time.
+        """
+        self.circuit.count_failure(now, call, True)
+        lasting = self.circuit.consecutive_failures >= EJECTION_CONNECTION_REJECTIONS
+        if (lasting or self.circuit.ejected) and self.circuit.should_eject(now, rejected=True, retry_after=0):
+            self.circuit.eject(now)
+
     def record_failure(self, now: int, call: Call, rejected: bool, retry_after: int) -> None:
         """Record a message that failed, or that the destination rejected because of its rate limit."""
         first_of_burst = self.circuit.count_failure(now, call, rejected)
--- a/honeyhitch/policy/engine.py
+++ b/honeyhitch/policy/engine.py
@@ -348,8 +348,9 @@
         if event.connection_limited or event.outcome is Outcome.CONNECT_FAILED:
             endpoint.state.connection_failures.record(self.now, True)
             self.idle_connections.add_kind(self.endpoint_list.endpoints(), endpoint.state.connection_failures)
-        if event.connection_limited:  # a connection limit says nothing about the rate limit or health
+        if event.connection_limited:
             endpoint.back_off_connecting(self.now, self.settings.instance_count, self.rng)
+            endpoint.state.record_connection_limit(self.now, call)
         elif learn_from_outcome(event, call, message, self.now):
             for waiting in list(message.destination.backing_off):  # no backoff is needed after the recovery
                 self._enqueue(waiting)
--- a/tests/test_policy_engine.py
+++ b/tests/test_policy_engine.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import itertools
+from collections import Counter
+from math import inf
 
 import pytest
 
@@ -89,6 +91,53 @@
     assert instances > 2 or max(gaps) > 0.4 * longest_pause, "connects are not repeated at short pauses"
 
 
+def answer_calls_in_flight(world: World, outcome: Outcome, connection_limited: bool = False) -> int:
+    """End each attempt in flight with this outcome, and return their number."""
+    waiting = [
+        name
+        for name, message in world.messages.items()
+        if not message.concluded and message.attempts and message.attempts[-1].outcome is None
+    ]
+    for name in waiting:
+        world.batch([world.attempt_ended(name, outcome, connection_limited=connection_limited)])
+    return len(waiting)
+
+
+# Guards against a partner that was shut, closed each connection, and gets all messages at once on its return.
+def test_a_destination_that_rejects_every_connection_is_ejected_and_returns_slowly() -> None:
+    world = World(settings(instance_count=2), ONE_ENDPOINT)
+    calls_by_second = Counter[int]()
+    outage = range(3 * SECOND, 15 * SECOND)
+    for step in range(17 * 20):
+        world.advance_to(step * SECOND // 20)
+        if step % 4 == 0:
+            world.batch([world.new_message(f"m{step}", class_index=0)])
+        down = world.now in outage
+        outcome = Outcome.REJECTED if down else Outcome.DELIVERED
+        calls_by_second[world.now // SECOND] += answer_calls_in_flight(world, outcome, down)
+        if world.now == 14 * SECOND:
+            assert world.policy.destinations[0].state.circuit.ejected  # type: ignore[union-attr]
+    assert sum(calls_by_second[second] for second in range(10, 15)) <= 10, "only probes"
+    state = world.policy.destinations[0].state
+    assert state is not None
+    assert not state.circuit.ejected
+    assert state.rate.send_rate(world.now) < inf, "slow start"
+
+
+def test_a_rejected_connection_beside_successes_neither_ejects_nor_lowers_the_rate() -> None:
+    world = World(settings(instance_count=2), ONE_ENDPOINT)
+    for step in range(10 * 20):
+        world.advance_to(step * SECOND // 20)
+        world.batch([world.new_message(f"m{step}", class_index=0)])
+        limited = step % 3 != 0
+        outcome = Outcome.REJECTED if limited else Outcome.DELIVERED
+        answer_calls_in_flight(world, outcome, limited)
+        state = world.policy.destinations[0].state
+        assert state is not None
+        assert not state.circuit.ejected
+        assert state.rate.send_rate(world.now) == inf
+
+
 def test_a_rejection_without_retry_after_doubles_the_backoff_step() -> None:
     world = World(settings(), TWO_ENDPOINTS)
     assert 400 * MILLISECOND <= fail_every_attempt("m", Outcome.REJECTED, world)[0] <= 610 * MILLISECOND
