Send no call by the list of the configuration before discovery has answered

Cause: the list `known` was in use at once, while fleets of more than six dispatchers spread their first request to discovery over up to a second.

Change: the endpoints of `known` are listed as draining at first. They are listed as they are once discovery has sent a list or change, 0.05 s after its response began or its watch failed, and 0.3 s after the latest time of the first request in any case. The spread of requests is unchanged.

--- a/honeyhitch/endpoints/pool.py
+++ b/honeyhitch/endpoints/pool.py
@@ -90,11 +90,21 @@
         return self.apply(received, rows, cached)
 
     def apply_known(self, known: KnownList) -> EndpointListUpdate:
-        """Apply the complete list with which the process starts, as `apply` does."""
+        """Apply the complete list with which the process starts, as `apply` does.
+
+        It may be outdated: an address may belong to another destination by now. The update lists all
+        endpoints as draining, so that they get no call before `confirm_known`.
+        """
         rows = self.new_rows()
         for row in known.rows:
             rows.add_listed(row)
-        return self.apply({"revision": known.revision, "complete": True}, rows, cached=True)
+        update = self.apply({"revision": known.revision, "complete": True}, rows, cached=True)
+        listings = tuple(replace(listing, status=EndpointStatus.DRAINING) for listing in update.listings)
+        return replace(update, listings=listings)
+
+    def confirm_known(self) -> EndpointListUpdate:
+        """Return an update that lists all endpoints as they are in the pool."""
+        return self.changed_listings(lambda _: True)
 
     def apply(self, fields: dict[str, Any], rows: EndpointRows, cached: bool = False) -> EndpointListUpdate:
         """Apply one complete list or one change from discovery, and return the update for the policy.
--- a/honeyhitch/protocols/discovery_backoff.py
+++ b/honeyhitch/protocols/discovery_backoff.py
@@ -62,6 +62,17 @@
         self.failures = 0
 
 
+def longest_first_pause(instance_count: int, drain_grace: float) -> float:
+    """Return the longest pause in seconds before the first request of a process that has a list.
+
+    A change counts as known even before it is requested. Therefore the pause and the response have to fit
+    into the drain grace, regardless of the size of the fleet.
+    """
+    if instance_count <= MAX_INSTANCES_WITHOUT_SPREAD:
+        return 0.0
+    return min(START_SPREAD_SECONDS * instance_count, DRAIN_GRACE_FRACTION * drain_grace)
+
+
 class WatchBackoff:
     """Timeouts and pauses of the successive watches at one address.
 
@@ -115,15 +126,10 @@
         self.response_timeout.record_failure()
 
     def first_pause(self) -> float:
-        """Return the pause before the first request: 0 if there is no list or it came from another agent.
-
-        A change counts as known even before it is requested. Therefore the pause and the response have to fit
-        into the drain grace, regardless of the size of the fleet.
-        """
+        """Return the pause before the first request: 0 if there is no list or it came from another agent."""
         if self.full_list or self.instance_count <= MAX_INSTANCES_WITHOUT_SPREAD:
             return 0.0
-        spread = START_SPREAD_SECONDS * self.instance_count
-        return self.rng.uniform(0, min(spread, DRAIN_GRACE_FRACTION * self.drain_grace))
+        return self.rng.uniform(0, longest_first_pause(self.instance_count, self.drain_grace))
 
     def list_received(self) -> None:
         """Record that a list or a change was applied: the next request may be for changes only."""
--- a/honeyhitch/service/start.py
+++ b/honeyhitch/service/start.py
@@ -44,10 +44,11 @@
         service.tasks.run_forever(task)
     # Without a view an instance of a fleet would keep no entry of a list. Its first view starts the watch.
     service.discovery.start(watch=service.fleet is None or service.fleet.ready)
+    service.discovery.confirm_known_list()
 
 
 def _apply_known_list(service: Service) -> None:
-    """Use the endpoints of the configuration file until discovery sends its first list."""
+    """List the endpoints of the configuration file; they get calls once discovery has answered."""
     dispatcher = service.dispatcher
     try:
         dispatcher.apply_list_update(dispatcher.pool.apply_known(service.config.known))
--- a/honeyhitch/transports/discovery.py
+++ b/honeyhitch/transports/discovery.py
@@ -12,7 +12,7 @@
 from honeyhitch.journal.transactions import Transaction
 from honeyhitch.protocols import http1, notices
 from honeyhitch.protocols.buffer import Buffer
-from honeyhitch.protocols.discovery_backoff import WatchBackoff
+from honeyhitch.protocols.discovery_backoff import WatchBackoff, longest_first_pause
 from honeyhitch.protocols.list_parser import ParsedList
 from honeyhitch.time_units import SECOND
 from honeyhitch.transports import sockets
@@ -23,6 +23,9 @@
 # The pause before the complete list is requested again because endpoints that were left out would fit now. It
 # doubles with each such request that leaves endpoints out again.
 MIN_REFETCH_SECONDS = 1.0
+# The agent answers at once. What it has not sent by then is not to be expected soon.
+CHANGE_SECONDS = 0.05  # after a response has begun
+SILENCE_SECONDS = 0.3  # after a request
 MAX_REFETCH_SECONDS = 60.0
 
 
@@ -44,6 +47,7 @@
         self.notice_added = asyncio.Event()
         self.running_tasks: list[asyncio.Task[None]] = []  # the task for notices, then the task for the watch
         self.long_lists = False
+        self.confirms_known_list = False  # calls wait until the list of the start is confirmed
         self.refetch_pause = MIN_REFETCH_SECONDS
         self.refetch_timer: asyncio.TimerHandle | None = None
 
@@ -52,6 +56,22 @@
         self.dispatcher.pool.limit_endpoints(max_endpoints)
         self._refetch_left_out()
 
+    def confirm_known_list(self) -> None:
+        """Use the list with which the process started once discovery has answered or remains silent."""
+        settings = self.dispatcher.settings
+        pause = longest_first_pause(settings.instance_count, settings.drain_grace / SECOND)
+        self.loop.call_later(pause + SILENCE_SECONDS, self._confirm_now)
+        self.confirms_known_list = True
+
+    def _on_response(self) -> None:
+        if self.confirms_known_list:
+            self.loop.call_later(CHANGE_SECONDS, self._confirm_now)
+
+    def _confirm_now(self) -> None:
+        if self.confirms_known_list:
+            self.confirms_known_list = False
+            self.dispatcher.apply_list_update(self.dispatcher.pool.confirm_known())
+
     def start(self, watch: bool = True) -> None:
         """Start to send notices and to watch; without `watch`, watching starts with `refetch`."""
         self.running_tasks = [self.tasks.run_forever(self.notify)]
@@ -94,6 +114,7 @@
             pool.new_rows,
             self._apply_update,
             self.long_lists,
+            self._on_response,
         )
         await watch.run()
 
@@ -112,7 +133,7 @@
 
     def _refetch_if_room(self) -> None:
         self.refetch_timer = None
-        if self.dispatcher.pool.has_room_for_left_out:
+        if self.dispatcher.pool.has_room_for_left_out and not self.tasks.stopping:
             self.refetch()
 
     def answer(self, transaction: Transaction) -> None:
--- a/honeyhitch/transports/list_watch.py
+++ b/honeyhitch/transports/list_watch.py
@@ -36,7 +36,8 @@
     `new_collector` returns the collector for the rows of the next list or change. `on_update` is called with
     each of them once it is complete, and raises an exception if it cannot be used. `revision` returns the
     revision of the update that was applied last. With `long_lists`, a complete list may take any time as long
-    as bytes arrive; otherwise all of it must be received within one response timeout.
+    as bytes arrive; otherwise all of it must be received within one response timeout. `on_response` is called
+    when bytes of a watch have been applied, and when a watch has failed.
     """
 
     def __init__(
@@ -48,6 +49,7 @@
         new_collector: Callable[[], C],
         on_update: Callable[[ParsedList[C]], None],
         long_lists: bool = False,
+        on_response: Callable[[], None] = lambda: None,
     ) -> None:
         self.address = address
         self.loop = loop
@@ -56,6 +58,7 @@
         self.new_collector = new_collector
         self.on_update = on_update
         self.long_lists = long_lists
+        self.on_response = on_response
 
     async def run(self) -> None:
         """Watch until cancelled; updates that were applied stay in use while the agent sends nothing."""
@@ -68,6 +71,7 @@
             except Exception as error:  # noqa: BLE001  # no input of an agent may end this loop
                 answered = _is_rejection(error)
                 self._record_failure(error)
+                self.on_response()
                 log.warning("watch.broken", error=f"{type(error).__name__}: {error}", key=self.address)
             await asyncio.sleep(self.backoff.next_pause(self.loop.time() - started_at, answered))
 
@@ -103,6 +107,7 @@
                 )
                 for update in parser.feed(data):
                     self.on_update(update)
+                self.on_response()
                 deadline = self._read_deadline()
         finally:
             sock.close()
