--- a/honeyhitch/endpoints/pool.py
+++ b/honeyhitch/endpoints/pool.py
@@ -18,7 +18,8 @@
     RowParser,
     row_destination,
 )
-from honeyhitch.endpoints.row_collector import EndpointRows, LeftOutEndpoints
+from honeyhitch.endpoints.room import LeftOutEndpoints, excess_endpoints
+from honeyhitch.endpoints.row_collector import EndpointRows
 from honeyhitch.policy.events import EndpointListing, EndpointListUpdate, EndpointStatus, UpdateMode
 from honeyhitch.policy.settings import Settings
 
@@ -143,55 +144,35 @@
         return EndpointListUpdate(UpdateMode.CACHED if cached else UpdateMode.FULL, listings)
 
     def _within_room(
-        self, endpoints: list[PoolEndpoint], not_kept: LeftOutEndpoints, complete: bool
+        self, endpoints: list[PoolEndpoint], dropped_on_arrival: LeftOutEndpoints, complete: bool
     ) -> list[PoolEndpoint]:
-        """Return the endpoints of an update without new ones that exceed `max_endpoints`.
-
-        `not_kept` are endpoints of the update that were left out while it was received.
-        """
+        """Return the endpoints of an update without new ones that exceed `max_endpoints`."""
         gone_ids = {endpoint.id for endpoint in endpoints if endpoint.status is EndpointStatus.GONE}
         if complete:
             self.left_out = LeftOutEndpoints()
-            kept = self.pinned.keys() | (
-                {endpoint.id for endpoint in endpoints} & self.endpoints.keys() - gone_ids
-            )
+            listed_ids = {endpoint.id for endpoint in endpoints} & self.endpoints.keys()
+            remaining_ids = self.pinned.keys() | (listed_ids - gone_ids)
         else:
-            kept = self.endpoints.keys() - gone_ids
-        self.left_out.merge(not_kept)
-        new_endpoints = [endpoint for endpoint in endpoints if endpoint.id not in self.endpoints]
-        room = max(0, self.max_endpoints - len(kept))
-        dropped_ids = self._leave_out(new_endpoints, room, kept)
-        if not_kept.count or dropped_ids:
+            remaining_ids = self.endpoints.keys() - gone_ids
+        self.left_out.merge(dropped_on_arrival)
+        excess = excess_endpoints(
+            [endpoint for endpoint in endpoints if endpoint.id not in self.endpoints],
+            max(0, self.max_endpoints - len(remaining_ids)),
+            {self.endpoints[endpoint_id].destination for endpoint_id in remaining_ids},
+        )
+        for endpoint in excess:
+            self.left_out.add(endpoint.destination)
+        if dropped_on_arrival.count or excess:
             log.warning(
                 "list.endpoints-left-out",
-                listed=len(kept) + len(new_endpoints) + not_kept.count,
+                listed=len(remaining_ids | {endpoint.id for endpoint in endpoints} - gone_ids)
+                + dropped_on_arrival.count,
                 left_out=self.left_out.count,
                 max_endpoints=self.max_endpoints,
                 key="endpoints",
             )
-        return [endpoint for endpoint in endpoints if endpoint.id not in dropped_ids]
-
-    def _leave_out(self, new_endpoints: list[PoolEndpoint], room: int, kept: set[str]) -> set[str]:
-        """Count the new endpoints that exceed the room as left out, and return their ids.
-
-        The first endpoint of each destination comes before further ones, and those that drain come last.
-        """
-        if len(new_endpoints) <= room:
-            return set()
-        served = {self.endpoints[endpoint_id].destination for endpoint_id in kept}
-
-        def precedence(endpoint: PoolEndpoint) -> int:
-            if endpoint.status is EndpointStatus.DRAINING:
-                return 2
-            if endpoint.destination in served:
-                return 1
-            served.add(endpoint.destination)
-            return 0
-
-        ordered = sorted(new_endpoints, key=precedence)
-        for endpoint in ordered[room:]:
-            self.left_out.add(endpoint.destination)
-        return {endpoint.id for endpoint in ordered[room:]}
+        excess_ids = {endpoint.id for endpoint in excess}
+        return [endpoint for endpoint in endpoints if endpoint.id not in excess_ids]
 
     def accepts_row(self, row: Row) -> bool:
         """Return whether a row may be applied.
--- a/honeyhitch/endpoints/row_collector.py
+++ b/honeyhitch/endpoints/row_collector.py
@@ -3,31 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from itertools import islice
 
 from honeyhitch.endpoints.list_rows import ListedRow, Row
-
-MAX_LEFT_OUT_DESTINATIONS = 100_000  # whose numbers are kept
-
-
-class LeftOutEndpoints:
-    """The listed endpoints that the pool has no room for: their number, and their destinations."""
-
-    def __init__(self) -> None:
-        self.count = 0
-        self.destinations: set[int] = set()
-
-    def add(self, destination: int | None) -> None:
-        """Count one endpoint."""
-        self.count += 1
-        if destination is not None and len(self.destinations) < MAX_LEFT_OUT_DESTINATIONS:
-            self.destinations.add(destination)
-
-    def merge(self, other: LeftOutEndpoints) -> None:
-        """Count the endpoints that another update left out."""
-        self.count += other.count
-        room = MAX_LEFT_OUT_DESTINATIONS - len(self.destinations)
-        self.destinations.update(islice(other.destinations, room))
+from honeyhitch.endpoints.room import LeftOutEndpoints
 
 
 class EndpointRows:
--- a/honeyhitch/service/service.py
+++ b/honeyhitch/service/service.py
@@ -68,7 +68,7 @@
         discovery_rng = Random(config.seed ^ DISCOVERY_SEED)
         self.discovery = Discovery(str(config.discovery), self.dispatcher, self.tasks, discovery_rng)
         self.dispatcher.transports["http"] = http
-        self.dispatcher.frontends["resp"] = self.discovery
+        self.dispatcher.frontends["resp"] = self.discovery.notices
         self.background_tasks: list[Callable[[], Awaitable[None]]] = [
             http.sweep,
             report_suppressed_events,
--- a/honeyhitch/service/shutdown.py
+++ b/honeyhitch/service/shutdown.py
@@ -66,7 +66,7 @@
 
 
 def _calls_and_notices_finished(service: Service) -> bool:
-    return not service.dispatcher.calls_in_flight and not service.discovery.pending_notices
+    return not service.dispatcher.calls_in_flight and not service.discovery.notices.pending
 
 
 async def close(service: Service) -> None:
