--- a/honeyhitch/endpoints/pool.py
+++ b/honeyhitch/endpoints/pool.py
@@ -94,13 +94,17 @@
         """Apply the complete list with which the process starts, as `apply` does.
 
         It may be outdated: an address may belong to another destination by now. The update lists all
-        endpoints as draining, so that they get no call before `confirm_known`.
+        endpoints of its destinations as draining, so that they get no call before `confirm_known`.
         """
         rows = self.new_rows()
         for row in known.rows:
             rows.add_listed(row)
         update = self.apply({"revision": known.revision, "complete": True}, rows, cached=True)
-        listings = tuple(replace(listing, status=EndpointStatus.DRAINING) for listing in update.listings)
+        outdated = {listing.destination for listing in update.listings if listing.endpoint not in self.pinned}
+        listings = tuple(
+            replace(listing, status=EndpointStatus.DRAINING) if listing.destination in outdated else listing
+            for listing in update.listings
+        )
         return replace(update, listings=listings)
 
     def confirm_known(self) -> EndpointListUpdate:
