Keep the read timeout of long lists, and bound the remembered left-out destinations

At most 20,000 instead of 100,000 destinations of left-out endpoints are remembered, some 1.5 MB. The docstring of record_rejected covers its new caller.

--- a/honeyhitch/endpoints/room.py
+++ b/honeyhitch/endpoints/room.py
@@ -8,7 +8,7 @@
 from honeyhitch.endpoints.endpoint import PoolEndpoint
 from honeyhitch.policy.events import EndpointStatus
 
-MAX_LEFT_OUT_DESTINATIONS = 100_000  # whose numbers are kept
+MAX_LEFT_OUT_DESTINATIONS = 20_000  # whose numbers are kept
 
 
 class Precedence(IntEnum):
--- a/honeyhitch/journal/journal.py
+++ b/honeyhitch/journal/journal.py
@@ -135,7 +135,7 @@
         self._add_message(transaction)
 
     def record_rejected(self, transaction: Transaction) -> None:
-        """Record a message that was rejected at once, before its frontend confirms that it was received.
+        """Record a message that ended before it was held, and before its frontend answers or confirms it.
 
         Raise JournalFullError if there is no space.
         """
--- a/honeyhitch/transports/list_watch.py
+++ b/honeyhitch/transports/list_watch.py
@@ -149,6 +149,7 @@
             elif not parser.connection_closed():
                 raise ConnectionResetError(CLOSED_BEFORE_RESPONSE)
             if self.long_lists:
+                self.backoff.data_received()
                 deadline = self._read_deadline()
         self.backoff.data_received()
         if len(lists) != 1:
