Limit the size of the fields of a list's rows, which the limit on its bytes did

Change: a field of an endpoint's row has at most 256 characters or 63 bits, and no parts of its own; the rows of a fleet's view have 512 characters in the mean. In `known` such a row has the list rejected at a start, as any faulty row has.

Tests: test_an_excessive_list_of_discovery_exceeds_no_limit[long-ids] and [long-addresses] failed before and pass; [long-numbers] passed before and is kept. Unit tests of the limits.

--- a/honeyhitch/endpoints/list_rows.py
+++ b/honeyhitch/endpoints/list_rows.py
@@ -12,6 +12,8 @@
 
 MAX_PORT = (1 << 16) - 1
 MAX_PORT_DIGITS = 5
+MAX_FIELD_LENGTH = 256  # characters of a field
+MAX_FIELD_NUMBER = 1 << 63
 DEFAULT_LISTED_RATE = 1.0  # calls per second
 NO_DESTINATION = -1
 MISSING = object()  # the value of a required field that a row lacks
@@ -44,16 +46,19 @@
 
     @classmethod
     def from_json(cls, row: Row) -> ListedRow:
-        """Return the fields of a row. Values that many rows share are kept once."""
+        """Return the fields of a row; values that many rows share are kept once.
+
+        Raise PoolError for a field that is too large to be kept.
+        """
         return cls(
-            id=row.get("id", MISSING),
-            address=row.get("host_port"),
-            zone=_shared(row.get("locality")),
-            kind=_shared(row.get("flavor")),
-            destination=row.get("cell"),
-            phase=sys.intern(str(row.get("phase", READY_PHASE))),
-            listed_rate=row.get("size", DEFAULT_LISTED_RATE),
-            started_at_ms=row.get("up_since_ms"),
+            id=_bounded(row, "id", MISSING),
+            address=_bounded(row, "host_port"),
+            zone=_shared(_bounded(row, "locality")),
+            kind=_shared(_bounded(row, "flavor")),
+            destination=_bounded(row, "cell"),
+            phase=sys.intern(str(_bounded(row, "phase", READY_PHASE))),
+            listed_rate=_bounded(row, "size", DEFAULT_LISTED_RATE),
+            started_at_ms=_bounded(row, "up_since_ms"),
         )
 
 
@@ -72,10 +77,26 @@
         """Return a list in discovery's form. A row that is no object becomes one that the pool rejects."""
         members = received.get("members")
         rows = members if isinstance(members, list) else [None]
-        return cls(
-            received.get("revision"),
-            tuple(ListedRow.from_json(row) if isinstance(row, dict) else INVALID_ROW for row in rows),
-        )
+        return cls(received.get("revision"), tuple(map(_known_row, rows)))
+
+
+def _known_row(row: object) -> ListedRow:
+    try:
+        return ListedRow.from_json(row) if isinstance(row, dict) else INVALID_ROW
+    except PoolError:
+        return INVALID_ROW
+
+
+def _bounded(row: Row, name: str, default: object = None) -> object:
+    """Return a field of a row. Raise PoolError if it has parts of its own, or is too long or too large."""
+    value = row.get(name, default)
+    if isinstance(value, (list, dict)):
+        raise PoolError(f"{name}: expected a text or a number, got {type(value).__name__}")
+    if isinstance(value, str) and len(value) > MAX_FIELD_LENGTH:
+        raise PoolError(f"{name}: {len(value)} characters, limit is {MAX_FIELD_LENGTH}")
+    if isinstance(value, int) and abs(value) > MAX_FIELD_NUMBER:
+        raise PoolError(f"{name}: expected at most {MAX_FIELD_NUMBER}, got a larger number")
+    return value
 
 
 def _shared(value: object) -> object:
--- a/honeyhitch/endpoints/pool.py
+++ b/honeyhitch/endpoints/pool.py
@@ -86,7 +86,7 @@
         try:
             for row in received["members"]:
                 rows.add(row)
-        except (KeyError, TypeError, AttributeError) as error:
+        except (KeyError, TypeError, AttributeError, ValueError) as error:
             raise PoolError(f"members: {type(error).__name__}: {error}") from error
         return self.apply(received, rows, cached)
 
--- a/honeyhitch/protocols/list_parser.py
+++ b/honeyhitch/protocols/list_parser.py
@@ -22,6 +22,7 @@
 MAX_FRAGMENT_LENGTH = 1 << 16  # characters of one row, or of the text before or after the rows
 MAX_LIST_LENGTH = 1 << 27  # characters of one list, so that a list without an end is an error
 MAX_ROWS = 100_000  # rows of one list that a RowList keeps
+MEAN_ROW_LENGTH = 512  # characters of a row that a RowList keeps, in the mean
 MAX_QUOTED_LENGTH = 80  # characters of malformed input that are quoted in an error
 
 
@@ -48,16 +49,23 @@
 
 
 class RowList:
-    """A collector that keeps all rows as they are, at most `max_rows` of them."""
+    """A collector that keeps all rows as they are, at most `max_rows` of them.
+
+    Together they may have MEAN_ROW_LENGTH characters for each row that is allowed.
+    """
 
     def __init__(self, max_rows: int = MAX_ROWS) -> None:
         self.max_rows = max_rows
         self.rows: list[dict[str, Any]] = []
+        self._length = 0
 
     def add(self, row: dict[str, Any]) -> None:
-        """Keep a row. Raise ListError if there are too many."""
+        """Keep a row. Raise ListError if there are too many, or if they are too long."""
         if len(self.rows) >= self.max_rows:
             raise ListError(f"more than {self.max_rows} members")
+        self._length += len(str(row))
+        if self._length > self.max_rows * MEAN_ROW_LENGTH:
+            raise ListError(f"members: longer than {self.max_rows * MEAN_ROW_LENGTH} characters")
         self.rows.append(row)
 
 
--- a/tests/test_endpoint_pool.py
+++ b/tests/test_endpoint_pool.py
@@ -67,6 +67,10 @@
         ({"cell": float("inf")}, "members"),
         ({"cell": "q"}, "members"),
         ({"size": None}, "members"),
+        ({"id": "x" * 257}, "id: 257 characters"),
+        ({"host_port": "x" * 257 + ":9"}, "host_port: 259 characters"),
+        ({"cell": 1 << 64}, "cell: expected at most"),
+        ({"flavor": ["large"]}, "flavor: expected a text or a number"),
     ],
 )
 def test_an_unreadable_row_is_named_and_changes_nothing(
--- a/tests/test_list_parser.py
+++ b/tests/test_list_parser.py
@@ -10,7 +10,14 @@
 from hypothesis import strategies as st
 
 from honeyhitch.protocols.discovery import WatchError, WatchParser
-from honeyhitch.protocols.list_parser import MAX_FRAGMENT_LENGTH, ListError, ListParser, ParsedList, RowList
+from honeyhitch.protocols.list_parser import (
+    MAX_FRAGMENT_LENGTH,
+    MEAN_ROW_LENGTH,
+    ListError,
+    ListParser,
+    ParsedList,
+    RowList,
+)
 
 from .rig import endpoint_row
 
@@ -96,6 +103,14 @@
         list(map(parser.feed, chunks))
 
 
+# Guards against the view of a fleet that takes more memory than its number of instances allows.
+def test_rows_that_are_too_long_together_are_an_error() -> None:
+    row = b'{"id":"%s"}' % (b"x" * MEAN_ROW_LENGTH)
+    assert len(ListParser(lambda: RowList(2)).feed(b'{"members":[%s]}' % row)) == 1
+    with pytest.raises(ListError, match="longer than"):
+        ListParser(lambda: RowList(2)).feed(b'{"members":[%s,%s]}' % (row, row))
+
+
 def test_a_list_of_more_rows_than_allowed_is_an_error() -> None:
     assert len(ListParser(lambda: RowList(2)).feed(b'{"members":[{},{}]}')) == 1
     with pytest.raises(ListError, match="more than 2 members"):
--- a/tests/test_resource_limits.py
+++ b/tests/test_resource_limits.py
@@ -25,6 +25,8 @@
 
 ATTACK_SECONDS = 3.0
 CROWD = 600  # connections
+LONG_FIELD = b"x" * 60_000  # of a row; the whole row is short enough to be parsed
+LONG_NUMBER = b"9" * 4_000
 TOGETHER = 110  # connections of each attack where all are played at once
 CROWDS = (
     "stall",
@@ -120,7 +122,9 @@
 
 
 # Guards against lists of discovery that take more memory than the limit allows, or occupy the process.
-@pytest.mark.parametrize("rows", ["many", "unterminated", "nested", "one-line"])
+@pytest.mark.parametrize(
+    "rows", ["many", "unterminated", "nested", "one-line", "long-ids", "long-addresses", "long-numbers"]
+)
 def test_an_excessive_list_of_discovery_exceeds_no_limit(tmp_path: Path, rows: str) -> None:
     row = b'{"id":"x-%07d","host_port":"127.0.0.1:9","cell":%d,"phase":"Ready","size":1.0,"up_since_ms":0},'
     repeated = {
@@ -128,6 +132,14 @@
         "unterminated": b'"' + b"x" * 4_000_000,
         "nested": b"[" * 4_000_000,
         "one-line": b"1," * 2_000_000,
+        "long-ids": b"".join(b'{"id":"%05d%s"},' % (number, LONG_FIELD) for number in range(1_500)),
+        "long-addresses": b"".join(
+            b'{"id":"%d","host_port":"%s"},' % (number, LONG_FIELD) for number in range(1_500)
+        ),
+        "long-numbers": b"".join(
+            b'{"id":"%d","cell":%s,"up_since_ms":%s},' % (number, LONG_NUMBER, LONG_NUMBER)
+            for number in range(12_000)
+        ),
     }[rows]
 
     async def work() -> None:
