--- a/honeyhitch/dispatcher/rounds.py
+++ b/honeyhitch/dispatcher/rounds.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from honeyhitch import logs
 from honeyhitch.dispatcher.calls import CallStarter
 from honeyhitch.dispatcher.context import DispatcherContext
 from honeyhitch.dispatcher.endings import Endings
@@ -14,10 +15,14 @@
     Fail,
     OpenConnections,
     Reject,
+    ReportHealth,
     Send,
     SetTimer,
 )
 from honeyhitch.policy.events import NewMessage, TimerFired
+from honeyhitch.time_units import MILLISECOND
+
+log = logs.get_logger()
 
 
 class RoundRunner:
@@ -66,9 +71,24 @@
                 self._close_idle_connections(endpoint_id)
             case OpenConnections(endpoint_id, calls):
                 self._open_connections(endpoint_id, calls)
+            case ReportHealth():
+                self._log_health(action)
             case _:  # Subscribe: the watch of discovery is always active
                 pass
 
+    def _log_health(self, report: ReportHealth) -> None:
+        log.info(
+            "destination.health-changed",
+            destination=report.destination,
+            member=report.endpoint,
+            change=report.change.value,
+            reason=report.reason,
+            failing_ms=report.failing_for // MILLISECOND,
+            next_probe_ms=report.next_probe_in // MILLISECOND,
+            slow_start=report.slow_start,
+            key=f"{report.destination} {report.change.value}",
+        )
+
     def _cancel_call(self, message_id: str) -> None:
         call = self.context.calls_in_flight.get(message_id)
         if call is not None:
--- a/honeyhitch/policy/actions.py
+++ b/honeyhitch/policy/actions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import Enum
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,4 +65,35 @@
     calls: int
 
 
-Action = Send | Cancel | Reject | Fail | SetTimer | Subscribe | CloseIdleConnections | OpenConnections
+class HealthChange(Enum):
+    """A change of the health of a destination."""
+
+    EJECTED = "ejected"
+    PROBE_FAILED = "probe-failed"
+    RECOVERED = "recovered"
+
+
+@dataclass(frozen=True, slots=True)
+class ReportHealth:
+    """Log that the health of a destination changed, or of an endpoint where limits are per endpoint."""
+
+    destination: int
+    endpoint: str  # empty if all endpoints of the destination share the health
+    change: HealthChange
+    reason: str
+    failing_for: int  # since the ejection, 0 at the ejection itself
+    next_probe_in: int  # 0 after a recovery
+    slow_start: bool  # whether the rate is limited from now on because of the outage
+
+
+Action = (
+    Send
+    | Cancel
+    | Reject
+    | Fail
+    | SetTimer
+    | Subscribe
+    | CloseIdleConnections
+    | OpenConnections
+    | ReportHealth
+)
--- a/honeyhitch/policy/destination_state.py
+++ b/honeyhitch/policy/destination_state.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from random import Random
+from typing import NamedTuple
 
+from honeyhitch.policy.actions import Action, HealthChange, ReportHealth
 from honeyhitch.policy.call import Call
 from honeyhitch.policy.circuit_breaking import CircuitBreaker
 from honeyhitch.policy.decaying_counter import DecayingCounter
@@ -19,6 +21,13 @@
 MESSAGES_PER_CALL_GROWTH = 0.5  # fraction by which the limit grows with each successful call
 
 
+class StateOwner(NamedTuple):
+    """The destination that a state belongs to, or one endpoint of it where limits are per endpoint."""
+
+    destination: int
+    endpoint: str = ""  # empty if all endpoints of the destination share the state
+
+
 class DestinationState:
     """The rate limit, circuit breaker, latency and Retry-After that decide when a destination may get calls.
 
@@ -26,6 +35,7 @@
     """
 
     __slots__ = (
+        "_reports",
         "answered_calls",
         "calls_in_flight",
         "circuit",
@@ -33,11 +43,22 @@
         "last_sent_at",
         "latency",
         "max_messages_per_call",
+        "owner",
         "rate",
         "retry_after_until",
     )
 
-    def __init__(self, settings: Settings, rng: Random, connection_failures: DecayingCounter) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        rng: Random,
+        connection_failures: DecayingCounter,
+        owner: StateOwner,
+        reports: list[Action],
+    ) -> None:
+        """Create the state; each change of its health is appended to `reports`."""
+        self.owner = owner
+        self._reports = reports
         self.latency = LatencyEstimate()
         self.rate = RateLimiter(settings)
         self.circuit = CircuitBreaker(settings, rng, self.rate)
@@ -59,7 +80,7 @@
         if not circuit.ejected and self.calls_in_flight:
             oldest_sent_at = next(iter(self.calls_in_flight)).sent_at
             if circuit.hangs(now, oldest_sent_at, self.latency.overdue_after()):
-                circuit.eject(now)
+                self._eject(now, "response-overdue")
         if circuit.ejected:
             ready_at = circuit.next_probe_at
         else:
@@ -85,7 +106,10 @@
         self.rate.record_success(now, count)
         raised_limit = self.max_messages_per_call * (1 + MESSAGES_PER_CALL_GROWTH / count)
         self.max_messages_per_call = min(MAX_MESSAGES_PER_CALL, raised_limit)
-        return self.circuit.record_success(now, call)
+        ends_ejection = self.circuit.record_success(now, call)
+        if ends_ejection:
+            self._report(now, HealthChange.RECOVERED, "delivered")
+        return ends_ejection
 
     def record_connection_limit(self, now: int, call: Call) -> None:
         """Record that an endpoint rejected a connection, as at its connection limit.
@@ -96,7 +120,7 @@
         self.circuit.count_failure(now, call, True)
         lasting = self.circuit.consecutive_failures >= EJECTION_CONNECTION_REJECTIONS
         if (lasting or self.circuit.ejected) and self.circuit.should_eject(now, rejected=True, retry_after=0):
-            self.circuit.eject(now)
+            self._eject(now, "connections-rejected")
 
     def record_failure(self, now: int, call: Call, rejected: bool, retry_after: int) -> None:
         """Record a message that failed, or that the destination rejected because of its rate limit."""
@@ -104,4 +128,22 @@
         if rejected and first_of_burst:
             self.rate.reduce_rate(now)
         if self.circuit.should_eject(now, rejected, retry_after):
-            self.circuit.eject(now)
+            self._eject(now, "rejected" if rejected else "failed")
+
+    def _eject(self, now: int, reason: str) -> None:
+        change = HealthChange.PROBE_FAILED if self.circuit.ejected else HealthChange.EJECTED
+        self.circuit.eject(now)
+        self._report(now, change, reason)
+
+    def _report(self, now: int, change: HealthChange, reason: str) -> None:
+        circuit = self.circuit
+        report = ReportHealth(
+            destination=self.owner.destination,
+            endpoint=self.owner.endpoint,
+            change=change,
+            reason=reason,
+            failing_for=now - circuit.ejected_at,
+            next_probe_in=circuit.next_probe_at - now if circuit.ejected else 0,
+            slow_start=self.rate.in_slow_start(now),
+        )
+        self._reports.append(report)
--- a/honeyhitch/policy/endpoint_list.py
+++ b/honeyhitch/policy/endpoint_list.py
@@ -5,8 +5,9 @@
 from collections.abc import Collection, Iterator
 from random import Random
 
+from honeyhitch.policy.actions import Action
 from honeyhitch.policy.decaying_counter import DecayingCounter
-from honeyhitch.policy.destination_state import DestinationState
+from honeyhitch.policy.destination_state import DestinationState, StateOwner
 from honeyhitch.policy.endpoint_state import EndpointState
 from honeyhitch.policy.events import EndpointListing, EndpointListUpdate, EndpointStatus, UpdateMode
 from honeyhitch.policy.message import MessageDestination
@@ -27,12 +28,19 @@
     """
 
     def __init__(self, settings: Settings, rng: Random) -> None:
+        self.health_reports: list[Action] = []  # changes of health that were not returned as actions yet
         self._settings = settings
         self._rng = rng
         self._connection_failures = [DecayingCounter(CONNECTION_FAILURES_DECAY_TIME) for _ in settings.kinds]
         self.destinations: dict[int, MessageDestination] = {}
         self._check_at_count = MIN_CHECKED_DESTINATIONS
 
+    def take_health_reports(self) -> list[Action]:
+        """Return the changes of health since the last call."""
+        reports = self.health_reports[:]
+        self.health_reports.clear()
+        return reports
+
     @property
     def has_grown(self) -> bool:
         """Whether the number of destinations has doubled since unused ones were dropped."""
@@ -90,9 +98,14 @@
 
     def _state_for(self, listing: EndpointListing, destination: MessageDestination) -> DestinationState:
         """Return the state for a new endpoint: a new one if limits are per endpoint, else the shared one."""
-        if destination.state is None or self._settings.kind(listing.kind).limits_per_endpoint:
+        limits_per_endpoint = self._settings.kind(listing.kind).limits_per_endpoint
+        if destination.state is None or limits_per_endpoint:
             kind_index = min(listing.kind, len(self._settings.kinds) - 1)
             destination.state = DestinationState(
-                self._settings, self._rng, self._connection_failures[kind_index]
+                self._settings,
+                self._rng,
+                self._connection_failures[kind_index],
+                StateOwner(listing.destination, listing.endpoint if limits_per_endpoint else ""),
+                self.health_reports,
             )
         return destination.state
--- a/honeyhitch/policy/engine.py
+++ b/honeyhitch/policy/engine.py
@@ -121,6 +121,7 @@
         self._send_all()
         for name in self.idle_connections.take_endpoints_to_close(now):
             self._actions.append(CloseIdleConnections(name))
+        self._actions += self.endpoint_list.take_health_reports()
         next_at = self.scheduler.next_at
         if next_at < self._timer_at:
             self._timer_at = next_at
--- a/honeyhitch/simulator_host/lines.py
+++ b/honeyhitch/simulator_host/lines.py
@@ -15,6 +15,7 @@
     Fail,
     OpenConnections,
     Reject,
+    ReportHealth,
     Send,
     SetTimer,
     Subscribe,
@@ -146,6 +147,8 @@
             return f"drop_conns {instance} {endpoint}"
         case OpenConnections(endpoint):
             raise WireError(f"no endpoint of the wire is gated, yet {endpoint} is")
+        case ReportHealth():
+            raise WireError("a change of health is for the log of a real dispatcher only")
 
 
 def format_policy_error(instance: str, error: Exception) -> str:
--- a/tests/test_policy_engine.py
+++ b/tests/test_policy_engine.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from honeyhitch.policy.actions import Fail, Reject, Send, SetTimer, Subscribe
+from honeyhitch.policy.actions import Fail, HealthChange, Reject, ReportHealth, Send, SetTimer, Subscribe
 from honeyhitch.policy.events import (
     EndpointListing,
     EndpointListUpdate,
@@ -124,6 +124,24 @@
     assert state.rate.send_rate(world.now) < inf, "slow start"
 
 
+# Guards against an ejection or a recovery that no log shows.
+def test_each_change_of_a_destinations_health_is_reported_with_its_reason() -> None:
+    world = World(settings(), ONE_ENDPOINT)
+    world.batch([world.new_message("m")])
+    while world.now < 6 * SECOND and not world.messages["m"].concluded:
+        for name in world.attempts_in_flight():
+            outcome = Outcome.DELIVERED if world.now >= 2 * SECOND else Outcome.CONNECT_FAILED
+            world.batch([world.attempt_ended(name, outcome)])
+        world.advance_to(world.now + 5 * MILLISECOND)
+    reports = [action for _, action in world.action_log if isinstance(action, ReportHealth)]
+    changes = [report.change for report in reports]
+    assert changes[0] is HealthChange.EJECTED
+    assert changes[-1] is HealthChange.RECOVERED
+    assert set(changes[1:-1]) <= {HealthChange.PROBE_FAILED}
+    assert [report.reason for report in reports[:-1]] == ["failed"] * (len(reports) - 1)
+    assert all(report.next_probe_in > 0 for report in reports[:-1])
+
+
 def test_a_rejected_connection_beside_successes_neither_ejects_nor_lowers_the_rate() -> None:
     world = World(settings(instance_count=2), ONE_ENDPOINT)
     for step in range(10 * 20):
