Begin a slow start after any failures without success, not only after failed probes

Cause: a slow start began only when an ejection had seen a failed probe. A dispatcher of a large fleet sends a partner one or two calls in an outage. 503 that closes the connection ejected after six, plain 503 with a success in the last 10 calls' time (24 s at 20 calls/s and 32 dispatchers) not at all, and a success right after the ejection counted as no outage. An ejection also ended a slow start in force.

Change: OutageEvidence keeps the time since the first failure or rejection after the latest success. After 2 s (3 s if there were only rejections, as at a limit) the next failure ejects, calls are as far apart as in a slow start, and the next success begins one. A slow start ends by its time alone. The rate in it counts 1.25 calls of each dispatcher in an outage instead of one.

--- a/honeyhitch/policy/circuit_breaking.py
+++ b/honeyhitch/policy/circuit_breaking.py
@@ -70,19 +70,26 @@
         """Return whether the oldest call in flight is overdue and no call sent since then succeeded."""
         return now - oldest_sent_at > overdue_after and self._success_sent_at < oldest_sent_at
 
-    def eject(self, now: int) -> None:
-        """Eject the destination: from now on only single probes are sent, at growing, jittered pauses."""
+    @property
+    def probe_failed(self) -> bool:
+        """Whether a probe failed since the ejection."""
+        return self.ejected and self.last_ejection_at > self.ejected_at
+
+    def eject(self, now: int, failing_for: int) -> None:
+        """Eject the destination: from now on only single probes are sent, at growing, jittered pauses.
+
+        The destination has failed for the duration `failing_for`, at least since its ejection.
+        """
         if not self.ejected:
             self.ejected_at = now
         self.ejected = True
         self.last_ejection_at = now
-        self._rate.end_slow_start()
         uniform = self._rng.uniform
         # All instances detect an outage at about the same time but must not send held messages together.
         self.non_idempotent_threshold = NON_IDEMPOTENT_FAILURE_FRACTION * uniform(
             1 - self.probe_jitter, 1 + JITTER
         )
-        pause = self._probe_pause(now - self.ejected_at)
+        pause = self._probe_pause(max(failing_for, now - self.ejected_at))
         self.next_probe_at = now + int(pause * uniform(1 - self.probe_jitter, 1 + self.probe_jitter))
 
     def _probe_pause(self, outage_duration: int) -> float:
@@ -96,21 +103,23 @@
         max_pause = min(MAX_PROBE_PAUSE_PER_INSTANCE * self._instance_count, MAX_PROBE_PAUSE)
         return max(MIN_PROBE_PAUSE, min(pause, max_pause))
 
-    def record_success(self, now: int, call: Call) -> bool:
-        """Record a delivered message; return whether it ends an ejection."""
+    def record_success(self, call: Call) -> bool:
+        """Record a delivered message; return false if it was sent before a call that failed.
+
+        Such a delivery is no evidence of a recovery.
+        """
         self._success_sent_at = max(self._success_sent_at, call.sent_at)
-        if call.sent_at < self._failure_sent_at:  # sent before a call that failed: no evidence of recovery
+        if call.sent_at < self._failure_sent_at:
             return False
         self.consecutive_failures = 0.0
-        if not self.ejected:
-            return False
-        self.ejected = False
-        if self.last_ejection_at > self.ejected_at:
-            self._rate.start_slow_start(now, now - self.ejected_at)
-        else:  # no probe failed since the ejection: a single failure is no outage
-            self._rate.end_slow_start()
         return True
 
+    def end_ejection(self) -> bool:
+        """Allow all calls again; return whether the destination was ejected."""
+        was_ejected = self.ejected
+        self.ejected = False
+        return was_ejected
+
     def count_failure(self, now: int, call: Call, rejected: bool) -> bool:
         """Record a failed or rejected message; return False if it belongs to a burst already counted."""
         first_of_burst = call.sent_at >= self._failed_at
--- a/honeyhitch/policy/destination_state.py
+++ b/honeyhitch/policy/destination_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import inf
 from random import Random
 from typing import NamedTuple
 
@@ -10,6 +11,7 @@
 from honeyhitch.policy.circuit_breaking import CircuitBreaker
 from honeyhitch.policy.decaying_counter import DecayingCounter
 from honeyhitch.policy.latency import LatencyEstimate
+from honeyhitch.policy.outage_evidence import MAX_LIMITED, OutageEvidence
 from honeyhitch.policy.rate_limiting import RateLimiter
 from honeyhitch.policy.settings import Settings
 from honeyhitch.time_units import NEVER, SECOND
@@ -43,6 +45,7 @@
         "last_sent_at",
         "latency",
         "max_messages_per_call",
+        "outage",
         "owner",
         "rate",
         "retry_after_until",
@@ -62,6 +65,7 @@
         self.latency = LatencyEstimate()
         self.rate = RateLimiter(settings)
         self.circuit = CircuitBreaker(settings, rng, self.rate)
+        self.outage = OutageEvidence()
         self.connection_failures = connection_failures  # shared by all destinations of the kind
         self.calls_in_flight: dict[Call, None] = {}  # oldest first
         self.retry_after_until = 0
@@ -84,12 +88,30 @@
         if circuit.ejected:
             ready_at = circuit.next_probe_at
         else:
-            ready_at = self.last_sent_at + int(SECOND / self.rate.send_rate(now))
+            ready_at = self.last_sent_at + self._pause_between_calls(now)
         ready_at = max(ready_at, self.retry_after_until, now)
         if non_idempotent and circuit.call_failures.failure_fraction(now) > circuit.non_idempotent_threshold:
             ready_at = max(ready_at, now + NON_IDEMPOTENT_RECHECK_PAUSE)
         return NEVER if circuit.ejected and self._probe_in_flight() else ready_at
 
+    def is_limited(self, now: int) -> bool:
+        """Return whether calls are limited now: by an ejection, rejections or a possible outage."""
+        return self.circuit.ejected or self.outage.suggests_outage(now) or self.rate.send_rate(now) < inf
+
+    def _pause_between_calls(self, now: int) -> int:
+        """Return the pause after a call before the next one may start.
+
+        A destination that may be out may return at any time, so its calls are as far apart as in a slow
+        start. After rejections alone, which may also come from a limit, one call may be sent earlier.
+        """
+        pause = int(SECOND / self.rate.send_rate(now))
+        if not self.outage.suggests_outage(now) or (
+            self.outage.may_be_limited(now) and not self.calls_in_flight
+        ):
+            return pause
+        outage_duration = min(self.outage.duration(now), MAX_LIMITED)  # so that the pause is bounded
+        return max(pause, int(SECOND / self.rate.slow_start_rate(0, outage_duration)))
+
     def _probe_in_flight(self) -> bool:
         """Return whether a call sent since the latest ejection or failed probe is in flight."""
         calls = self.calls_in_flight
@@ -106,10 +128,15 @@
         self.rate.record_success(now, count)
         raised_limit = self.max_messages_per_call * (1 + MESSAGES_PER_CALL_GROWTH / count)
         self.max_messages_per_call = min(MAX_MESSAGES_PER_CALL, raised_limit)
-        ends_ejection = self.circuit.record_success(now, call)
-        if ends_ejection:
+        if not self.circuit.record_success(call):
+            return False
+        was_failing = self.circuit.ejected or self.outage.failing_since is not None
+        if self.outage.suggests_outage(now) or self.circuit.probe_failed:
+            self.rate.start_slow_start(now, self.outage.duration(now))
+        self.outage.record_success()
+        if was_failing:
             self._report(now, HealthChange.RECOVERED, "delivered")
-        return ends_ejection
+        return self.circuit.end_ejection()
 
     def record_connection_limit(self, now: int, call: Call) -> None:
         """Record that an endpoint rejected a connection, as at its connection limit.
@@ -118,21 +145,24 @@
         is down rejects in the same way, so it is ejected once nothing but them has come for some time.
         """
         self.circuit.count_failure(now, call, True)
+        self.outage.record_failure(now, rejected=True)
         lasting = self.circuit.consecutive_failures >= EJECTION_CONNECTION_REJECTIONS
-        if (lasting or self.circuit.ejected) and self.circuit.should_eject(now, rejected=True, retry_after=0):
+        rejecting = lasting and self.circuit.should_eject(now, rejected=True, retry_after=0)
+        if rejecting or self.circuit.ejected or self.outage.suggests_outage(now):
             self._eject(now, "connections-rejected")
 
     def record_failure(self, now: int, call: Call, rejected: bool, retry_after: int) -> None:
         """Record a message that failed, or that the destination rejected because of its rate limit."""
         first_of_burst = self.circuit.count_failure(now, call, rejected)
+        self.outage.record_failure(now, rejected)
         if rejected and first_of_burst:
             self.rate.reduce_rate(now)
-        if self.circuit.should_eject(now, rejected, retry_after):
+        if self.circuit.should_eject(now, rejected, retry_after) or self.outage.suggests_outage(now):
             self._eject(now, "rejected" if rejected else "failed")
 
     def _eject(self, now: int, reason: str) -> None:
         change = HealthChange.PROBE_FAILED if self.circuit.ejected else HealthChange.EJECTED
-        self.circuit.eject(now)
+        self.circuit.eject(now, self.outage.duration(now))
         self._report(now, change, reason)
 
     def _report(self, now: int, change: HealthChange, reason: str) -> None:
@@ -142,7 +172,7 @@
             endpoint=self.owner.endpoint,
             change=change,
             reason=reason,
-            failing_for=now - circuit.ejected_at,
+            failing_for=self.outage.duration(now),
             next_probe_in=circuit.next_probe_at - now if circuit.ejected else 0,
             slow_start=self.rate.in_slow_start(now),
         )
--- a/honeyhitch/policy/endpoint_choice.py
+++ b/honeyhitch/policy/endpoint_choice.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from math import inf
 from typing import NamedTuple
 
 from honeyhitch.policy.circuit_breaking import EJECTION_FAILURE_FRACTION
@@ -96,6 +95,6 @@
     destination: MessageDestination, endpoint: EndpointState, now: int, settings: Settings
 ) -> int:
     """Return for how many calls to open connections to this endpoint: 1 if it is ejected or rate-limited."""
-    if endpoint.state.circuit.ejected or endpoint.state.rate.send_rate(now) < inf:
+    if endpoint.state.is_limited(now):
         return 1
     return min(destination.queue_length(), settings.max_concurrent_calls)
--- /dev/null
+++ b/honeyhitch/policy/outage_evidence.py
@@ -0,0 +1,47 @@
+"""Whether a destination may be out, judged by the failures and rejections since its latest success."""
+
+from __future__ import annotations
+
+from honeyhitch.time_units import SECOND
+
+MIN_OUTAGE = 2 * SECOND  # failures for a shorter time are taken for failures of single calls
+# Rejections alone may come from a limit that all instances share.
+MIN_OUTAGE_BY_REJECTIONS = 3 * SECOND
+MAX_LIMITED = 10 * SECOND  # rejections for a longer time are not taken for those of a limit
+
+
+class OutageEvidence:
+    """The time during which a destination has only failed or rejected calls. Times are nanoseconds.
+
+    A single failure is enough to begin it: an instance that sends few calls sees no more of an outage, and
+    all such instances together can overload a destination that returns (rule 4).
+    """
+
+    __slots__ = ("_only_rejections", "failing_since")
+
+    def __init__(self) -> None:
+        self.failing_since: int | None = None  # the first failure since the latest success
+        self._only_rejections = True
+
+    def record_failure(self, now: int, rejected: bool) -> None:
+        """Record a call that failed or was rejected for any reason."""
+        if self.failing_since is None:
+            self.failing_since = now
+            self._only_rejections = True
+        self._only_rejections &= rejected
+
+    def record_success(self) -> None:
+        """Record a delivery that was sent after the latest failed call."""
+        self.failing_since = None
+
+    def duration(self, now: int) -> int:
+        """Return for how long there has been no success; 0 if no call has failed since the latest one."""
+        return 0 if self.failing_since is None else now - self.failing_since
+
+    def suggests_outage(self, now: int) -> bool:
+        """Return whether the destination has failed for so long that it may be out."""
+        return self.duration(now) > (MIN_OUTAGE_BY_REJECTIONS if self._only_rejections else MIN_OUTAGE)
+
+    def may_be_limited(self, now: int) -> bool:
+        """Return whether the failures may also be the rejections of a limit."""
+        return self._only_rejections and self.duration(now) < MAX_LIMITED
--- a/honeyhitch/policy/rate_limiting.py
+++ b/honeyhitch/policy/rate_limiting.py
@@ -12,6 +12,7 @@
 MIN_UNLISTED_QUOTA_PER_SECOND = 0.5
 SLOW_START_SAFETY_FACTOR = 0.8  # fraction used of the rate that a destination in slow start sustains
 OUTAGE_DETECTION_PERIOD = 3 * SECOND  # instances that made a call within it detect an outage together
+DETECTING_CALLS = 1.25  # of each instance in an outage, so that all calls together reach the capacity
 REJECTION_FACTOR = 0.5  # applied to the send rate by each further rejection
 FIRST_REJECTION_FACTOR = 0.6  # applied to the measured rate by the first rejection
 RATE_RECOVERY_PER_SECOND = 0.15  # growth of the send rate, as a fraction
@@ -72,7 +73,7 @@
         settings = self._settings
         progress = min(1.0, time_since_recovery / settings.slow_start_duration)
         fraction = settings.slow_start_fraction + (1 - settings.slow_start_fraction) * progress
-        capacity = max(self.quota(), SECOND / max(OUTAGE_DETECTION_PERIOD, outage_duration))
+        capacity = max(self.quota(), DETECTING_CALLS * SECOND / max(OUTAGE_DETECTION_PERIOD, outage_duration))
         return SLOW_START_SAFETY_FACTOR * settings.overload_factor * fraction * capacity
 
     def start_slow_start(self, now: int, outage_duration: int) -> None:
@@ -80,10 +81,6 @@
         self.recovered_at = now
         self._outage_duration = outage_duration
 
-    def end_slow_start(self) -> None:
-        """End the slow start: the destination is ejected, or recovered from a failure that was no outage."""
-        self.recovered_at = -NEVER
-
     def in_slow_start(self, now: int) -> bool:
         """Return whether the destination recovered too recently to be sure of its full capacity."""
         return now - self.recovered_at < self._settings.slow_start_duration
--- /dev/null
+++ b/tests/test_outage_evidence.py
@@ -0,0 +1,80 @@
+"""What an instance concludes from failures and rejections without a success in between."""
+
+from __future__ import annotations
+
+from math import inf
+
+import pytest
+
+from honeyhitch.policy.destination_state import DestinationState
+from honeyhitch.policy.events import EndpointListing, Outcome
+from honeyhitch.time_units import MILLISECOND, SECOND
+
+from .world import World, settings
+
+ONE_ENDPOINT = (EndpointListing("a", 0, listed_rate=20.0),)
+ROUND_TRIP = 50 * MILLISECOND
+FAILURES = (Outcome.CONNECT_FAILED, Outcome.REJECTED, Outcome.ERROR, Outcome.RESET)
+
+
+def state_of(world: World) -> DestinationState:
+    state = world.policy.destinations[0].state
+    assert state is not None
+    return state
+
+
+def call(world: World, name: str, outcome: Outcome, connection_limited: bool = False) -> None:
+    """Submit a message, and end its attempt once it was sent."""
+    world.batch([world.new_message(name)])
+    for _ in range(20 * SECOND // ROUND_TRIP):
+        if world.messages[name].attempts:
+            break
+        world.advance_to(world.now + ROUND_TRIP)
+    world.advance_to(world.now + ROUND_TRIP)
+    world.batch([world.attempt_ended(name, outcome, connection_limited=connection_limited)])
+
+
+# Guards against an instance that takes one failure in a long outage for no outage, and sends at full rate.
+@pytest.mark.parametrize("outcome", FAILURES)
+def test_a_success_long_after_a_single_failure_begins_a_slow_start(outcome: Outcome) -> None:
+    world = World(settings(max_attempts=1), ONE_ENDPOINT)
+    call(world, "before", Outcome.DELIVERED)
+    call(world, "failed", outcome)
+    world.advance_to(world.now + 4 * SECOND)
+    call(world, "after", Outcome.DELIVERED)
+    assert state_of(world).rate.in_slow_start(world.now)
+
+
+@pytest.mark.parametrize("outcome", FAILURES)
+def test_a_success_soon_after_a_failure_begins_no_slow_start(outcome: Outcome) -> None:
+    world = World(settings(max_attempts=1), ONE_ENDPOINT)
+    call(world, "before", Outcome.DELIVERED)
+    call(world, "failed", outcome)
+    call(world, "after", Outcome.DELIVERED)
+    assert not state_of(world).rate.in_slow_start(world.now)
+    assert not state_of(world).circuit.ejected
+
+
+# Guards against a partner that is shut, closes each connection, and falls since fewer than six calls saw it.
+def test_few_rejected_connections_over_some_seconds_begin_a_slow_start() -> None:
+    world = World(settings(max_attempts=1, instance_count=32), ONE_ENDPOINT)
+    call(world, "before", Outcome.DELIVERED)
+    for number in range(2):
+        call(world, f"rejected-{number}", Outcome.REJECTED, connection_limited=True)
+        world.advance_to(world.now + 2 * SECOND)
+    call(world, "after", Outcome.DELIVERED)
+    assert state_of(world).rate.in_slow_start(world.now)
+
+
+# Guards against a failure in the slow start that ends it, so that the next success lifts the limit.
+def test_a_short_ejection_does_not_end_a_slow_start() -> None:
+    world = World(settings(max_attempts=1), ONE_ENDPOINT)
+    state = state_of(world)
+    call(world, "before", Outcome.DELIVERED)
+    state.rate.start_slow_start(world.now, 8 * SECOND)
+    state.circuit.call_failures.failures = 5.0  # so that one more failure ejects
+    call(world, "failed", Outcome.CONNECT_FAILED)
+    assert state.circuit.ejected
+    call(world, "after", Outcome.DELIVERED)
+    assert not state.circuit.ejected
+    assert state.rate.send_rate(world.now) < inf
