Spread the first calls after a long Retry-After over the pause between probes

Cause: the next call after a Retry-After was due at its end, without jitter, and a wait under 3 s did not eject.

Evidence: test_instances_spread_their_first_calls_after_a_long_retry_after: 16 of 16 instances called at the end of the wait; now at most a third within a second.

Change: a rejection whose wait ends more than 3 s after the first failure ejects, and the first probe after a wait is drawn from the pause that follows it.

--- a/honeyhitch/policy/circuit_breaking.py
+++ b/honeyhitch/policy/circuit_breaking.py
@@ -75,10 +75,11 @@
         """Whether a probe failed since the ejection."""
         return self.ejected and self.last_ejection_at > self.ejected_at
 
-    def eject(self, now: int, failing_for: int) -> None:
+    def eject(self, now: int, failing_for: int, retry_after_until: int) -> None:
         """Eject the destination: from now on only single probes are sent, at growing, jittered pauses.
 
-        The destination has failed for the duration `failing_for`, at least since its ejection.
+        The destination has failed for the duration `failing_for`, at least since its ejection. A Retry-After
+        ends at the same time for all instances, so their first probes after it are spread over the pause.
         """
         if not self.ejected:
             self.ejected_at = now
@@ -89,8 +90,12 @@
         self.non_idempotent_threshold = NON_IDEMPOTENT_FAILURE_FRACTION * uniform(
             1 - self.probe_jitter, 1 + JITTER
         )
-        pause = self._probe_pause(max(failing_for, now - self.ejected_at))
+        failing_for = max(failing_for, now - self.ejected_at)
+        pause = self._probe_pause(failing_for)
         self.next_probe_at = now + int(pause * uniform(1 - self.probe_jitter, 1 + self.probe_jitter))
+        if retry_after_until > now:
+            pause = self._probe_pause(failing_for + retry_after_until - now)
+            self.next_probe_at = max(self.next_probe_at, retry_after_until + int(pause * uniform(0, 1)))
 
     def _probe_pause(self, outage_duration: int) -> float:
         """Return the pause (ns) before the next probe.
--- a/honeyhitch/policy/destination_state.py
+++ b/honeyhitch/policy/destination_state.py
@@ -157,12 +157,13 @@
         self.outage.record_failure(now, rejected)
         if rejected and first_of_burst:
             self.rate.reduce_rate(now)
-        if self.circuit.should_eject(now, rejected, retry_after) or self.outage.suggests_outage(now):
+        out_at_next_call = self.outage.suggests_outage(max(now, self.retry_after_until))
+        if self.circuit.should_eject(now, rejected, retry_after) or out_at_next_call:
             self._eject(now, "rejected" if rejected else "failed")
 
     def _eject(self, now: int, reason: str) -> None:
         change = HealthChange.PROBE_FAILED if self.circuit.ejected else HealthChange.EJECTED
-        self.circuit.eject(now, self.outage.duration(now))
+        self.circuit.eject(now, self.outage.duration(now), self.retry_after_until)
         self._report(now, change, reason)
 
     def _report(self, now: int, change: HealthChange, reason: str) -> None:
--- a/tests/test_outage_evidence.py
+++ b/tests/test_outage_evidence.py
@@ -23,7 +23,9 @@
     return state
 
 
-def call(world: World, name: str, outcome: Outcome, connection_limited: bool = False) -> None:
+def call(
+    world: World, name: str, outcome: Outcome, retry_after: int = 0, connection_limited: bool = False
+) -> None:
     """Submit a message, and end its attempt once it was sent."""
     world.batch([world.new_message(name)])
     for _ in range(20 * SECOND // ROUND_TRIP):
@@ -31,7 +33,7 @@
             break
         world.advance_to(world.now + ROUND_TRIP)
     world.advance_to(world.now + ROUND_TRIP)
-    world.batch([world.attempt_ended(name, outcome, connection_limited=connection_limited)])
+    world.batch([world.attempt_ended(name, outcome, retry_after, connection_limited=connection_limited)])
 
 
 # Guards against an instance that takes one failure in a long outage for no outage, and sends at full rate.
@@ -78,3 +80,30 @@
     call(world, "after", Outcome.DELIVERED)
     assert not state.circuit.ejected
     assert state.rate.send_rate(world.now) < inf
+
+
+# Guards against a partner that tells everybody when it returns, and falls under all their calls then.
+def test_instances_spread_their_first_calls_after_a_long_retry_after() -> None:
+    retry_after = 6 * SECOND
+    delays = []
+    for seed in range(16):
+        world = World(settings(max_attempts=1, instance_count=32), ONE_ENDPOINT, seed)
+        call(world, "rejected", Outcome.REJECTED, retry_after)
+        ends_at = world.now + retry_after
+        world.batch([world.new_message("waiting")])
+        while not world.messages["waiting"].attempts:
+            world.advance_to(world.now + ROUND_TRIP)
+        delays.append(world.sends("waiting")[0][0] - ends_at)
+    assert min(delays) >= 0
+    assert max(delays) <= 16 * SECOND
+    assert sum(delay < SECOND for delay in delays) <= len(delays) // 3
+
+
+def test_a_short_retry_after_is_followed_by_a_call_at_once() -> None:
+    world = World(settings(max_attempts=1), ONE_ENDPOINT)
+    call(world, "before", Outcome.DELIVERED)
+    call(world, "rejected", Outcome.REJECTED, SECOND)
+    ends_at = world.now + SECOND
+    world.batch([world.new_message("waiting")])
+    world.advance_to(ends_at + 2 * ROUND_TRIP)
+    assert world.sends("waiting")
