Keep what is known of outages and slow starts over restarts and upgrades

Cause: health was kept in memory only. A process that started knew nothing of the outage, sent what it held at full width, and a success after one failure counted as no outage. In an upgrade the new process was handed messages, but not what the old one knew.

At a start, with each list, and from the other process of an upgrade it comes back as OutageKnown: an outage goes on as an ejection whose first probe is drawn from the whole pause, a slow start goes on.

--- a/honeyhitch/dispatcher/dispatcher.py
+++ b/honeyhitch/dispatcher/dispatcher.py
@@ -14,6 +14,7 @@
 from honeyhitch.dispatcher.context import DispatcherContext
 from honeyhitch.dispatcher.delivery import Admission, Call, CallResult, DispatcherState, Phase
 from honeyhitch.dispatcher.endings import Endings
+from honeyhitch.dispatcher.outage_events import outage_known
 from honeyhitch.dispatcher.outcomes import CallOutcomes
 from honeyhitch.dispatcher.ports import Scheduler
 from honeyhitch.dispatcher.recovery import Recovery
@@ -129,7 +130,7 @@
         """Pass a change of the pool to the policy.
 
         A Retry-After stays in force when its endpoint leaves the list and returns: it is passed to the policy
-        again.
+        again, and so is what an earlier process, or this one, knows of an outage.
         """
         self.event_queue.enqueue(update)
         now = self.scheduler.now()
@@ -140,8 +141,12 @@
             elif endpoint_id in self.pool.endpoints:
                 self.event_queue.enqueue(RetryAfterReceived(destination, endpoint_id, until))
 
-    def apply_retry_after(self, events: list[Event]) -> None:
-        """Pass Retry-After events that another process of this dispatcher received before it ended."""
+        for outage in self.journal.outages.values():
+            if not outage.expired(now):
+                self.event_queue.enqueue(outage_known(outage))
+
+    def apply_partner_events(self, events: list[Event]) -> None:
+        """Pass what another process of this dispatcher knew of endpoints before it ended."""
         for event in events:
             self.event_queue.enqueue(event)
 
--- a/honeyhitch/dispatcher/ports.py
+++ b/honeyhitch/dispatcher/ports.py
@@ -62,8 +62,8 @@
 class PeerProcess(Protocol):
     """The other process of the same dispatcher during a hand-over."""
 
-    def retry_after_events(self) -> list[Event]:
-        """Return events for the Retry-After times that the other process received."""
+    def partner_events(self) -> list[Event]:
+        """Return events for the Retry-After times and outages that the other process knows."""
 
     def has_accepted(self, message_id: str) -> bool:
         """Return whether the other process accepted this message and therefore has to answer it."""
--- a/honeyhitch/dispatcher/rounds.py
+++ b/honeyhitch/dispatcher/rounds.py
@@ -7,6 +7,7 @@
 from honeyhitch.dispatcher.context import DispatcherContext
 from honeyhitch.dispatcher.endings import Endings
 from honeyhitch.dispatcher.event_queue import QueuedEvent
+from honeyhitch.journal.records import OutageNoted
 from honeyhitch.journal.transactions import RESEND_FRONTEND, Ending, Execution, Transaction
 from honeyhitch.policy.actions import (
     Action,
@@ -14,12 +15,14 @@
     CloseIdleConnections,
     Fail,
     OpenConnections,
+    RecordOutage,
     Reject,
     ReportHealth,
     Send,
     SetTimer,
 )
 from honeyhitch.policy.events import NewMessage, TimerFired
+from honeyhitch.policy.outage_evidence import OutageHistory
 from honeyhitch.time_units import MILLISECOND
 
 log = logs.get_logger()
@@ -46,8 +49,8 @@
             self._new_message(event, now) if isinstance(event, Transaction) else event for event in queued
         ]
         if context.peer_process is not None:
-            # These follow the endpoint list: a Retry-After counts only if its endpoint is known.
-            events += context.peer_process.retry_after_events()
+            # These follow the endpoint list: each of them counts only if its endpoint is known.
+            events += context.peer_process.partner_events()
         sends: list[Send] = []
         for action in context.policy.handle(now, events):
             if isinstance(action, Send):
@@ -73,9 +76,23 @@
                 self._open_connections(endpoint_id, calls)
             case ReportHealth():
                 self._log_health(action)
+            case RecordOutage(destination, endpoint, history):
+                self._record_outage(destination, endpoint, history)
             case _:  # Subscribe: the watch of discovery is always active
                 pass
 
+    def _record_outage(self, destination: int, endpoint: str, history: OutageHistory) -> None:
+        outage = OutageNoted(
+            destination=destination,
+            endpoint=endpoint,
+            failing_since=history.failing_since,
+            only_rejections=history.only_rejections,
+            recovered_at=history.recovered_at,
+            outage_duration=history.outage_duration,
+            slow_start_ends_at=history.slow_start_ends_at,
+        )
+        self.context.journal.record_outage(outage)
+
     def _log_health(self, report: ReportHealth) -> None:
         log.info(
             "destination.health-changed",
--- a/honeyhitch/journal/journal.py
+++ b/honeyhitch/journal/journal.py
@@ -29,6 +29,7 @@
     MessageRecord,
     MessagesHandedOver,
     NamesRecorded,
+    OutageNoted,
     Record,
     RetryAfterNoted,
 )
@@ -214,6 +215,11 @@
         if self._extend_retry_after(destination, endpoint, until):
             self._append_or_postpone(RetryAfterNoted(destination, endpoint, until))
 
+    def record_outage(self, outage: OutageNoted) -> None:
+        """Record what is known of an outage; the next process and the other one of a hand-over need it."""
+        self._keep_outage(outage)
+        self._append_or_postpone(outage)
+
     def hand_over(self, transactions: list[Transaction], calls_in_flight: int) -> None:
         """Record that the other process resumes these messages, and how many calls are in flight here.
 
@@ -360,6 +366,7 @@
         now = self.clock()
         self.messages.drop_expired(now)
         self.retry_after_until = {key: until for key, until in self.retry_after_until.items() if until > now}
+        self.outages = {key: outage for key, outage in self.outages.items() if not outage.expired(now)}
         return b"".join(encode_record(record) for record in self._live_records())
 
     def _live_records(self) -> Iterator[Record]:
@@ -385,6 +392,7 @@
             yield CallsInFlight(self.calls_in_flight)
         for (destination, endpoint), until in self.retry_after_until.items():
             yield RetryAfterNoted(destination, endpoint, until)
+        yield from self.outages.values()
 
     def replace_file(self, data: bytes, path: Path, new_path: Path) -> bool:
         """Atomically replace `path` with a file of these bytes and continue writing there.
--- a/honeyhitch/journal/merge.py
+++ b/honeyhitch/journal/merge.py
@@ -51,6 +51,10 @@
             self._add_pending_dead_letter(transaction)
         for (destination, endpoint), until in peer_state.retry_after_until.items():
             self._extend_retry_after(destination, endpoint, until)
+        for key, outage in peer_state.outages.items():
+            own_outage = self.outages.get(key)
+            if own_outage is None or own_outage.latest_at < outage.latest_at:
+                self._keep_outage(outage)
         own_messages.concluded = peer_state.messages.concluded | own_messages.concluded
         own_messages.delivered_keys = _earliest(
             peer_state.messages.delivered_keys, own_messages.delivered_keys
--- a/honeyhitch/journal/record_codec.py
+++ b/honeyhitch/journal/record_codec.py
@@ -28,6 +28,7 @@
     MessageRecord,
     MessagesHandedOver,
     NamesRecorded,
+    OutageNoted,
     Record,
     RetryAfterNoted,
 )
@@ -248,6 +249,31 @@
     return RetryAfterNoted(int(fields["dest"]), str(fields["of"]), int(fields["until"]))
 
 
+def _encode_outage(record: OutageNoted) -> Fields:
+    return {
+        "t": "outage",
+        "dest": record.destination,
+        "of": record.endpoint,
+        "since": record.failing_since,
+        "rejected": record.only_rejections,
+        "back_at": record.recovered_at,
+        "took": record.outage_duration,
+        "until": record.slow_start_ends_at,
+    }
+
+
+def _decode_outage(fields: Fields, _: bytes) -> OutageNoted:
+    return OutageNoted(
+        destination=int(fields["dest"]),
+        endpoint=str(fields["of"]),
+        failing_since=int(fields["since"]),
+        only_rejections=bool(fields["rejected"]),
+        recovered_at=int(fields["back_at"]),
+        outage_duration=int(fields["took"]),
+        slow_start_ends_at=int(fields["until"]),
+    )
+
+
 def _encode_owner(record: JournalOwner) -> Fields:
     return {"t": "born", "v": record.version, "name": record.name}
 
@@ -314,6 +340,7 @@
     MessageEnded: _encode_ended,
     DeadLetterStored: _encode_dead_letter_stored,
     RetryAfterNoted: _encode_retry_after,
+    OutageNoted: _encode_outage,
     JournalOwner: _encode_owner,
     NamesRecorded: _encode_names,
     MessagesHandedOver: _encode_handed_over,
@@ -330,6 +357,7 @@
     "end": _decode_ended,
     "kept": _decode_dead_letter_stored,
     "wait": _decode_retry_after,
+    "outage": _decode_outage,
     "born": _decode_owner,
     "names": _decode_names,
     "passed": _decode_handed_over,
--- a/honeyhitch/journal/records.py
+++ b/honeyhitch/journal/records.py
@@ -86,6 +86,28 @@
     until: int
 
 
+@dataclass(slots=True)
+class OutageNoted:
+    """What is known of the latest outage of a destination or an endpoint; replaces earlier records."""
+
+    destination: int
+    endpoint: str  # empty if all endpoints of the destination share their health
+    failing_since: int  # 0 if no call has failed since the latest success
+    only_rejections: bool
+    recovered_at: int  # 0 if it has not recovered
+    outage_duration: int
+    slow_start_ends_at: int
+
+    @property
+    def latest_at(self) -> int:
+        """The time of the latest change that the record describes."""
+        return max(self.failing_since, self.recovered_at)
+
+    def expired(self, now: int) -> bool:
+        """Return whether the record says nothing about the time from `now` on."""
+        return not self.failing_since and self.slow_start_ends_at <= now
+
+
 @dataclass(slots=True)
 class JournalOwner:
     """The name of the dispatcher that writes the journal, and the version of the journal's format."""
@@ -138,6 +160,7 @@
     | MessageEnded
     | DeadLetterStored
     | RetryAfterNoted
+    | OutageNoted
     | JournalOwner
     | NamesRecorded
     | MessagesHandedOver
--- a/honeyhitch/journal/state.py
+++ b/honeyhitch/journal/state.py
@@ -23,12 +23,14 @@
     MessageRecord,
     MessagesHandedOver,
     NamesRecorded,
+    OutageNoted,
     Record,
     RetryAfterNoted,
 )
 from honeyhitch.journal.settings_names import IndexTranslation, SettingsNames
 from honeyhitch.journal.transactions import Ending, MessageTable, RememberedKey, Transaction
 
+MAX_OUTAGES = 1024  # destinations and endpoints whose outages are kept; the oldest is dropped first
 ESTIMATED_OVERHEAD_BYTES = 512  # size of a message's records, excluding its body
 
 
@@ -63,6 +65,7 @@
         self.message_bytes: dict[str, int] = {}  # estimated bytes by message id
         # End of the Retry-After that ends last, by destination and endpoint.
         self.retry_after_until: dict[tuple[int, str], int] = {}
+        self.outages: dict[tuple[int, str], OutageNoted] = {}  # by destination and endpoint
         # Messages in this journal that the other process of a hand-over resumes.
         self.handed_over: dict[str, Transaction] = {}
         self.calls_in_flight: int | None = None  # None if the writer does not hand over
@@ -151,6 +154,9 @@
     def _apply_retry_after(self, record: RetryAfterNoted) -> None:
         self._extend_retry_after(record.destination, record.endpoint, record.until)
 
+    def _apply_outage(self, record: OutageNoted) -> None:
+        self._keep_outage(record)
+
     def _apply_owner(self, record: JournalOwner) -> None:
         self.name = record.name
         self.version = record.version
@@ -190,6 +196,7 @@
         MessageEnded: _apply_ended,
         DeadLetterStored: _apply_dead_letter_stored,
         RetryAfterNoted: _apply_retry_after,
+        OutageNoted: _apply_outage,
         JournalOwner: _apply_owner,
         MessagesHandedOver: _apply_handed_over,
         CallsInFlight: _apply_calls_in_flight,
@@ -210,6 +217,14 @@
         self.retry_after_until[destination, endpoint] = until
         return True
 
+    def _keep_outage(self, record: OutageNoted) -> None:
+        """Replace what is known of an outage; forget an outage that has no consequence any more."""
+        self.outages.pop((record.destination, record.endpoint), None)
+        if record.failing_since or record.recovered_at:
+            self.outages[record.destination, record.endpoint] = record
+        if len(self.outages) > MAX_OUTAGES:
+            del self.outages[next(iter(self.outages))]
+
     def _add_message(self, message: Transaction) -> None:
         self.live_bytes -= self.message_bytes.get(message.id, 0)  # a message that was handed over may return
         self.handed_over.pop(message.id, None)
--- a/honeyhitch/policy/actions.py
+++ b/honeyhitch/policy/actions.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from honeyhitch.policy.outage_evidence import OutageHistory
+
 
 @dataclass(frozen=True, slots=True)
 class Send:
@@ -86,6 +88,15 @@
     slow_start: bool  # whether the rate is limited from now on because of the outage
 
 
+@dataclass(frozen=True, slots=True)
+class RecordOutage:
+    """Keep what is known of an outage for later processes of this instance."""
+
+    destination: int
+    endpoint: str  # empty if all endpoints of the destination share the health
+    history: OutageHistory
+
+
 Action = (
     Send
     | Cancel
@@ -96,4 +107,5 @@
     | CloseIdleConnections
     | OpenConnections
     | ReportHealth
+    | RecordOutage
 )
--- a/honeyhitch/policy/circuit_breaking.py
+++ b/honeyhitch/policy/circuit_breaking.py
@@ -97,6 +97,10 @@
             pause = self._probe_pause(failing_for + retry_after_until - now)
             self.next_probe_at = max(self.next_probe_at, retry_after_until + int(pause * uniform(0, 1)))
 
+    def spread_first_probe(self, now: int, failing_for: int) -> None:
+        """Let the first probe after a start come at a random time within the pause between probes."""
+        self.next_probe_at = now + int(self._probe_pause(failing_for) * self._rng.uniform(0, 1))
+
     def _probe_pause(self, outage_duration: int) -> float:
         """Return the pause (ns) before the next probe.
 
--- a/honeyhitch/policy/destination_state.py
+++ b/honeyhitch/policy/destination_state.py
@@ -6,12 +6,12 @@
 from random import Random
 from typing import NamedTuple
 
-from honeyhitch.policy.actions import Action, HealthChange, ReportHealth
+from honeyhitch.policy.actions import Action, HealthChange, RecordOutage, ReportHealth
 from honeyhitch.policy.call import Call
 from honeyhitch.policy.circuit_breaking import CircuitBreaker
 from honeyhitch.policy.decaying_counter import DecayingCounter
 from honeyhitch.policy.latency import LatencyEstimate
-from honeyhitch.policy.outage_evidence import MAX_LIMITED, OutageEvidence
+from honeyhitch.policy.outage_evidence import MAX_LIMITED, OutageEvidence, OutageHistory
 from honeyhitch.policy.rate_limiting import RateLimiter
 from honeyhitch.policy.settings import Settings
 from honeyhitch.time_units import NEVER, SECOND
@@ -37,7 +37,9 @@
     """
 
     __slots__ = (
+        "_recorded_history",
         "_reports",
+        "_rng",
         "answered_calls",
         "calls_in_flight",
         "circuit",
@@ -59,8 +61,10 @@
         owner: StateOwner,
         reports: list[Action],
     ) -> None:
-        """Create the state; each change of its health is appended to `reports`."""
+        """Create the state; each change of its health or outage history is appended to `reports`."""
         self.owner = owner
+        self._rng = rng
+        self._recorded_history = OutageHistory()
         self._reports = reports
         self.latency = LatencyEstimate()
         self.rate = RateLimiter(settings)
@@ -133,7 +137,8 @@
         was_failing = self.circuit.ejected or self.outage.failing_since is not None
         if self.outage.suggests_outage(now) or self.circuit.probe_failed:
             self.rate.start_slow_start(now, self.outage.duration(now))
-        self.outage.record_success()
+        self.outage.record_success(now)
+        self._record_history()
         if was_failing:
             self._report(now, HealthChange.RECOVERED, "delivered")
         return self.circuit.end_ejection()
@@ -146,6 +151,7 @@
         """
         self.circuit.count_failure(now, call, True)
         self.outage.record_failure(now, rejected=True)
+        self._record_history()
         lasting = self.circuit.consecutive_failures >= EJECTION_CONNECTION_REJECTIONS
         rejecting = lasting and self.circuit.should_eject(now, rejected=True, retry_after=0)
         if rejecting or self.circuit.ejected or self.outage.suggests_outage(now):
@@ -155,12 +161,39 @@
         """Record a message that failed, or that the destination rejected because of its rate limit."""
         first_of_burst = self.circuit.count_failure(now, call, rejected)
         self.outage.record_failure(now, rejected)
+        self._record_history()
         if rejected and first_of_burst:
             self.rate.reduce_rate(now)
         out_at_next_call = self.outage.suggests_outage(max(now, self.retry_after_until))
         if self.circuit.should_eject(now, rejected, retry_after) or out_at_next_call:
             self._eject(now, "rejected" if rejected else "failed")
 
+    def restore(self, now: int, history: OutageHistory) -> None:
+        """Apply what another process of this instance knows of an outage.
+
+        All instances may have been restarted at the same time, so the first call is due at a random time
+        within the pause between calls.
+        """
+        self._recorded_history = history
+        if self.rate.restore_slow_start(history.recovered_at, history.outage_duration):
+            pause = int(SECOND / self.rate.send_rate(now))
+            self.last_sent_at = max(self.last_sent_at, now - int(pause * self._rng.uniform(0, 1)))
+        if self.outage.restore(history) and self.outage.suggests_outage(now) and not self.circuit.ejected:
+            self._eject(now, "failed-before-start")
+            self.circuit.spread_first_probe(now, self.outage.duration(now))
+
+    def _record_history(self) -> None:
+        history = OutageHistory(
+            failing_since=self.outage.failing_since or 0,
+            only_rejections=self.outage.failing_since is None or self.outage.only_rejections,
+            recovered_at=max(0, self.rate.recovered_at),
+            outage_duration=self.rate.outage_duration,
+            slow_start_ends_at=self.rate.slow_start_ends_at,
+        )
+        if history != self._recorded_history:
+            self._recorded_history = history
+            self._reports.append(RecordOutage(*self.owner, history))
+
     def _eject(self, now: int, reason: str) -> None:
         change = HealthChange.PROBE_FAILED if self.circuit.ejected else HealthChange.EJECTED
         self.circuit.eject(now, self.outage.duration(now), self.retry_after_until)
--- a/honeyhitch/policy/engine.py
+++ b/honeyhitch/policy/engine.py
@@ -47,6 +47,7 @@
     Event,
     MessageWithdrawn,
     NewMessage,
+    OutageKnown,
     Outcome,
     RetryAfterReceived,
     ShutdownStarted,
@@ -103,6 +104,7 @@
             TimerFired: self._on_timer,
             ConnectionCapacity: self._on_connection_capacity,
             RetryAfterReceived: self._on_retry_after,
+            OutageKnown: self._on_outage_known,
             ShutdownStarted: self._on_shutdown,
         }
         if settings.must_subscribe:
@@ -188,6 +190,17 @@
             affected_endpoint.state.honor_retry_after(event.until)
         self.dispatchable[destination] = None
 
+    def _on_outage_known(self, event: OutageKnown) -> None:
+        destination = self.destinations.get(event.destination)
+        if destination is None:
+            return
+        endpoint = destination.endpoints.get(event.endpoint)
+        state = endpoint.state if endpoint is not None else destination.state
+        # Health is shared or not by the settings, which may differ from those of the other process.
+        if state is not None and state.owner.endpoint == event.endpoint:
+            state.restore(self.now, event.history)
+            self.dispatchable[destination] = None
+
     def _on_shutdown(self, event: ShutdownStarted) -> None:
         self._give_up_blocked(self.now + event.pause)
 
--- a/honeyhitch/policy/events.py
+++ b/honeyhitch/policy/events.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from honeyhitch.policy.outage_evidence import OutageHistory
+
 
 class Outcome(Enum):
     """The result of an attempt."""
@@ -137,6 +139,15 @@
     until: int
 
 
+@dataclass(frozen=True, slots=True)
+class OutageKnown:
+    """Another process of this dispatcher, such as the one before a restart, knows of an outage."""
+
+    destination: int
+    endpoint: str  # empty if all endpoints of the destination share the health
+    history: OutageHistory
+
+
 @dataclass(frozen=True, slots=True)
 class TimerFired:
     """A timer requested by SetTimer fired."""
@@ -150,5 +161,6 @@
     | MessageWithdrawn
     | ShutdownStarted
     | RetryAfterReceived
+    | OutageKnown
     | TimerFired
 )
--- a/honeyhitch/policy/outage_evidence.py
+++ b/honeyhitch/policy/outage_evidence.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from honeyhitch.time_units import SECOND
+from typing import NamedTuple
+
+from honeyhitch.time_units import NEVER, SECOND
 
 MIN_OUTAGE = 2 * SECOND  # failures for a shorter time are taken for failures of single calls
 # Rejections alone may come from a limit that all instances share.
@@ -10,6 +12,19 @@
 MAX_LIMITED = 10 * SECOND  # rejections for a longer time are not taken for those of a limit
 
 
+class OutageHistory(NamedTuple):
+    """What an instance knows of the latest outage of a destination; it outlives the process.
+
+    Times are nanoseconds, 0 if they are unknown. The history of a destination without an outage is all 0.
+    """
+
+    failing_since: int = 0  # the first failure since the latest success
+    only_rejections: bool = True  # since then
+    recovered_at: int = 0  # when the latest slow start began
+    outage_duration: int = 0  # before that slow start
+    slow_start_ends_at: int = 0
+
+
 class OutageEvidence:
     """The time during which a destination has only failed or rejected calls. Times are nanoseconds.
 
@@ -17,22 +32,34 @@
     all such instances together can overload a destination that returns (rule 4).
     """
 
-    __slots__ = ("_only_rejections", "failing_since")
+    __slots__ = ("_success_at", "failing_since", "only_rejections")
 
     def __init__(self) -> None:
         self.failing_since: int | None = None  # the first failure since the latest success
-        self._only_rejections = True
+        self.only_rejections = True  # since then
+        self._success_at = -NEVER
 
     def record_failure(self, now: int, rejected: bool) -> None:
         """Record a call that failed or was rejected for any reason."""
         if self.failing_since is None:
             self.failing_since = now
-            self._only_rejections = True
-        self._only_rejections &= rejected
+            self.only_rejections = True
+        self.only_rejections &= rejected
 
-    def record_success(self) -> None:
+    def record_success(self, now: int) -> None:
         """Record a delivery that was sent after the latest failed call."""
         self.failing_since = None
+        self._success_at = now
+
+    def restore(self, history: OutageHistory) -> bool:
+        """Apply the failures that another process of this instance saw; return whether they were unknown."""
+        if not self._success_at < history.failing_since:
+            return False
+        if self.failing_since is not None and self.failing_since <= history.failing_since:
+            return False
+        self.only_rejections = history.only_rejections
+        self.failing_since = history.failing_since
+        return True
 
     def duration(self, now: int) -> int:
         """Return for how long there has been no success; 0 if no call has failed since the latest one."""
@@ -40,8 +67,8 @@
 
     def suggests_outage(self, now: int) -> bool:
         """Return whether the destination has failed for so long that it may be out."""
-        return self.duration(now) > (MIN_OUTAGE_BY_REJECTIONS if self._only_rejections else MIN_OUTAGE)
+        return self.duration(now) > (MIN_OUTAGE_BY_REJECTIONS if self.only_rejections else MIN_OUTAGE)
 
     def may_be_limited(self, now: int) -> bool:
         """Return whether the failures may also be the rejections of a limit."""
-        return self._only_rejections and self.duration(now) < MAX_LIMITED
+        return self.only_rejections and self.duration(now) < MAX_LIMITED
--- a/honeyhitch/policy/rate_limiting.py
+++ b/honeyhitch/policy/rate_limiting.py
@@ -29,13 +29,13 @@
     """
 
     __slots__ = (
-        "_outage_duration",
         "_rate_limit",
         "_recent_calls",
         "_recent_calls_at",
         "_reduced_at",
         "_settings",
         "listed_rate",
+        "outage_duration",
         "recovered_at",
         "reported_limit",
     )
@@ -45,7 +45,7 @@
         self.listed_rate = 0.0
         self.reported_limit = 0.0  # 0 if none was reported
         self.recovered_at = -NEVER
-        self._outage_duration = 0
+        self.outage_duration = 0
         self._rate_limit = inf
         self._reduced_at = 0
         self._recent_calls = 0.0
@@ -79,7 +79,19 @@
     def start_slow_start(self, now: int, outage_duration: int) -> None:
         """Start the slow start of a destination that recovered now from an outage of this duration."""
         self.recovered_at = now
-        self._outage_duration = outage_duration
+        self.outage_duration = outage_duration
+
+    def restore_slow_start(self, recovered_at: int, outage_duration: int) -> bool:
+        """Continue a slow start of another process unless a later one is known; return whether it was."""
+        if recovered_at <= max(0, self.recovered_at):
+            return False
+        self.start_slow_start(recovered_at, outage_duration)
+        return True
+
+    @property
+    def slow_start_ends_at(self) -> int:
+        """The time at which the latest slow start ends or ended, 0 if there was none."""
+        return max(0, self.recovered_at + self._settings.slow_start_duration)
 
     def in_slow_start(self, now: int) -> bool:
         """Return whether the destination recovered too recently to be sure of its full capacity."""
@@ -89,7 +101,7 @@
         """Return the calls per second allowed now by rejections and slow start; `inf` if not limited."""
         rate = inf if self._rate_limit == inf else self._recovering_rate(now)
         if self.in_slow_start(now):
-            return min(rate, self.slow_start_rate(now - self.recovered_at, self._outage_duration))
+            return min(rate, self.slow_start_rate(now - self.recovered_at, self.outage_duration))
         return rate
 
     def _recovering_rate(self, now: int) -> float:
--- a/honeyhitch/service/handover.py
+++ b/honeyhitch/service/handover.py
@@ -12,6 +12,7 @@
 
 from honeyhitch import logs
 from honeyhitch.dispatcher.dispatcher import Dispatcher
+from honeyhitch.dispatcher.outage_events import outage_known
 from honeyhitch.journal.directory import FIRST_SLOT, SECOND_SLOT, StateDirectory
 from honeyhitch.journal.follower import JournalFollower
 from honeyhitch.journal.journal import Journal, JournalFullError
@@ -162,11 +163,11 @@
             return
         directory.move_to_first_slot()
         self.follower.close()
-        retry_after_events = self._retry_after_events()
+        partner_events = self._partner_events()
         self.follower = self._new_follower()
         self.journal.peer_bytes = 0
         self._set_peer_running(False)
-        self.dispatcher.apply_retry_after(retry_after_events)
+        self.dispatcher.apply_partner_events(partner_events)
         if messages:
             log.info("handover.journal-taken-over", messages=len(messages))
         if self.recovered:
@@ -194,13 +195,13 @@
 
     # The methods of `PeerProcess`, which the dispatcher calls while a peer runs.
 
-    def retry_after_events(self) -> list[Event]:
-        """Return each Retry-After that the peer has received and that has not expired.
+    def partner_events(self) -> list[Event]:
+        """Return each Retry-After and outage that the peer knows and that has not expired.
 
-        The endpoint of a Retry-After may be listed in this process only after the peer received it.
+        Its endpoint may be listed in this process only after the peer has learned of it.
         """
         self._read_peer_journal()
-        return self._retry_after_events()
+        return self._partner_events()
 
     def has_accepted(self, message_id: str) -> bool:
         """Return whether the peer has accepted this message."""
@@ -211,13 +212,17 @@
         self.follower.read()
         self.journal.peer_bytes = self.follower.reserved_bytes()
 
-    def _retry_after_events(self) -> list[Event]:
+    def _partner_events(self) -> list[Event]:
         now = self.journal.clock()
-        return [
+        retry_after: list[Event] = [
             RetryAfterReceived(destination, endpoint, until)
             for (destination, endpoint), until in self.follower.retry_after_until.items()
             if until > now
         ]
+        outages = [
+            outage_known(outage) for outage in self.follower.outages.values() if not outage.expired(now)
+        ]
+        return retry_after + outages
 
 
 def _copy(message: Transaction) -> Transaction:
--- a/honeyhitch/simulator_host/host.py
+++ b/honeyhitch/simulator_host/host.py
@@ -11,7 +11,7 @@
 from honeyhitch.config.deployment import ConfigError
 from honeyhitch.config.instance import SettingsReader
 from honeyhitch.config.values import parse_integer
-from honeyhitch.policy.actions import ReportHealth
+from honeyhitch.policy.actions import RecordOutage, ReportHealth
 from honeyhitch.policy.engine import DeliveryPolicy
 from honeyhitch.policy.events import (
     EndpointListing,
@@ -232,7 +232,7 @@
         lines: list[str] = []
         try:
             for action in instance.policy.handle(now, events):
-                if not isinstance(action, ReportHealth):
+                if not isinstance(action, ReportHealth | RecordOutage):
                     lines.append(format_action(name, action))
         except Exception as error:  # any error of a policy is reported on the wire; the host continues
             log.exception("policy.failed", instance=name)
--- a/honeyhitch/simulator_host/lines.py
+++ b/honeyhitch/simulator_host/lines.py
@@ -14,6 +14,7 @@
     CloseIdleConnections,
     Fail,
     OpenConnections,
+    RecordOutage,
     Reject,
     ReportHealth,
     Send,
@@ -147,8 +148,8 @@
             return f"drop_conns {instance} {endpoint}"
         case OpenConnections(endpoint):
             raise WireError(f"no endpoint of the wire is gated, yet {endpoint} is")
-        case ReportHealth():
-            raise WireError("a change of health is for the log of a real dispatcher only")
+        case ReportHealth() | RecordOutage():
+            raise WireError("what a real dispatcher logs and keeps has no line on the wire")
 
 
 def format_policy_error(instance: str, error: Exception) -> str:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -241,7 +241,7 @@
     for name in sorted(old.held())[::2]:
         old.dispatcher.conclude(old.dispatcher.messages.by_id[name], Ending.REJECTED)
     new, expected_ids = Process(tmp_path, time, max_journal_bytes=disk, max_messages=1000), old.held()
-    new.handover.retry_after_events()  # as in a round; also reads how much disk space the other process uses
+    new.handover.partner_events()  # as in a round; also reads how much disk space the other process uses
     old.dispatcher.hand_over()
     new.handover.check_peer()
     assert new.held() == expected_ids
@@ -299,7 +299,7 @@
     assert len(accepted) > 2
     new = Process(tmp_path, time, max_journal_bytes=disk, max_messages=1000)
     assert old.submit("small")
-    new.handover.retry_after_events()  # as in a round
+    new.handover.partner_events()  # as in a round
     old.dispatcher.hand_over()
     new.handover.check_peer()
     assert not new.held() >= set(accepted), "the journals have no room for all of them twice"
@@ -324,7 +324,7 @@
         if attempted:
             old.journal.record_attempt(message, START, 0)
     new = Process(tmp_path, time, **arguments)
-    new.handover.retry_after_events()
+    new.handover.partner_events()
     old.dispatcher.hand_over()
     new.handover.check_peer()
     left_out = set(accepted) - new.held()
--- a/tests/test_journal_stored_form.py
+++ b/tests/test_journal_stored_form.py
@@ -20,7 +20,8 @@
 from honeyhitch.journal.follower import JournalFollower
 from honeyhitch.journal.journal import Journal
 from honeyhitch.journal.record_codec import encode_frame
-from honeyhitch.journal.state import JournalState
+from honeyhitch.journal.records import OutageNoted
+from honeyhitch.journal.state import MAX_OUTAGES, JournalState
 from honeyhitch.journal.transactions import Attempt, Ending, PossibleExecution, Transaction
 
 FIXTURES = Path(__file__).parent / "fixtures" / "journal-1"
@@ -206,6 +207,7 @@
         "handed over": list(state.handed_over),
         "calls in flight": state.calls_in_flight,
         "retry after": state.retry_after_until,
+        "outages": state.outages,
         "owner": (state.name, state.version),
     }
 
@@ -323,6 +325,34 @@
     }
 
 
+# Guards against a process that starts after a kill and has forgotten that a partner is out.
+@pytest.mark.parametrize("compacts", [False, True])
+def test_outages_outlive_the_process_until_they_have_no_consequence(tmp_path: Path, compacts: bool) -> None:
+    journal = open_journal(tmp_path)
+    failing = OutageNoted(1, "", 500, True, 0, 0, 0)
+    in_slow_start = OutageNoted(2, "s-1", 0, False, 700, 300, 5_000)
+    for outage in (failing, in_slow_start, OutageNoted(3, "", 500, False, 0, 0, 0)):
+        journal.record_outage(outage)
+    journal.record_outage(OutageNoted(3, "", 0, True, 0, 0, 0))  # a success soon after the failure
+    journal.record_outage(OutageNoted(4, "", 0, True, 10, 10, 20))  # its slow start is over
+    if compacts:
+        journal.compact()
+    journal.close()
+    outages = open_journal(tmp_path).outages
+    assert outages[1, ""] == failing
+    assert outages[2, "s-1"] == in_slow_start
+    assert (3, "") not in outages
+    assert ((4, "") in outages) is not compacts
+
+
+def test_the_number_of_outages_that_are_kept_is_bounded(tmp_path: Path) -> None:
+    journal = open_journal(tmp_path)
+    for number in range(MAX_OUTAGES + 10):
+        journal.record_outage(OutageNoted(number, "", 500, True, 0, 0, 0))
+    assert len(journal.outages) == MAX_OUTAGES
+    assert (9, "") not in journal.outages
+
+
 def test_a_torn_tail_is_cut_and_the_journal_is_continued(tmp_path: Path) -> None:
     shutil.copyfile(FIXTURES / "torn", tmp_path / "journal")
     journal = open_journal(tmp_path)
--- a/tests/test_outage_evidence.py
+++ b/tests/test_outage_evidence.py
@@ -6,8 +6,10 @@
 
 import pytest
 
+from honeyhitch.policy.actions import RecordOutage
 from honeyhitch.policy.destination_state import DestinationState
-from honeyhitch.policy.events import EndpointListing, Outcome
+from honeyhitch.policy.events import EndpointListing, OutageKnown, Outcome
+from honeyhitch.policy.outage_evidence import OutageHistory
 from honeyhitch.time_units import MILLISECOND, SECOND
 
 from .world import World, settings
@@ -107,3 +109,59 @@
     world.batch([world.new_message("waiting")])
     world.advance_to(ends_at + 2 * ROUND_TRIP)
     assert world.sends("waiting")
+
+
+FAILING_SINCE = 3 * SECOND
+STARTED_AT = 9 * SECOND  # the time of a process that starts again in the outage
+FAILING = OutageHistory(failing_since=FAILING_SINCE, only_rejections=False)
+
+
+def restarted_world(history: OutageHistory, seed: int = 7, now: int = STARTED_AT) -> World:
+    """Return an instance that starts with what its earlier process recorded."""
+    world = World(settings(max_attempts=1, instance_count=32), ONE_ENDPOINT, seed)
+    world.batch([OutageKnown(0, "", history)], now=now)
+    return world
+
+
+# Guards against processes that are killed in an outage, forget it, and send all that they hold at its end.
+def test_processes_that_start_in_an_outage_spread_their_probes_and_begin_a_slow_start() -> None:
+    delays = []
+    for seed in range(16):
+        world = restarted_world(FAILING, seed)
+        world.batch([world.new_message("held")])
+        while not world.messages["held"].attempts:
+            world.advance_to(world.now + ROUND_TRIP)
+        delays.append(world.now - STARTED_AT)
+        world.batch([world.attempt_ended("held", Outcome.DELIVERED)])
+        assert state_of(world).rate.in_slow_start(world.now)
+        assert state_of(world).rate.outage_duration == world.now - FAILING_SINCE
+    assert sum(delay < SECOND for delay in delays) <= len(delays) // 3
+
+
+# Guards against processes that are killed after a partner's return, and send at full rate after their start.
+def test_a_process_that_starts_in_a_slow_start_continues_it() -> None:
+    history = OutageHistory(recovered_at=8 * SECOND, outage_duration=5 * SECOND)
+    state = state_of(restarted_world(history))
+    assert state.rate.recovered_at == 8 * SECOND
+    assert state.rate.send_rate(STARTED_AT) < inf
+
+
+@pytest.mark.parametrize("again", [FAILING, OutageHistory(failing_since=FAILING_SINCE + SECOND)])
+def test_a_success_is_not_forgotten_for_an_older_history(again: OutageHistory) -> None:
+    world = restarted_world(FAILING)
+    call(world, "probe", Outcome.DELIVERED)
+    world.batch([OutageKnown(0, "", again)])
+    assert state_of(world).outage.failing_since is None
+    assert not state_of(world).circuit.ejected
+
+
+def test_the_history_is_recorded_when_failures_begin_and_when_they_end() -> None:
+    world = World(settings(max_attempts=1), ONE_ENDPOINT)
+    call(world, "failed", Outcome.CONNECT_FAILED)
+    failed_at = world.now
+    world.advance_to(world.now + 3 * SECOND)
+    call(world, "after", Outcome.DELIVERED)
+    records = [action for _, action in world.action_log if isinstance(action, RecordOutage)]
+    assert [record.history.failing_since for record in records] == [failed_at, 0]
+    assert records[1].history.recovered_at == world.now
+    assert records[1].history.slow_start_ends_at == world.now + world.settings.slow_start_duration
