--- a/honeyhitch/dispatcher/dispatcher.py
+++ b/honeyhitch/dispatcher/dispatcher.py
@@ -14,7 +14,6 @@
 from honeyhitch.dispatcher.context import DispatcherContext
 from honeyhitch.dispatcher.delivery import Admission, Call, CallResult, DispatcherState, Phase
 from honeyhitch.dispatcher.endings import Endings
-from honeyhitch.dispatcher.outage_events import outage_known
 from honeyhitch.dispatcher.outcomes import CallOutcomes
 from honeyhitch.dispatcher.ports import Scheduler
 from honeyhitch.dispatcher.recovery import Recovery
@@ -23,7 +22,13 @@
 from honeyhitch.endpoints.pool import EndpointPool
 from honeyhitch.journal.journal import Journal
 from honeyhitch.journal.transactions import Ending, Transaction
-from honeyhitch.policy.events import ConnectionCapacity, EndpointListUpdate, Event, RetryAfterReceived
+from honeyhitch.policy.events import (
+    ConnectionCapacity,
+    EndpointListUpdate,
+    Event,
+    OutageKnown,
+    RetryAfterReceived,
+)
 from honeyhitch.policy.health import ejected_endpoints
 from honeyhitch.policy.settings import Settings
 
@@ -142,8 +147,8 @@
                 self.event_queue.enqueue(RetryAfterReceived(destination, endpoint_id, until))
 
         for outage in self.journal.outages.values():
-            if not outage.expired(now):
-                self.event_queue.enqueue(outage_known(outage))
+            if not outage.history.expired(now):
+                self.event_queue.enqueue(OutageKnown(outage.destination, outage.endpoint, outage.history))
 
     def apply_partner_events(self, events: list[Event]) -> None:
         """Pass what another process of this dispatcher knew of endpoints before it ended."""
--- a/honeyhitch/dispatcher/rounds.py
+++ b/honeyhitch/dispatcher/rounds.py
@@ -22,7 +22,6 @@
     SetTimer,
 )
 from honeyhitch.policy.events import NewMessage, TimerFired
-from honeyhitch.policy.outage_evidence import OutageHistory
 from honeyhitch.time_units import MILLISECOND
 
 log = logs.get_logger()
@@ -77,22 +76,10 @@
             case ReportHealth():
                 self._log_health(action)
             case RecordOutage(destination, endpoint, history):
-                self._record_outage(destination, endpoint, history)
+                self.context.journal.record_outage(OutageNoted(destination, endpoint, history))
             case _:  # Subscribe: the watch of discovery is always active
                 pass
 
-    def _record_outage(self, destination: int, endpoint: str, history: OutageHistory) -> None:
-        outage = OutageNoted(
-            destination=destination,
-            endpoint=endpoint,
-            failing_since=history.failing_since,
-            only_rejections=history.only_rejections,
-            recovered_at=history.recovered_at,
-            outage_duration=history.outage_duration,
-            slow_start_ends_at=history.slow_start_ends_at,
-        )
-        self.context.journal.record_outage(outage)
-
     def _log_health(self, report: ReportHealth) -> None:
         log.info(
             "destination.health-changed",
--- a/honeyhitch/journal/journal.py
+++ b/honeyhitch/journal/journal.py
@@ -366,7 +366,9 @@
         now = self.clock()
         self.messages.drop_expired(now)
         self.retry_after_until = {key: until for key, until in self.retry_after_until.items() if until > now}
-        self.outages = {key: outage for key, outage in self.outages.items() if not outage.expired(now)}
+        self.outages = {
+            key: outage for key, outage in self.outages.items() if not outage.history.expired(now)
+        }
         return b"".join(encode_record(record) for record in self._live_records())
 
     def _live_records(self) -> Iterator[Record]:
--- a/honeyhitch/journal/merge.py
+++ b/honeyhitch/journal/merge.py
@@ -53,7 +53,7 @@
             self._extend_retry_after(destination, endpoint, until)
         for key, outage in peer_state.outages.items():
             own_outage = self.outages.get(key)
-            if own_outage is None or own_outage.latest_at < outage.latest_at:
+            if own_outage is None or own_outage.history.latest_at < outage.history.latest_at:
                 self._keep_outage(outage)
         own_messages.concluded = peer_state.messages.concluded | own_messages.concluded
         own_messages.delivered_keys = _earliest(
--- a/honeyhitch/journal/record_codec.py
+++ b/honeyhitch/journal/record_codec.py
@@ -34,6 +34,7 @@
 )
 from honeyhitch.journal.settings_names import SettingsNames
 from honeyhitch.journal.transactions import Attempt, Ending, PossibleExecution, RememberedKey, Transaction
+from honeyhitch.policy.outage_evidence import OutageHistory
 
 RECORD_HEADER = struct.Struct("<II")  # length and checksum of the data after it
 FIELDS_LENGTH = struct.Struct("<I")  # length of the JSON in a record; the body follows the JSON
@@ -250,28 +251,28 @@
 
 
 def _encode_outage(record: OutageNoted) -> Fields:
+    history = record.history
     return {
         "t": "outage",
         "dest": record.destination,
         "of": record.endpoint,
-        "since": record.failing_since,
-        "rejected": record.only_rejections,
-        "back_at": record.recovered_at,
-        "took": record.outage_duration,
-        "until": record.slow_start_ends_at,
+        "since": history.failing_since,
+        "rejected": history.only_rejections,
+        "back_at": history.recovered_at,
+        "took": history.outage_duration,
+        "until": history.slow_start_ends_at,
     }
 
 
 def _decode_outage(fields: Fields, _: bytes) -> OutageNoted:
-    return OutageNoted(
-        destination=int(fields["dest"]),
-        endpoint=str(fields["of"]),
+    history = OutageHistory(
         failing_since=int(fields["since"]),
         only_rejections=bool(fields["rejected"]),
         recovered_at=int(fields["back_at"]),
         outage_duration=int(fields["took"]),
         slow_start_ends_at=int(fields["until"]),
     )
+    return OutageNoted(int(fields["dest"]), str(fields["of"]), history)
 
 
 def _encode_owner(record: JournalOwner) -> Fields:
--- a/honeyhitch/journal/records.py
+++ b/honeyhitch/journal/records.py
@@ -11,6 +11,7 @@
 
 from honeyhitch.journal.settings_names import SettingsNames
 from honeyhitch.journal.transactions import Attempt, Ending, RememberedKey, Transaction
+from honeyhitch.policy.outage_evidence import OutageHistory
 
 
 @dataclass(slots=True)
@@ -92,20 +93,7 @@
 
     destination: int
     endpoint: str  # empty if all endpoints of the destination share their health
-    failing_since: int  # 0 if no call has failed since the latest success
-    only_rejections: bool
-    recovered_at: int  # 0 if it has not recovered
-    outage_duration: int
-    slow_start_ends_at: int
-
-    @property
-    def latest_at(self) -> int:
-        """The time of the latest change that the record describes."""
-        return max(self.failing_since, self.recovered_at)
-
-    def expired(self, now: int) -> bool:
-        """Return whether the record says nothing about the time from `now` on."""
-        return not self.failing_since and self.slow_start_ends_at <= now
+    history: OutageHistory
 
 
 @dataclass(slots=True)
--- a/honeyhitch/journal/state.py
+++ b/honeyhitch/journal/state.py
@@ -220,7 +220,7 @@
     def _keep_outage(self, record: OutageNoted) -> None:
         """Replace what is known of an outage; forget an outage that has no consequence any more."""
         self.outages.pop((record.destination, record.endpoint), None)
-        if record.failing_since or record.recovered_at:
+        if record.history.latest_at:
             self.outages[record.destination, record.endpoint] = record
         if len(self.outages) > MAX_OUTAGES:
             del self.outages[next(iter(self.outages))]
--- a/honeyhitch/policy/outage_evidence.py
+++ b/honeyhitch/policy/outage_evidence.py
@@ -24,6 +24,15 @@
     outage_duration: int = 0  # before that slow start
     slow_start_ends_at: int = 0
 
+    @property
+    def latest_at(self) -> int:
+        """The time of the latest change that the history describes, 0 if there was no outage."""
+        return max(self.failing_since, self.recovered_at)
+
+    def expired(self, now: int) -> bool:
+        """Return whether the history says nothing about the time from `now` on."""
+        return not self.failing_since and self.slow_start_ends_at <= now
+
 
 class OutageEvidence:
     """The time during which a destination has only failed or rejected calls. Times are nanoseconds.
--- a/honeyhitch/service/handover.py
+++ b/honeyhitch/service/handover.py
@@ -12,12 +12,11 @@
 
 from honeyhitch import logs
 from honeyhitch.dispatcher.dispatcher import Dispatcher
-from honeyhitch.dispatcher.outage_events import outage_known
 from honeyhitch.journal.directory import FIRST_SLOT, SECOND_SLOT, StateDirectory
 from honeyhitch.journal.follower import JournalFollower
 from honeyhitch.journal.journal import Journal, JournalFullError
 from honeyhitch.journal.transactions import Transaction
-from honeyhitch.policy.events import Event, RetryAfterReceived
+from honeyhitch.policy.events import Event, OutageKnown, RetryAfterReceived
 
 log = logs.get_logger()
 PEER_POLL_SECONDS = 0.02  # between checks while a peer runs
@@ -219,8 +218,10 @@
             for (destination, endpoint), until in self.follower.retry_after_until.items()
             if until > now
         ]
-        outages = [
-            outage_known(outage) for outage in self.follower.outages.values() if not outage.expired(now)
+        outages: list[Event] = [
+            OutageKnown(outage.destination, outage.endpoint, outage.history)
+            for outage in self.follower.outages.values()
+            if not outage.history.expired(now)
         ]
         return retry_after + outages
 
--- a/tests/test_journal_stored_form.py
+++ b/tests/test_journal_stored_form.py
@@ -23,6 +23,7 @@
 from honeyhitch.journal.records import OutageNoted
 from honeyhitch.journal.state import MAX_OUTAGES, JournalState
 from honeyhitch.journal.transactions import Attempt, Ending, PossibleExecution, Transaction
+from honeyhitch.policy.outage_evidence import OutageHistory
 
 FIXTURES = Path(__file__).parent / "fixtures" / "journal-1"
 NOW = 1_000  # ns
@@ -329,12 +330,14 @@
 @pytest.mark.parametrize("compacts", [False, True])
 def test_outages_outlive_the_process_until_they_have_no_consequence(tmp_path: Path, compacts: bool) -> None:
     journal = open_journal(tmp_path)
-    failing = OutageNoted(1, "", 500, True, 0, 0, 0)
-    in_slow_start = OutageNoted(2, "s-1", 0, False, 700, 300, 5_000)
-    for outage in (failing, in_slow_start, OutageNoted(3, "", 500, False, 0, 0, 0)):
+    failing = OutageNoted(1, "", OutageHistory(500, True, 0, 0, 0))
+    in_slow_start = OutageNoted(2, "s-1", OutageHistory(0, False, 700, 300, 5_000))
+    for outage in (failing, in_slow_start, OutageNoted(3, "", OutageHistory(500, False, 0, 0, 0))):
         journal.record_outage(outage)
-    journal.record_outage(OutageNoted(3, "", 0, True, 0, 0, 0))  # a success soon after the failure
-    journal.record_outage(OutageNoted(4, "", 0, True, 10, 10, 20))  # its slow start is over
+    journal.record_outage(
+        OutageNoted(3, "", OutageHistory(0, True, 0, 0, 0))
+    )  # a success soon after the failure
+    journal.record_outage(OutageNoted(4, "", OutageHistory(0, True, 10, 10, 20)))  # its slow start is over
     if compacts:
         journal.compact()
     journal.close()
@@ -348,7 +351,7 @@
 def test_the_number_of_outages_that_are_kept_is_bounded(tmp_path: Path) -> None:
     journal = open_journal(tmp_path)
     for number in range(MAX_OUTAGES + 10):
-        journal.record_outage(OutageNoted(number, "", 500, True, 0, 0, 0))
+        journal.record_outage(OutageNoted(number, "", OutageHistory(500, True, 0, 0, 0)))
     assert len(journal.outages) == MAX_OUTAGES
     assert (9, "") not in journal.outages
 
