--- a/honeyhitch/dispatcher/admission.py
+++ b/honeyhitch/dispatcher/admission.py
@@ -11,7 +11,7 @@
 from honeyhitch.dispatcher.endings import Endings
 from honeyhitch.dispatcher.fair_share import Room, Submitters, stays_within_share
 from honeyhitch.dispatcher.ports import ArrivalDecision
-from honeyhitch.journal.journal import JournalFullError
+from honeyhitch.journal.journal_file import JournalFullError
 from honeyhitch.journal.state import estimated_bytes
 from honeyhitch.journal.transactions import RESEND_FRONTEND, RESP_FRONTEND, Ending, Transaction
 from honeyhitch.memory.plan import message_memory
--- a/honeyhitch/dispatcher/calls.py
+++ b/honeyhitch/dispatcher/calls.py
@@ -9,7 +9,7 @@
 from honeyhitch.dispatcher.delivery import Call
 from honeyhitch.dispatcher.outcomes import CallOutcomes
 from honeyhitch.endpoints.endpoint import PoolEndpoint
-from honeyhitch.journal.journal import JournalFullError
+from honeyhitch.journal.journal_file import JournalFullError
 from honeyhitch.policy.actions import Send
 from honeyhitch.policy.events import RetryAfterReceived
 from honeyhitch.time_units import MILLISECOND
--- a/honeyhitch/dispatcher/endings.py
+++ b/honeyhitch/dispatcher/endings.py
@@ -6,7 +6,7 @@
 
 from honeyhitch import logs
 from honeyhitch.dispatcher.context import DispatcherContext
-from honeyhitch.journal.journal import JournalFullError
+from honeyhitch.journal.journal_file import JournalFullError
 from honeyhitch.journal.settings_names import UNKNOWN
 from honeyhitch.journal.transactions import RESEND_FRONTEND, RESP_FRONTEND, Ending, Transaction
 from honeyhitch.policy.events import MessageWithdrawn
--- a/honeyhitch/dispatcher/recovery.py
+++ b/honeyhitch/dispatcher/recovery.py
@@ -6,7 +6,7 @@
 from honeyhitch.dispatcher.admission import AdmissionControl
 from honeyhitch.dispatcher.context import DispatcherContext
 from honeyhitch.dispatcher.endings import Endings
-from honeyhitch.journal.journal import JournalFullError
+from honeyhitch.journal.journal_file import JournalFullError
 from honeyhitch.journal.settings_names import UNKNOWN
 from honeyhitch.journal.transactions import RESEND_FRONTEND, Ending, Transaction
 from honeyhitch.policy.events import ShutdownStarted
--- a/honeyhitch/service/handover.py
+++ b/honeyhitch/service/handover.py
@@ -14,7 +14,8 @@
 from honeyhitch.dispatcher.dispatcher import Dispatcher
 from honeyhitch.journal.directory import FIRST_SLOT, SECOND_SLOT, StateDirectory
 from honeyhitch.journal.follower import JournalFollower
-from honeyhitch.journal.journal import Journal, JournalFullError
+from honeyhitch.journal.journal import Journal
+from honeyhitch.journal.journal_file import JournalFullError
 from honeyhitch.journal.transactions import Transaction
 from honeyhitch.policy.events import Event, OutageKnown, RetryAfterReceived
 
--- a/honeyhitch/service/open_state.py
+++ b/honeyhitch/service/open_state.py
@@ -12,7 +12,8 @@
 from honeyhitch.config import Config, ConfigError
 from honeyhitch.journal.clock_anchor import AnchorFile, ClockAnchor, stored_anchor
 from honeyhitch.journal.directory import StateDirectory, StateDirectoryInUseError
-from honeyhitch.journal.journal import Journal, JournalVersionError
+from honeyhitch.journal.journal import Journal
+from honeyhitch.journal.journal_file import JournalVersionError
 from honeyhitch.journal.process_record import ProcessDescription
 from honeyhitch.journal.settings_names import SettingsNames
 from honeyhitch.journal.transactions import Transaction
--- a/honeyhitch/service/peer_check.py
+++ b/honeyhitch/service/peer_check.py
@@ -14,7 +14,7 @@
     StateDirectoryInUseError,
     find_running_process,
 )
-from honeyhitch.journal.journal import JOURNAL_VERSION
+from honeyhitch.journal.journal_file import JOURNAL_VERSION
 from honeyhitch.journal.process_record import ProcessDescription
 from honeyhitch.journal.record_codec import decode_records
 from honeyhitch.journal.records import JournalOwner
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -18,7 +18,8 @@
 from honeyhitch import config
 from honeyhitch.journal.directory import FIRST_SLOT, SECOND_SLOT, StateDirectory, StateDirectoryInUseError
 from honeyhitch.journal.follower import JournalFollower
-from honeyhitch.journal.journal import Journal, JournalVersionError
+from honeyhitch.journal.journal import Journal
+from honeyhitch.journal.journal_file import JournalVersionError
 from honeyhitch.journal.records import JournalOwner
 from honeyhitch.journal.transactions import Ending, Transaction
 from honeyhitch.policy.events import Outcome
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from honeyhitch.journal.journal import Journal, JournalFullError
+from honeyhitch.journal.journal import Journal
+from honeyhitch.journal.journal_file import JournalFullError
 from honeyhitch.journal.record_codec import decode_frames
 from honeyhitch.journal.transactions import Ending, Transaction
 
--- a/tests/test_journal_faults.py
+++ b/tests/test_journal_faults.py
@@ -12,7 +12,8 @@
 import pytest
 
 from honeyhitch.journal.clock_anchor import AnchorFile, ClockAnchor
-from honeyhitch.journal.journal import DISK_BLOCK_BYTES, Journal, JournalFullError
+from honeyhitch.journal.journal import Journal
+from honeyhitch.journal.journal_file import DISK_BLOCK_BYTES, JournalFullError
 from honeyhitch.journal.transactions import Ending, Transaction
 
 from .rig import START, DispatcherRig, VirtualTime, retention
