Outage evidence: ignore outdated failures, and let no answer wait for its record

A call that fails late, while calls sent after it were delivered, began a time without success, and so might begin a slow start where one connection in fifty never comes up (test_a_late_failure_of_a_call_sent_before_a_success_is_no_evidence failed before). A record of an outage that the full disk does not take was postponed like a record of an ending, and final answers wait until postponed records are written (test_an_outage_that_cannot_be_written_delays_nothing). It is left out now; a compaction writes it.

--- a/honeyhitch/journal/journal.py
+++ b/honeyhitch/journal/journal.py
@@ -126,9 +126,13 @@
             self._append_or_postpone(RetryAfterNoted(destination, endpoint, until))
 
     def record_outage(self, outage: OutageNoted) -> None:
-        """Record what is known of an outage; the next process and the other one of a hand-over need it."""
+        """Record what is known of an outage; the next process and the other one of a hand-over need it.
+
+        Without space the record is left out: no answer may wait for it, and a compaction writes it.
+        """
         self._keep_outage(outage)
-        self._append_or_postpone(outage)
+        with contextlib.suppress(JournalFullError):
+            self.append(outage)
 
     def hand_over(self, transactions: list[Transaction], calls_in_flight: int) -> None:
         """Record that the other process resumes these messages, and how many calls are in flight here.
--- a/honeyhitch/policy/circuit_breaking.py
+++ b/honeyhitch/policy/circuit_breaking.py
@@ -123,6 +123,10 @@
         self.consecutive_failures = 0.0
         return True
 
+    def is_outdated(self, call: Call) -> bool:
+        """Return whether a call that was sent after this one has succeeded: its failure shows nothing."""
+        return call.sent_at < self._success_sent_at
+
     def end_ejection(self) -> bool:
         """Allow all calls again; return whether the destination was ejected."""
         was_ejected = self.ejected
--- a/honeyhitch/policy/destination_state.py
+++ b/honeyhitch/policy/destination_state.py
@@ -150,8 +150,7 @@
         is down rejects in the same way, so it is ejected once nothing but them has come for some time.
         """
         self.circuit.count_failure(now, call, True)
-        self.outage.record_failure(now, rejected=True)
-        self._record_history()
+        self._record_outage_evidence(now, call, rejected=True)
         lasting = self.circuit.consecutive_failures >= EJECTION_CONNECTION_REJECTIONS
         rejecting = lasting and self.circuit.should_eject(now, rejected=True, retry_after=0)
         if rejecting or self.circuit.ejected or self.outage.suggests_outage(now):
@@ -160,8 +159,7 @@
     def record_failure(self, now: int, call: Call, rejected: bool, retry_after: int) -> None:
         """Record a message that failed, or that the destination rejected because of its rate limit."""
         first_of_burst = self.circuit.count_failure(now, call, rejected)
-        self.outage.record_failure(now, rejected)
-        self._record_history()
+        self._record_outage_evidence(now, call, rejected)
         if rejected and first_of_burst:
             self.rate.reduce_rate(now)
         out_at_next_call = self.outage.suggests_outage(max(now, self.retry_after_until))
@@ -174,13 +172,20 @@
         All instances may have been restarted at the same time, so the first call is due at a random time
         within the pause between calls.
         """
-        self._recorded_history = history
         if self.rate.restore_slow_start(history.recovered_at, history.outage_duration):
             pause = int(SECOND / self.rate.send_rate(now))
             self.last_sent_at = max(self.last_sent_at, now - int(pause * self._rng.uniform(0, 1)))
-        if self.outage.restore(history) and self.outage.suggests_outage(now) and not self.circuit.ejected:
-            self._eject(now, "failed-before-start")
-            self.circuit.spread_first_probe(now, self.outage.duration(now))
+            self._recorded_history = history
+        if self.outage.restore(history):
+            self._recorded_history = history
+            if self.outage.suggests_outage(now) and not self.circuit.ejected:
+                self._eject(now, "failed-before-start")
+                self.circuit.spread_first_probe(now, self.outage.duration(now))
+
+    def _record_outage_evidence(self, now: int, call: Call, rejected: bool) -> None:
+        if not self.circuit.is_outdated(call):
+            self.outage.record_failure(now, rejected)
+            self._record_history()
 
     def _record_history(self) -> None:
         history = OutageHistory(
--- a/tests/test_journal_stored_form.py
+++ b/tests/test_journal_stored_form.py
@@ -356,6 +356,15 @@
     assert (9, "") not in journal.outages
 
 
+# Guards against answers that wait for the record of an outage while the disk is full.
+def test_an_outage_that_cannot_be_written_delays_nothing(tmp_path: Path) -> None:
+    journal = open_journal(tmp_path)
+    journal.max_bytes = 0
+    journal.record_outage(OutageNoted(1, "", OutageHistory(failing_since=500)))
+    assert not journal.postponed
+    assert (1, "") in journal.outages
+
+
 def test_a_torn_tail_is_cut_and_the_journal_is_continued(tmp_path: Path) -> None:
     shutil.copyfile(FIXTURES / "torn", tmp_path / "journal")
     journal = open_journal(tmp_path)
--- a/tests/test_outage_evidence.py
+++ b/tests/test_outage_evidence.py
@@ -165,3 +165,14 @@
     assert [record.history.failing_since for record in records] == [failed_at, 0]
     assert records[1].history.recovered_at == world.now
     assert records[1].history.slow_start_ends_at == world.now + world.settings.slow_start_duration
+
+
+# Guards against a slow start after a call that failed late, while later calls were delivered.
+def test_a_late_failure_of_a_call_sent_before_a_success_is_no_evidence() -> None:
+    world = World(settings(max_attempts=1), ONE_ENDPOINT)
+    call(world, "before", Outcome.DELIVERED)
+    world.batch([world.new_message("lost")])
+    world.advance_to(world.now + ROUND_TRIP)
+    call(world, "other", Outcome.DELIVERED)
+    world.batch([world.attempt_ended("lost", Outcome.CONNECT_FAILED)])
+    assert state_of(world).outage.failing_since is None
