Start in a run of failures, however short, with a probe at a random time

Change: a restored run of failures ejects whatever its length, and its first probe is drawn from the whole pause; short runs of rejections alone, as at a limit, do not.

Result: the case with a run of 1 s in test_processes_that_start_in_an_outage_spread_their_probes_and_begin_a_slow_start failed before.

--- a/honeyhitch/policy/destination_state.py
+++ b/honeyhitch/policy/destination_state.py
@@ -178,9 +178,12 @@
             self._recorded_history = history
         if self.outage.restore(history):
             self._recorded_history = history
-            if self.outage.suggests_outage(now) and not self.circuit.ejected:
-                self._eject(now, "failed-before-start")
+            # A failure, unlike a rejection, may be the first one of an outage that this process would miss.
+            may_be_out = self.outage.suggests_outage(now) or not history.only_rejections
+            if may_be_out and not self.circuit.ejected:
+                self.circuit.eject(now, self.outage.duration(now), self.retry_after_until)
                 self.circuit.spread_first_probe(now, self.outage.duration(now))
+                self._report(now, HealthChange.EJECTED, "failed-before-start")
 
     def _record_outage_evidence(self, now: int, call: Call, rejected: bool) -> None:
         if not self.circuit.is_outdated(call):
--- a/tests/test_outage_evidence.py
+++ b/tests/test_outage_evidence.py
@@ -9,7 +9,7 @@
 from honeyhitch.policy.actions import RecordOutage
 from honeyhitch.policy.destination_state import DestinationState
 from honeyhitch.policy.events import EndpointListing, OutageKnown, Outcome
-from honeyhitch.policy.outage_evidence import OutageHistory
+from honeyhitch.policy.outage_evidence import MIN_OUTAGE, OutageHistory
 from honeyhitch.time_units import MILLISECOND, SECOND
 
 from .world import World, settings
@@ -124,17 +124,22 @@
 
 
 # Guards against processes that are killed in an outage, forget it, and send all that they hold at its end.
-def test_processes_that_start_in_an_outage_spread_their_probes_and_begin_a_slow_start() -> None:
+@pytest.mark.parametrize("failing_since", [FAILING_SINCE, STARTED_AT - SECOND])
+def test_processes_that_start_in_an_outage_spread_their_probes_and_begin_a_slow_start(
+    failing_since: int,
+) -> None:
     delays = []
     for seed in range(16):
-        world = restarted_world(FAILING, seed)
+        world = restarted_world(OutageHistory(failing_since, only_rejections=False), seed)
         world.batch([world.new_message("held")])
         while not world.messages["held"].attempts:
             world.advance_to(world.now + ROUND_TRIP)
         delays.append(world.now - STARTED_AT)
         world.batch([world.attempt_ended("held", Outcome.DELIVERED)])
-        assert state_of(world).rate.in_slow_start(world.now)
-        assert state_of(world).rate.outage_duration == world.now - FAILING_SINCE
+        failing_for = world.now - failing_since
+        if failing_for > MIN_OUTAGE:
+            assert state_of(world).rate.in_slow_start(world.now)
+            assert state_of(world).rate.outage_duration == failing_for
     assert sum(delay < SECOND for delay in delays) <= len(delays) // 3
 
 
