Count a possible outage no longer than the wait that the partner told

Cause: since the time without a success counted also where no call was possible. A rejection that told 1 s of waiting, then 6 s without any list, made an outage of 7 s and a slow start.

--- a/honeyhitch/journal/record_codec.py
+++ b/honeyhitch/journal/record_codec.py
@@ -261,6 +261,7 @@
         "back_at": history.recovered_at,
         "took": history.outage_duration,
         "until": history.slow_start_ends_at,
+        "ends_by": history.ends_by,
     }
 
 
@@ -271,6 +272,7 @@
         recovered_at=int(fields["back_at"]),
         outage_duration=int(fields["took"]),
         slow_start_ends_at=int(fields["until"]),
+        ends_by=int(fields["ends_by"]),
     )
     return OutageNoted(int(fields["dest"]), str(fields["of"]), history)
 
--- a/honeyhitch/policy/destination_state.py
+++ b/honeyhitch/policy/destination_state.py
@@ -159,7 +159,7 @@
     def record_failure(self, now: int, call: Call, rejected: bool, retry_after: int) -> None:
         """Record a message that failed, or that the destination rejected because of its rate limit."""
         first_of_burst = self.circuit.count_failure(now, call, rejected)
-        self._record_outage_evidence(now, call, rejected)
+        self._record_outage_evidence(now, call, rejected, retry_after)
         if rejected and first_of_burst:
             self.rate.reduce_rate(now)
         out_at_next_call = self.outage.suggests_outage(max(now, self.retry_after_until))
@@ -185,9 +185,9 @@
                 self.circuit.spread_first_probe(now, self.outage.duration(now))
                 self._report(now, HealthChange.EJECTED, "failed-before-start")
 
-    def _record_outage_evidence(self, now: int, call: Call, rejected: bool) -> None:
+    def _record_outage_evidence(self, now: int, call: Call, rejected: bool, retry_after: int = 0) -> None:
         if not self.circuit.is_outdated(call):
-            self.outage.record_failure(now, rejected)
+            self.outage.record_failure(now, rejected, retry_after)
             self._record_history()
 
     def _record_history(self) -> None:
@@ -197,6 +197,7 @@
             recovered_at=max(0, self.rate.recovered_at),
             outage_duration=self.rate.outage_duration,
             slow_start_ends_at=self.rate.slow_start_ends_at,
+            ends_by=self.outage.ends_by if self.outage.failing_since is not None else 0,
         )
         if history != self._recorded_history:
             self._recorded_history = history
--- a/honeyhitch/policy/outage_evidence.py
+++ b/honeyhitch/policy/outage_evidence.py
@@ -23,6 +23,7 @@
     recovered_at: int = 0  # when the latest slow start began
     outage_duration: int = 0  # before that slow start
     slow_start_ends_at: int = 0
+    ends_by: int = 0  # when the destination takes calls again by its latest Retry-After
 
     @property
     def latest_at(self) -> int:
@@ -41,15 +42,20 @@
     all such instances together can overload a destination that returns (rule 4).
     """
 
-    __slots__ = ("_success_at", "failing_since", "only_rejections")
+    __slots__ = ("_success_at", "ends_by", "failing_since", "only_rejections")
 
     def __init__(self) -> None:
         self.failing_since: int | None = None  # the first failure since the latest success
         self.only_rejections = True  # since then
+        self.ends_by = 0  # when the destination takes calls again by its latest Retry-After, 0 if unknown
         self._success_at = -NEVER
 
-    def record_failure(self, now: int, rejected: bool) -> None:
-        """Record a call that failed or was rejected for any reason."""
+    def record_failure(self, now: int, rejected: bool, retry_after: int = 0) -> None:
+        """Record a call that failed or was rejected for any reason.
+
+        At the end of a Retry-After a call would be accepted, so an outage lasts no longer than that.
+        """
+        self.ends_by = now + retry_after if retry_after else 0
         if self.failing_since is None:
             self.failing_since = now
             self.only_rejections = True
@@ -68,11 +74,14 @@
             return False
         self.only_rejections = history.only_rejections
         self.failing_since = history.failing_since
+        self.ends_by = history.ends_by
         return True
 
     def duration(self, now: int) -> int:
-        """Return for how long there has been no success; 0 if no call has failed since the latest one."""
-        return 0 if self.failing_since is None else now - self.failing_since
+        """Return for how long the destination may have been out; 0 without a failure since a success."""
+        if self.failing_since is None:
+            return 0
+        return (min(now, self.ends_by) if self.ends_by else now) - self.failing_since
 
     def suggests_outage(self, now: int) -> bool:
         """Return whether the destination has failed for so long that it may be out."""
--- a/tests/test_outage_evidence.py
+++ b/tests/test_outage_evidence.py
@@ -181,3 +181,14 @@
     call(world, "other", Outcome.DELIVERED)
     world.batch([world.attempt_ended("lost", Outcome.CONNECT_FAILED)])
     assert state_of(world).outage.failing_since is None
+
+
+# Guards against messages that are given up without a call after a restart, as a short Retry-After counted as
+# an outage for as long as no endpoint was listed.
+def test_a_short_retry_after_bounds_the_outage_that_it_may_come_from() -> None:
+    world = World(settings(max_attempts=1), ONE_ENDPOINT)
+    call(world, "before", Outcome.DELIVERED)
+    call(world, "rejected", Outcome.REJECTED, SECOND)
+    world.advance_to(world.now + 8 * SECOND)
+    call(world, "after", Outcome.DELIVERED)
+    assert not state_of(world).rate.in_slow_start(world.now)
